--- /dev/null
+++ b/cmd/simhost/main.go
@@ -0,0 +1,111 @@
+// Command simhost hosts decision instances on the simulator's wire: it reads
+// batches of events from standard input and writes their actions to standard
+// output. It decides nothing.
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"chutetack/decide"
+	"chutetack/internal/wire"
+)
+
+func main() {
+	if err := run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "simhost:", err)
+		os.Exit(1)
+	}
+}
+
+// host keeps the instances of one process.
+type host struct {
+	gateways map[uint16]*decide.Gateway
+	reply    wire.Reply
+}
+
+func run(in io.Reader, out io.Writer) error {
+	r, w := bufio.NewReaderSize(in, 1<<16), bufio.NewWriterSize(out, 1<<16)
+	h := &host{gateways: map[uint16]*decide.Gateway{}}
+	var body []byte
+	for {
+		batch, err := wire.ReadBatch(r, body)
+		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		body = batch.Body
+		h.reply.Start(batch.Index)
+		if err := batch.Decode(func(e *wire.Event) { h.take(batch.Now, e) }); err != nil {
+			return err
+		}
+		if _, err := w.Write(h.reply.Bytes()); err != nil {
+			return fmt.Errorf("writing reply %d: %w", batch.Index, err)
+		}
+		if err := w.Flush(); err != nil {
+			return fmt.Errorf("writing reply %d: %w", batch.Index, err)
+		}
+	}
+}
+
+// take carries one event to its instance. A panic there is told as broken, and
+// the instance is gone.
+func (h *host) take(now decide.Time, e *wire.Event) {
+	h.reply.For(e.Instance)
+	defer func() {
+		if p := recover(); p != nil {
+			delete(h.gateways, e.Instance)
+			h.reply.Broken(fmt.Sprint("panic: ", p))
+		}
+	}()
+	switch e.Kind {
+	case wire.Provision:
+		h.provision(e)
+		return
+	case wire.CrashNow:
+		delete(h.gateways, e.Instance)
+		return
+	}
+	g := h.gateways[e.Instance]
+	if g == nil {
+		return
+	}
+	switch e.Kind {
+	case wire.Backends:
+		g.Members(now, e.News, e.Members)
+	case wire.Ingress:
+		g.Request(now, e.Request)
+	case wire.First:
+		g.Started(now, e.Outcome.ID)
+	case wire.Done:
+		g.Outcome(now, e.Outcome)
+	case wire.Dropped:
+		g.Gone(now, e.Outcome.ID)
+	case wire.Wake:
+		g.Timer(now, e.Token)
+	case wire.Sampled:
+		g.Probed(now, e.Backend, e.Result, e.Load)
+	case wire.Heard:
+		g.Peer(now, e.From, e.Note)
+	case wire.Ledger:
+		g.Counted(now, e.Name, e.Result, e.Total)
+	}
+}
+
+func (h *host) provision(e *wire.Event) {
+	set, err := wire.ParseSettings(e.Profile)
+	if err == nil {
+		var g *decide.Gateway
+		if g, err = decide.New(set, e.Seed, &h.reply); err == nil {
+			h.gateways[e.Instance] = g
+			return
+		}
+	}
+	delete(h.gateways, e.Instance)
+	h.reply.Broken(err.Error())
+}
--- /dev/null
+++ b/decide/decide.go
@@ -0,0 +1,899 @@
+// The decisions. The interface (settings, events, actions) is in api.go.
+//
+// A request takes its units from its customer's own bank, this gateway's slice of the quota;
+// soft plans may then draw on bank 0, fed by what full banks spill; else it is refused at once
+// (Berger and Whitt's multi-class throttle, docs/design.md). Top to bottom: banks and bank 0; slices
+// and notes; ceiling; backend choice and health; cold and drain guards; attempts and answers.
+package decide
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+)
+
+const second = Time(1e6)
+
+// The timers: notes and all that goes with time; a home has not answered.
+const (
+	noteToken = iota
+	askToken
+)
+
+// The tuned values; docs/design.md has the longer reasons and what happens at other values.
+const (
+	useWindow  = 0.5         // the demand window, as a part of the time in which a burst refills
+	mailShare  = 0.5         // the part of a receiver's message limit that notes may fill
+	fewPeers   = 8           // up to so many gateways tell one another all; a larger set tells its home
+	grantStep  = 1.25        // by what factor a grant must move to be told to the whole set
+	grantLeast = 0.01        // the least grant: no customer is shut out for good
+	grantError = 0.1         // by what part a member's grant may be off before its home answers
+	reserve    = 0.75        // the part of the burst that a home keeps for chance in what its set sends
+	askRate    = 0.4         // the part of the notes a receiver takes in that asks for one customer may be
+	askWait    = 0.1         // how long a home's answer is waited for, in shortest aims
+	sliceMost  = 2.0         // how many requests' worth a slice under a grant saves up
+	hearIn     = 2           // note periods until what a peer takes now is heard
+	settleIn   = 4           // note periods until a new gateway has been told of all banks
+	stillTicks = 8           // a timer late by so many ticks: this gateway stood still
+	notePeriod = second / 30 // the least time between notes
+	repeats    = 2           // how often a change is told: once more than needed, against loss
+	countLife  = 60 * second // how long a name on the counter lives, the longest allowed
+	sweepTime  = second      // how often idle banks are looked for
+	aimShare   = 0.35        // the mean time of answers, in aims, at which the back end is full: times spread
+	leastOut   = 3.0         // what a backend may always hold: a slow spell can't shut the gate for good
+	leastLate  = 1.0         // and what, of that, when every answer is late: what is overdriven must drain
+	enough     = 8.0         // answers a second that tell as much of the back end as all peers do
+	viewPeers  = 6           // to how many others, drawn each sweep, a gateway's view is told in any case
+	leastOwn   = 2.0         // what one gateway may hold of the room that it shares with those it hears of,
+	ownMost    = 2.0         // and beyond that in parts of it: many may wake, or be asked more, at one moment
+	lendShare  = 0.8         // the part of the room up to which bank 0 lends
+	cheapShare = 0.5         // the part of the room open to all; the rest opens by worth for work
+	worthMost  = 1.5         // the most that worth for work counts, in means of it
+	againShare = 0.2         // further attempts that a first send allows
+	againMost  = 10.0        // and the most saved up of them
+	unrunPrice = 0.1         // the price of one after an attempt that never ran: it has cost next to nothing
+	patience   = 10.0        // mean answer times after which a request goes elsewhere while there is time
+	wordTime   = 8 * second  // in which a word of trouble for one class or plan fades
+	wordNotes  = 8           // notes with which each is told
+	sickShare  = 0.25        // the part of answers that are errors from which a backend is left out
+	silentAims = 1.0         // the time without an answer, in shortest aims, after which a backend is down
+	trialTime  = second / 2  // the first and the longest wait before a backend left out is tried again;
+	healTime   = 4 * second  // a sign of slowness fades by half in the latter
+	learn      = 0.02        // the weight of a sample in what is learnt of the whole fleet,
+	learnOne   = 0.1         // and of one backend
+	zoneWeight = 5.0         // turns the price of crossing zones into load
+	paceTime   = 4 * second  // over which the pace of sends is taken
+)
+
+// New makes a gateway that knows nothing but its settings.
+func New(set Settings, seed uint64, do Actions) (*Gateway, error) {
+	if err := set.check(); err != nil {
+		return nil, err
+	}
+	g := newGateway(set, seed, do)
+	g.again, g.period = againMost, notePeriod
+	if set.MailPerSecond > 0 {
+		g.period = max(g.period, g.mailTime(min(set.Gateways-1, fewPeers)))
+	}
+	return g, nil
+}
+
+// mailTime is the time in which a gateway can take in notes from so many others.
+func (g *Gateway) mailTime(senders int) Time {
+	return Time(float64(senders) / (mailShare * math.Max(g.set.MailPerSecond, 1)) * float64(second))
+}
+
+// begin brings the gateway to an event's time.
+func (g *Gateway) begin(now Time) {
+	g.now = max(g.now, now)
+	if g.born != 0 {
+		if late := now - g.timerAt; late > stillTicks*g.set.Tick {
+			// This gateway stood still: how long what was out took tells nothing.
+			g.still += late
+			g.timerAt, g.woke = now, now
+			for class := range g.due {
+				for _, a := range g.due[class] {
+					a.blind = true
+				}
+				g.lateAfter(class, -1)
+			}
+		}
+		g.awake = g.now - g.still
+		return
+	}
+	g.born, g.swept, g.lend.at, g.awake = max(1, now), now, now, now
+	g.rouse()
+	if g.set.AskMembers {
+		g.follow()
+	}
+	g.greet()
+}
+
+// soft tells whether use beyond the quota earns more than it costs.
+func (p *Plan) soft() bool { return p.BeyondEarns > p.BeyondCosts }
+
+// customer finds or makes the record of a customer, refilled up to now. A new
+// one is full: peers tell of those that are not; until they can have been heard it is
+// an even slice, so that a restart hands out no second burst. Its part of the ceiling
+// counts from this gateway's start, with half the slack: a former life may have the rest.
+func (g *Gateway) customer(id uint64, plan, first, spread int) *customer {
+	c := g.customers[id]
+	if c == nil {
+		p := &g.set.Plans[plan]
+		spread = min(max(spread, 1), g.set.Gateways)
+		even := float64(spread)
+		first = (first%g.set.Gateways + g.set.Gateways) % g.set.Gateways
+		c = &customer{id: id, plan: plan, first: first, spread: spread, window: second,
+			store: bank{p.Burst, p.Rate, p.Burst, g.now}, grant: 1, granted: 1,
+			ceiling: bank{p.CeilingSlack / even / 2, p.CeilingRate / even, p.CeilingBurst / even, g.born}}
+		if p.Rate > 0 {
+			c.window = max(Time(useWindow*p.Burst/p.Rate*float64(second)), g.mailTime(spread))
+		}
+		if !g.pooled || !g.wide(c) && g.now-g.born < min(second/2, settleIn*g.period) {
+			c.store.level /= even
+		}
+		g.idleSpill[plan] = math.Max(0, g.idleSpill[plan]-p.Rate/even)
+		g.customers[id] = c
+		g.order = append(g.order, c)
+	}
+	g.refill(c)
+	return c
+}
+
+// refill fills a customer's banks; what its full bank spills here feeds bank 0.
+func (g *Gateway) refill(c *customer) {
+	part := g.part(c)
+	if !g.pooled {
+		p := &g.set.Plans[c.plan]
+		c.store.rate, c.store.cap = part*p.Rate, part*p.Burst
+		part = 1
+	}
+	c.ceiling.refill(g.now)
+	g.lend.level = math.Min(g.lend.cap, g.lend.level+part*c.store.refill(g.now))
+}
+
+// sweep lets full banks spill and drops the idle ones, whose spill goes on
+// feeding bank 0 at its rate.
+func (g *Gateway) sweep() {
+	g.swept = g.now
+	g.showView(viewPeers) // it is heard though this gateway sends nothing
+	kept := g.order[:0]
+	for _, c := range g.order {
+		g.refill(c)
+		g.settleGrant(c)
+		if c.idle(g.now) {
+			g.idleSpill[c.plan] += g.set.Plans[c.plan].Rate / float64(c.spread)
+			delete(g.customers, c.id)
+		} else {
+			kept = append(kept, c)
+		}
+	}
+	clear(g.order[len(kept):])
+	g.order = kept
+	g.lend.refill(g.now)
+	g.lend.rate = total(g.idleSpill)
+}
+
+// part is this gateway's slice of a customer's quota: its part of recent use.
+// Gateways not heard count as idle.
+func (g *Gateway) part(c *customer) float64 {
+	own := c.use.get(g.now, c.window)
+	switch {
+	case c.spread == 1:
+		return 1
+	case g.pooled && own > 0 && !g.member(c):
+		return own / (own + c.others.get(g.now, c.window))
+	case !g.pooled && c.part > 0:
+		return c.part
+	}
+	return 1 / float64(c.spread)
+}
+
+// level is what this gateway's bank holds: its slice of the customer's whole store as
+// of the last note, less what it has taken since, or, if more, what the others will not
+// ask before they are heard again: a slice of a small burst may be less than a request.
+func (g *Gateway) level(c *customer) float64 {
+	switch {
+	case g.member(c) && c.grant < 1:
+		return c.slice
+	case !g.pooled || g.wide(c):
+		return c.store.level
+	}
+	untold := c.taken - c.told
+	soon := c.others.get(g.now, c.window) * float64(hearIn*g.period) / float64(c.window)
+	return math.Max(g.part(c)*(c.store.level+untold)-untold, c.store.level-soon)
+}
+
+// inside tells whether the customer's own bank and its part of the open limit have room.
+func (g *Gateway) inside(c *customer, units float64) bool {
+	p := &g.set.Plans[c.plan]
+	if p.OpenLimit > 0 && float64(c.open) >= math.Max(1, math.Round(g.part(c)*float64(p.OpenLimit))) {
+		return false
+	}
+	return p.Rate == 0 || g.level(c) >= units
+}
+
+func (g *Gateway) take(c *customer, units float64) {
+	c.store.level -= units
+	c.slice = math.Max(0, c.slice-units)
+	c.taken += units
+	g.mark(c)
+}
+
+// consults tells whether a wide set asks its home before it decides: its quota is so small
+// that no slice holds a request, and the home can take in the asks.
+func (g *Gateway) consults(c *customer) bool {
+	return g.set.Plans[c.plan].Rate*float64(g.mailTime(1)) < askRate*float64(second)
+}
+
+// consult asks the home for a request's units and keeps the request till it answers.
+func (g *Gateway) consult(r *request) {
+	c := r.c
+	c.asks++
+	r.ask, r.by = max(1, c.asks), g.now+min(Time(askWait*float64(g.shortAim)), r.Grace/2)
+	e := g.entry(c)
+	e.want, e.ask = byte(min(math.MaxUint8, math.Ceil(2*r.Units))), r.ask
+	c.askedTold = c.asked
+	g.do.Tell(g.home(c), e.put(g.noteHead()))
+	g.do.SetTimer(r.by, askToken)
+	g.requests[r.ID] = r
+	g.waiting = append(g.waiting, r)
+}
+
+// answered decides on what waits for a home's answer: this one, or all overdue ones,
+// which the slice under the home's last grant then decides.
+func (g *Gateway) answered(c *customer, a grant) {
+	kept := g.waiting[:0]
+	for _, r := range g.waiting {
+		switch due := r.c == c && r.ask == a.ask; {
+		case g.requests[r.ID] != r: // the client has left
+		case due || g.now >= r.by:
+			delete(g.requests, r.ID)
+			if !due {
+				r.c.slice = math.Min(r.c.slice+r.c.grant*r.Units, sliceMost*r.Units)
+			} else if a.yes {
+				r.c.slice += r.Units // to be taken at once
+			}
+			g.admit(r, due && a.yes || !due && g.inside(r.c, r.Units))
+		default:
+			kept = append(kept, r)
+		}
+	}
+	g.waiting = kept
+}
+
+// ask counts what a customer asks for. Under a grant each ask brings its part of the units
+// to the slice: a demand-following rate for a gateway that sees a customer now and then.
+func (g *Gateway) ask(c *customer, units float64) {
+	c.use.add(g.now, c.window, units)
+	c.metered.add(g.now, max(1, g.set.MeterPeriod), units)
+	c.asked, c.lastAsk = c.asked+units, units
+	if !g.consults(c) {
+		c.slice = math.Min(c.slice+c.grant*units, sliceMost*units)
+	}
+	g.mark(c)
+}
+
+// settleGrant has a home set the part of what is asked that it grants: the rate and what
+// the store holds beyond the reserve, spent over the demand window, against all that was
+// asked in it. When that has moved the whole set is told, where it does not ask anyway.
+func (g *Gateway) settleGrant(c *customer) {
+	rate := g.set.Plans[c.plan].Rate
+	if !g.wide(c) || g.member(c) || rate == 0 {
+		return
+	}
+	all := c.use.get(g.now, c.window) + c.others.get(g.now, c.window)
+	may := rate*float64(c.window)/float64(second) + c.store.level - reserve*c.store.cap
+	f := math.Min(1, math.Max(grantLeast, may/math.Max(all, 1e-9)))
+	moved := f > c.granted*grantStep || f < c.granted/grantStep || f == 1 && c.granted < 1
+	if c.grant = f; !moved || g.now < c.grantAt || g.consults(c) {
+		return
+	}
+	c.granted, c.grantAt = f, g.now+c.window/4
+	for i := range c.spread {
+		if peer := (c.first + i) % g.set.Gateways; peer != g.set.Self {
+			g.tellGrant(peer, c)
+		}
+	}
+}
+
+// meter sets the slice by the use through all gateways in the last period told.
+func (g *Gateway) meter(c *customer, percent int) {
+	rate := g.set.Plans[c.plan].Rate
+	if g.set.MeterPeriod == 0 || percent == 0 || rate == 0 {
+		return
+	}
+	all := float64(percent-1) / 100 * rate
+	own := c.metered.get(g.now, g.set.MeterPeriod) * float64(second) / float64(g.set.MeterPeriod)
+	c.part = own / math.Max(all, math.Max(own, 1e-9))
+}
+
+// talk tells peers, or else the counter, of every customer whose use changed,
+// those that took most of their burst first.
+func (g *Gateway) talk() {
+	slices.SortStableFunc(g.telling, func(a, b *customer) int {
+		return cmp.Compare((b.taken-b.told)*a.store.cap, (a.taken-a.told)*b.store.cap)
+	})
+	kept := g.telling[:0]
+	for _, c := range g.telling {
+		g.refill(c)
+		g.settleGrant(c)
+		switch {
+		case g.member(c) && c.grant < 1 && g.now < c.tellAt:
+		case !g.set.Peers:
+			if c.taken > c.told {
+				g.do.Count(c.id, c.taken-c.told, countLife)
+				c.calls = append(c.calls, c.taken-c.told)
+			}
+			c.told, c.tell = c.taken, 0
+		case g.note(c):
+			c.told, c.askedTold, c.tellAt = c.taken, c.asked, g.now+g.mailTime(c.spread)
+			if c.tell--; g.wide(c) {
+				c.tell = 0
+			}
+		}
+		if c.tell > 0 {
+			kept = append(kept, c)
+		}
+	}
+	g.telling = kept
+	g.flush()
+}
+
+// Peer takes in another gateway's note. One that is malformed is passed over.
+func (g *Gateway) Peer(now Time, from int, note []byte) {
+	g.begin(now)
+	n, ok := readNote(note)
+	if !ok || from < 0 || from >= g.set.Gateways || from == g.set.Self {
+		return
+	}
+	g.pool(from, n)
+	if g.boots[from] != n.boot {
+		// A gateway that has just started knows of no bank: tell it of those not full.
+		g.boots[from] = n.boot
+		for _, c := range g.order {
+			if g.refill(c); c.store.level < c.store.cap && !g.wide(c) && g.in(c, from) {
+				g.mark(c)
+			}
+		}
+	}
+	for _, e := range n.entries {
+		if e.plan < len(g.set.Plans) && e.spread > 0 && e.spread <= g.set.Gateways {
+			g.told(from, n.boot, e)
+		}
+	}
+	for _, w := range n.words {
+		if b := g.byID[w.backend]; b != nil && int(w.about) < len(b.words) {
+			b.words[w.about].add(now, wordTime, 1)
+		}
+	}
+	for _, r := range n.grants {
+		if c := g.customers[r.id]; c != nil && g.member(c) {
+			if c.grant == 1 && r.part < 1 {
+				c.slice = g.rand.Float64() * c.lastAsk // so that not all are short or full at once
+			}
+			if c.grant = r.part; r.ask > 0 {
+				g.answered(c, r)
+			}
+		}
+	}
+}
+
+func (g *Gateway) told(from int, boot uint32, e entry) {
+	c := g.customer(e.id, e.plan, e.first, e.spread)
+	if !g.in(c, from) || g.member(c) {
+		return
+	}
+	h := g.heardOf(c, from)
+	taken, asked := e.taken-h.taken, e.asked-h.asked
+	switch {
+	case !h.known || h.boot != boot:
+		// No earlier figure to take off: what the peer thinks is left bounds it.
+		left := e.left*c.store.cap - (c.taken - c.told)
+		if g.wide(c) && e.left == 1 {
+			left = c.store.level - units(min(e.taken, e.fresh))
+		}
+		c.store.level = math.Max(0, math.Min(c.store.level, left))
+		c.others.add(g.now, c.window, units(e.fresh))
+	case asked > math.MaxUint16/2 || taken > math.MaxUint16/2 && e.want == 0:
+		return // an older note that came late
+	default:
+		if taken > math.MaxUint16/2 {
+			taken, e.taken = 0, h.taken // it did not take what it was granted
+		}
+		c.store.level = math.Max(0, c.store.level-units(taken))
+		c.others.add(g.now, c.window, units(asked))
+	}
+	*h = heard{known: true, boot: boot, taken: e.taken, asked: e.asked}
+	g.settleGrant(c)
+	if a := (grant{id: c.id, part: c.grant, ask: e.ask}); e.ask > 0 {
+		want := float64(e.want) / 2
+		if a.yes = c.store.level >= want; a.yes {
+			c.store.level -= want
+			h.taken += counted(want)
+		}
+		g.do.Tell(from, a.put(g.noteHead()))
+	} else if g.wide(c) && math.Abs(e.left-c.grant) > grantError*c.grant {
+		g.tellGrant(from, c)
+	}
+}
+
+// Counted takes in the total of a customer's use through all gateways, where there are no
+// notes. What a failed call added all the same counts as another's: towards refusing.
+func (g *Gateway) Counted(now Time, name uint64, r Result, total float64) {
+	g.begin(now)
+	c := g.customers[name]
+	if c == nil || len(c.calls) == 0 {
+		return
+	}
+	own := c.calls[0]
+	if c.calls = c.calls[1:]; r != OK {
+		return
+	}
+	g.refill(c)
+	more := math.Max(0, total-c.total-own)
+	c.total = total
+	c.store.level = math.Max(0, c.store.level-more)
+	c.others.add(now, c.window, more)
+}
+
+func (b *backend) slowBy(now Time, x float64) {
+	b.slow = b.slowness(now) + learnOne*(math.Min(x, 20)-b.slowness(now))
+	b.slowAt = now
+}
+
+// sick tells whether a backend is left out. Probes, if allowed, are the trial of one that is
+// down; else, and after errors, one request at a time is.
+func (g *Gateway) sick(b *backend) bool {
+	if b.down && g.set.Probes {
+		return true
+	}
+	return (b.down || b.errs >= sickShare) && (g.now < b.trialAt || b.out > 0)
+}
+
+// leaveOut leaves a backend out, each time in a row for longer.
+func (g *Gateway) leaveOut(b *backend, why string) {
+	if g.now-b.left > 2*healTime {
+		b.wait = 0
+	}
+	b.wait = min(max(trialTime, 2*b.wait), healTime)
+	b.left, b.trialAt = g.now, g.now+b.wait
+	g.do.Log(fmt.Sprintf("backend %d out: %s", b.Backend, why))
+}
+
+// up takes a backend in again. Where connections broke its process may have started
+// anew: it is held for cold, told or not. One that was only silent still runs warm.
+func (g *Gateway) up(b *backend) {
+	if !b.down {
+		return
+	}
+	b.down, b.slow, b.quiet = false, 0, g.awake
+	if !b.silent {
+		b.Started = max(b.Started, g.now)
+		b.cold = g.coldBank()
+	}
+	g.do.Log(fmt.Sprintf("backend %d back", b.Backend))
+}
+
+// listen leaves a backend out that answers nothing: hung, or cut off with no connection
+// broken. Only attempts past their own aim speak against it, one alone, perhaps lost on
+// the way, with half the weight. A very slow one comes back by its own late answers.
+func (g *Gateway) listen(b *backend) {
+	owed := float64(g.awake-b.quiet) * g.share(b) * math.Min(1, float64(b.overdue)/2)
+	if !b.down && owed > silentAims*float64(g.shortAim) {
+		b.down, b.silent = true, true
+		g.leaveOut(b, "silent")
+	}
+}
+
+// judge learns from how an attempt ended.
+func (g *Gateway) judge(a *attempt, class int, r Result, took float64) {
+	b, bad := a.b, 0.0
+	if r == OK {
+		g.up(b)
+	}
+	switch r {
+	case OK, TimedOut:
+		share := g.share(b)
+		if a.blind {
+			return
+		}
+		if r == OK && share == 1 {
+			g.mean.add(took, learn)
+			g.base[class].add(took, learn)
+		}
+		if g.base[class].v > 0 {
+			b.slowBy(g.now, took*share/g.base[class].v)
+		}
+	case Failed:
+		bad = 1
+	case ConnectFailed, Reset:
+		if !b.down || g.now >= b.trialAt {
+			b.down, b.silent = true, false
+			g.leaveOut(b, "connections break")
+		}
+		return
+	default:
+		return
+	}
+	b.errs += learnOne * (bad - b.errs)
+	if bad > 0 && b.errs >= sickShare && g.now >= b.trialAt {
+		g.leaveOut(b, "errors")
+	}
+}
+
+// Probed takes in how a probe ended.
+func (g *Gateway) Probed(now Time, id uint32, r Result, load []float32) {
+	g.begin(now)
+	b := g.byID[id]
+	switch {
+	case b == nil:
+	case r == OK:
+		g.loaded(b, load)
+		g.up(b)
+	case b.down:
+		b.wait = min(2*b.wait, healTime)
+		b.trialAt = now + b.wait
+	}
+}
+
+// choose picks the least loaded usable backend, sound ones not tried yet first.
+// A keyed request that may have run stays within its attempt's group.
+func (g *Gateway) choose(r *request, within *attempt) *backend {
+	for _, anyway := range []bool{false, true} {
+		var best *backend
+		bestCost, ties := math.Inf(1), 0
+		for _, b := range g.backends {
+			if b.State != Ready || !b.listed || !g.warmEnough(b) ||
+				within != nil && !g.set.Classes[r.Class].sameGroup(within.b, b) ||
+				!anyway && (g.sick(b) || r.tried(b)) {
+				continue
+			}
+			cost := g.cost(b) * (1 + g.thin()*(b.words[r.Class].get(g.now, wordTime)+
+				b.words[len(g.set.Classes)+r.Plan].get(g.now, wordTime)))
+			if cost > bestCost {
+				continue
+			} else if cost < bestCost {
+				ties = 0
+			}
+			if ties++; g.rand.IntN(ties) == 0 {
+				best, bestCost = b, cost
+			}
+		}
+		if best != nil {
+			return best
+		}
+	}
+	return nil
+}
+
+// cost is how long a request may have to wait at a backend, compared with others.
+func (g *Gateway) cost(b *backend) float64 {
+	held := float64(b.out)
+	if g.now-b.queueAt < second {
+		held = math.Max(held, held/2+b.queue)
+	}
+	cost := (held + 1) * b.slowness(g.now)
+	if b.Zone != g.set.Zone {
+		cost *= 1 + g.set.CrossZonePrice*zoneWeight
+	}
+	if g.set.HintsTell && b.Hint > 0 {
+		cost /= b.Hint
+	}
+	return cost
+}
+
+// Members takes in discovery's news of the backends. What it says is draining or
+// gone gets nothing more from now on.
+func (g *Gateway) Members(now Time, news News, list []Member) {
+	g.begin(now)
+	if news == Unheard {
+		g.follows = false
+		return
+	}
+	g.follows = g.follows || news != Cached
+	for _, b := range g.backends {
+		b.listed = b.listed && news == Changed
+	}
+	for _, m := range list {
+		b := g.backend(m)
+		if m.Started > b.Started {
+			b.slow, b.errs, b.cold = 0, 0, g.coldBank()
+		}
+		m.Started = max(m.Started, b.Started)
+		b.Member, b.listed = m, m.State != Left
+	}
+	g.prune()
+}
+
+// warmEnough tells whether a backend may be sent one more. A cold one is sent its share of
+// what this gateway sends a warm one, saved up for half the span over which the rule counts:
+// through all gateways no more of its capacity than the warm ones get of theirs.
+func (g *Gateway) warmEnough(b *backend) bool {
+	share := g.share(b)
+	if share == 1 {
+		return true
+	}
+	span := float64(g.set.TipAfter) / float64(second)
+	each := g.pace.get(g.now, paceTime) * float64(second) / float64(paceTime)
+	least := 1 / math.Max(span, 1) / float64(g.set.Gateways) // one send in a span through all
+	b.cold.rate = math.Max(each, least) * share
+	b.cold.cap = math.Max(1, b.cold.rate*span/2)
+	b.cold.refill(g.now)
+	return b.cold.level >= 1
+}
+
+// may tells whether a request may be sent again, within which attempt's group (nil: anywhere),
+// and whether it may be refused. A keyed window is closed a little early.
+func (c *Class) may(out []*attempt, copies bool, now, early Time) (again bool, in *attempt, refuse bool) {
+	again, refuse = true, true
+	for _, a := range out {
+		if a.pending && !copies {
+			again = false
+		}
+		if !a.mayRun || c.Effect == Safe {
+			continue
+		}
+		if c.Effect == Unsafe {
+			return false, nil, false
+		}
+		if in == nil {
+			in = a
+			again = again && now < a.at+c.Window-early
+			refuse = c.Group == GroupAll
+		}
+	}
+	return again, in, refuse
+}
+
+// sweepOverdue takes note of attempts that are past their aim, and silent backends.
+func (g *Gateway) sweepOverdue() {
+	for class := range g.due {
+		g.lateAfter(class, g.set.Classes[class].Aim)
+	}
+	g.alive, g.warm = 0, 0
+	for _, b := range g.backends {
+		g.listen(b)
+		if b.State == Ready && b.listed && !g.sick(b) {
+			g.alive++
+			if g.share(b) == 1 {
+				g.warm++
+			}
+		}
+	}
+}
+
+// held is how many attempts the back end holds for this gateway. Those past their aim count as
+// far as answers come late everywhere: lost or stuck at a few backends they would shut the gate
+// on what can be served. Those at one that is down don't count, at a slow one they count less.
+func (g *Gateway) held() float64 {
+	held := 0.0
+	for _, b := range g.backends {
+		if !b.down && b.out > 0 {
+			held += (float64(b.out) - float64(b.overdue)*(1-g.late.v)) / math.Max(1, b.slowness(g.now)/2)
+		}
+	}
+	return held
+}
+
+// view is what this gateway holds and what comes back in time a second, with that of n-1 others:
+// alone it may be a few a second. The more it sees itself, the less their older figures count.
+func (g *Gateway) view() (held, inTime, n float64) {
+	return g.held() + g.thin()*g.peersHeld.get(g.awake, second),
+		g.inTime.get(g.awake, second) + g.thin()*g.peersInTime.get(g.awake, second),
+		1 + g.thin()*g.peers.get(g.awake, second)
+}
+
+// thin is how much others' word counts: the less, the more this gateway sees itself.
+func (g *Gateway) thin() float64 { return enough / (enough + g.inTime.get(g.awake, second)) }
+
+// full tells whether so large a part of the room at the back end is filled: as many attempts
+// as come back within their aim in the time an answer may take.
+func (g *Gateway) full(part float64) bool {
+	g.sweepOverdue()
+	// A loaded back end stretches all classes alike: the tightest sets the time.
+	allowed := math.Inf(1)
+	for class, base := range g.base {
+		if base.v > 0 {
+			allowed = math.Min(allowed, g.mean.v/base.v*float64(g.set.Classes[class].Aim))
+		}
+	}
+	if math.IsInf(allowed, 1) {
+		allowed = float64(g.shortAim)
+	}
+	held, inTime, n := g.view()
+	least := (leastOut - (leastOut-leastLate)*g.late.v) * float64(g.alive) / float64(g.set.Gateways) * n
+	room := math.Max(least, inTime*allowed/float64(second)*aimShare)
+	return held >= room*part || g.held() >= leastOwn+ownMost*room/n*part
+}
+
+// Request decides on a client's try.
+func (g *Gateway) Request(now Time, q Request) {
+	g.begin(now)
+	if q.Class < 0 || q.Class >= len(g.set.Classes) || q.Plan < 0 || q.Plan >= len(g.set.Plans) {
+		g.do.Fail(q.ID)
+		return
+	}
+	grace := &g.grace[q.Plan][q.Class]
+	if g.now > g.woke {
+		grace.add(float64(q.Grace), learnOne)
+	} else if grace.v-float64(q.Grace)+g.base[q.Class].v > float64(g.set.Classes[q.Class].Aim) {
+		g.refuse(q.ID, 0) // it came while this gateway stood still, and no answer is in time any more
+		return
+	}
+	plan := &g.set.Plans[q.Plan]
+	c := g.customer(q.Customer, q.Plan, q.First, q.Spread)
+	g.ask(c, q.Units)
+	r := &request{Request: q, until: now + q.Grace, c: c}
+	if g.full(g.open(&q, plan)) {
+		g.refuse(q.ID, g.shortAim/2)
+	} else if g.member(c) && g.consults(c) {
+		g.consult(r)
+	} else {
+		g.admit(r, g.inside(c, q.Units))
+	}
+}
+
+// admit sends a request on if its own bank holds its units, else if bank 0 lends them.
+func (g *Gateway) admit(r *request, inside bool) {
+	q, c, plan := &r.Request, r.c, &g.set.Plans[r.Plan]
+	if !inside {
+		g.lend.refill(g.now)
+		if !plan.soft() || g.lend.level < q.Units || g.full(lendShare) {
+			g.refuse(q.ID, until(g.level(c), g.part(c)*plan.Rate, q.Units))
+			return
+		}
+	}
+	if plan.CeilingRate > 0 && c.ceiling.level < q.Units {
+		g.refuse(q.ID, until(c.ceiling.level, c.ceiling.rate, q.Units))
+		return
+	}
+	b := g.choose(r, nil)
+	if b == nil {
+		g.refuse(q.ID, g.shortAim/2)
+		return
+	}
+	if inside {
+		g.take(c, q.Units)
+	} else {
+		g.lend.level -= q.Units
+	}
+	if plan.CeilingRate > 0 {
+		c.ceiling.level -= q.Units
+	}
+	g.again = math.Min(againMost, g.again+againShare)
+	g.requests[q.ID] = r
+	g.send(r, b)
+}
+
+// open is the part of the room open to a request: more for more worth for work.
+func (g *Gateway) open(q *Request, plan *Plan) float64 {
+	base := g.base[q.Class].v
+	if base == 0 {
+		return 1
+	}
+	worth := g.set.Classes[q.Class].Worth * plan.Price * q.Units / base
+	g.worth.add(worth, learn)
+	return cheapShare + (1-cheapShare)*math.Min(worthMost, worth/math.Max(g.worth.v, 1e-12))
+}
+
+func (g *Gateway) send(r *request, b *backend) {
+	a := &attempt{b: b, at: g.now, pending: true, mayRun: true}
+	r.attempts = append(r.attempts, a)
+	g.due[r.Class] = append(g.due[r.Class], a)
+	if b.out == 0 {
+		b.quiet = g.awake
+	}
+	b.out++
+	r.c.open++
+	if g.share(b) < 1 {
+		b.cold.level--
+	} else {
+		g.pace.add(g.now, paceTime, 1/float64(max(1, g.warm)))
+	}
+	class, base := &g.set.Classes[r.Class], Time(g.base[r.Class].v)
+	until := g.now + Time(patience)*base
+	if class.Effect == Unsafe || g.again < 1 || len(r.attempts) == g.set.MaxAttempts || g.full(lendShare) ||
+		base == 0 || until+base > r.attempts[0].at+class.Aim {
+		until = 0
+	}
+	g.do.Send(r.ID, b.Backend, until)
+}
+
+// Outcome takes in how an attempt ended, and gives the final answer or starts a
+// further attempt where one is owed.
+func (g *Gateway) Outcome(now Time, o Outcome) {
+	g.begin(now)
+	r := g.requests[o.ID]
+	if r == nil || o.Attempt < 0 || o.Attempt >= len(r.attempts) || !r.attempts[o.Attempt].pending {
+		return
+	}
+	a, class := r.attempts[o.Attempt], &g.set.Classes[r.Class]
+	a.pending = false
+	a.mayRun = o.Result != Full && o.Result != ConnectFailed && o.Result != Moot
+	g.settle(r, a, &o)
+	r.over = r.over || o.Over
+	if r.pending() {
+		return
+	}
+	if r.over {
+		delete(g.requests, o.ID)
+		return
+	}
+	price := unrunPrice
+	if a.mayRun {
+		price = 1
+	}
+	again, within, refuse := class.may(r.attempts, g.set.SecondCopies, now, 4*g.set.Tick)
+	if again && len(r.attempts) < g.set.MaxAttempts && g.again >= price && r.until-now > class.Aim/10 {
+		if next := g.choose(r, within); next != nil {
+			g.again -= price
+			g.send(r, next)
+			return
+		}
+	}
+	delete(g.requests, o.ID)
+	if refuse {
+		g.refuse(o.ID, g.shortAim/2)
+	} else {
+		g.do.Fail(o.ID)
+	}
+}
+
+// settle books an attempt's end on its backend and its customer.
+func (g *Gateway) settle(r *request, a *attempt, o *Outcome) {
+	b := a.b
+	b.out--
+	if a.late {
+		b.overdue--
+	}
+	r.c.open--
+	late := o.Took > g.set.Classes[r.Class].Aim
+	if !a.blind && (o.Result == OK || o.Result == Full || o.Result == TimedOut && late) {
+		g.late.add(step(late), learnOne)
+		g.inTime.add(g.awake, second, step(!late))
+	}
+	if o.Result == OK || o.Result == Failed || o.Result == Full {
+		b.quiet = g.awake
+	}
+	g.loaded(b, o.Load)
+	g.judge(a, r.Class, o.Result, float64(o.Took))
+	// Trouble for one plan or class, met once in many seconds at any one backend: all are told, and
+	// prefer others till the word fades. It may hurt where one is avoided by all for too long.
+	if o.Result == Full {
+		g.word(b, len(g.set.Classes)+r.Plan)
+	} else if o.Result == Failed || o.Result == TimedOut && !a.blind {
+		g.word(b, r.Class)
+	}
+	g.meter(r.c, o.Metered)
+	if g.set.Settles && o.Result == OK && o.TrueUnits > 0 {
+		g.refill(r.c)
+		g.take(r.c, o.TrueUnits-r.Units)
+	}
+}
+
+// Timer takes in a timer that was set.
+func (g *Gateway) Timer(now Time, token uint32) {
+	g.begin(now)
+	if token == askToken {
+		g.answered(nil, grant{})
+	}
+	if token != noteToken {
+		return
+	}
+	g.rouse()
+	if now-g.swept >= sweepTime {
+		g.sweep()
+	}
+	g.talk()
+	for _, b := range g.backends {
+		if g.set.Probes && b.down && b.listed && b.State == Ready && now >= b.trialAt {
+			b.trialAt = now + healTime
+			g.do.Probe(b.Backend)
+		}
+	}
+	if g.set.AskMembers && !g.follows && now-g.asked >= g.set.AskWithin/4 {
+		g.follow()
+	}
+}
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,173 @@
+package wire
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"chutetack/decide"
+)
+
+// draft is a settings text being read.
+type draft struct {
+	decide.Settings
+}
+
+type setter func(d *draft, value string) error
+
+func whole[T ~int | ~int64](field func(*draft) *T) setter {
+	return func(d *draft, v string) error {
+		n, err := strconv.ParseInt(v, 10, 64)
+		if err == nil {
+			*field(d) = T(n)
+		}
+		return err
+	}
+}
+
+func number(field func(*draft) *float64) setter {
+	return func(d *draft, v string) error {
+		f, err := strconv.ParseFloat(v, 64)
+		if err == nil {
+			*field(d) = f
+		}
+		return err
+	}
+}
+
+func flag(field func(*draft) *bool) setter {
+	return func(d *draft, v string) error {
+		b, err := strconv.ParseBool(v)
+		if err == nil {
+			*field(d) = b
+		}
+		return err
+	}
+}
+
+func word[V any](table map[string]V, field func(*draft) *V) setter {
+	return func(d *draft, v string) error {
+		x, ok := table[v]
+		if !ok {
+			return fmt.Errorf("unknown word")
+		}
+		*field(d) = x
+		return nil
+	}
+}
+
+// keys are the plain settings.
+var keys = map[string]setter{
+	"self-index":                  whole(func(d *draft) *int { return &d.Self }),
+	"balancers":                   whole(func(d *draft) *int { return &d.Gateways }),
+	"az":                          whole(func(d *draft) *int { return &d.Zone }),
+	"granularity-us":              whole(func(d *draft) *decide.Time { return &d.Tick }),
+	"ceilings.peers":              flag(func(d *draft) *bool { return &d.Peers }),
+	"ceilings.probes":             flag(func(d *draft) *bool { return &d.Probes }),
+	"ceilings.second-copies":      flag(func(d *draft) *bool { return &d.SecondCopies }),
+	"ceilings.retry-after":        flag(func(d *draft) *bool { return &d.RetryAfter }),
+	"ceilings.max-attempts":       whole(func(d *draft) *int { return &d.MaxAttempts }),
+	"ceilings.max-retry-after-us": whole(func(d *draft) *decide.Time { return &d.MaxRetryAfter }),
+	"family-info.counter":         flag(func(d *draft) *bool { return &d.Counter }),
+	"family-info.settles":         flag(func(d *draft) *bool { return &d.Settles }),
+	"family-info.meter-period-us": whole(func(d *draft) *decide.Time { return &d.MeterPeriod }),
+	"family-info.mail-per-s":      number(func(d *draft) *float64 { return &d.MailPerSecond }),
+	"guarantees.ask-within-us":    whole(func(d *draft) *decide.Time { return &d.AskWithin }),
+	"guarantees.cold-from":        number(func(d *draft) *float64 { return &d.ColdFrom }),
+	"guarantees.cold-us":          whole(func(d *draft) *decide.Time { return &d.ColdTime }),
+	"guarantees.tip-after-us":     whole(func(d *draft) *decide.Time { return &d.TipAfter }),
+	"prices.cross-zone":           number(func(d *draft) *float64 { return &d.CrossZonePrice }),
+	"membership-mode": word(map[string]bool{"pushed": false, "on_request": true},
+		func(d *draft) *bool { return &d.AskMembers }),
+	"weights": word(map[string]bool{"silent": false, "nominal": true, "rough": true, "live": true},
+		func(d *draft) *bool { return &d.HintsTell }),
+	"report.names": func(d *draft, v string) error {
+		d.Report = nil
+		for name := range strings.SplitSeq(v, ",") {
+			d.Report = append(d.Report, metrics[name])
+		}
+		return nil
+	},
+}
+
+func lastClass(d *draft) *decide.Class { return &d.Classes[len(d.Classes)-1] }
+func lastPlan(d *draft) *decide.Plan   { return &d.Plans[len(d.Plans)-1] }
+
+// classKeys and planKeys are the settings of an item of a list.
+var classKeys = map[string]setter{
+	"promise-us": whole(func(d *draft) *decide.Time { return &lastClass(d).Aim }),
+	"window-us":  whole(func(d *draft) *decide.Time { return &lastClass(d).Window }),
+	"worth":      number(func(d *draft) *float64 { return &lastClass(d).Worth }),
+	"repeat":     word(effects, func(d *draft) *decide.Effect { return &lastClass(d).Effect }),
+	"group":      word(groups, func(d *draft) *decide.Group { return &lastClass(d).Group }),
+}
+
+var planKeys = map[string]setter{
+	"rate":            number(func(d *draft) *float64 { return &lastPlan(d).Rate }),
+	"burst":           number(func(d *draft) *float64 { return &lastPlan(d).Burst }),
+	"never-over-rate": number(func(d *draft) *float64 { return &lastPlan(d).CeilingRate }),
+	"ceiling-burst":   number(func(d *draft) *float64 { return &lastPlan(d).CeilingBurst }),
+	"hard-slack":      number(func(d *draft) *float64 { return &lastPlan(d).CeilingSlack }),
+	"max-out":         whole(func(d *draft) *int { return &lastPlan(d).OpenLimit }),
+	"value-factor":    number(func(d *draft) *float64 { return &lastPlan(d).Price }),
+	"beyond-earns":    number(func(d *draft) *float64 { return &lastPlan(d).BeyondEarns }),
+	"beyond-costs":    number(func(d *draft) *float64 { return &lastPlan(d).BeyondCosts }),
+}
+
+const (
+	classList = "request-classes"
+	planList  = "tariffs"
+)
+
+// ParseSettings reads a settings text. Unknown keys are skipped; a value that
+// can't be read is an error that names its key.
+func ParseSettings(text []byte) (decide.Settings, error) {
+	values := map[string]string{}
+	for line := range strings.SplitSeq(string(text), "\n") {
+		key, value, ok := strings.Cut(strings.TrimSuffix(line, "\r"), "=")
+		if ok {
+			values[key] = value
+		}
+	}
+	d := &draft{}
+	if err := d.take(values, "", keys); err != nil {
+		return d.Settings, err
+	}
+	err := d.list(values, classList, classKeys, func() { d.Classes = append(d.Classes, decide.Class{}) })
+	if err != nil {
+		return d.Settings, err
+	}
+	err = d.list(values, planList, planKeys, func() { d.Plans = append(d.Plans, decide.Plan{Price: 1}) })
+	return d.Settings, err
+}
+
+func (d *draft) take(values map[string]string, prefix string, table map[string]setter) error {
+	for key, set := range table {
+		v, ok := values[prefix+key]
+		if !ok {
+			continue
+		}
+		if err := set(d, v); err != nil {
+			return fmt.Errorf("setting %s: value %q: %w", prefix+key, v, err)
+		}
+	}
+	return nil
+}
+
+func (d *draft) list(values map[string]string, name string, table map[string]setter, add func()) error {
+	v, ok := values[name+".count"]
+	if !ok {
+		return fmt.Errorf("setting %s.count: missing", name)
+	}
+	n, err := strconv.Atoi(v)
+	if err != nil || n < 0 || n > len(values) {
+		return fmt.Errorf("setting %s.count: value %q is no count of items", name, v)
+	}
+	for i := range n {
+		add()
+		if err := d.take(values, fmt.Sprintf("%s.%d.", name, i), table); err != nil {
+			return err
+		}
+	}
+	return nil
+}
