--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -10,8 +10,8 @@
 	"io"
 	"os"
 
-	"chutetack/decide"
-	"chutetack/internal/wire"
+	"mothcleat/decide"
+	"mothcleat/internal/wire"
 )
 
 func main() {
--- a/cmd/simhost/main_test.go
+++ b/cmd/simhost/main_test.go
@@ -6,8 +6,8 @@
 	"strings"
 	"testing"
 
-	"chutetack/decide"
-	"chutetack/internal/wire"
+	"mothcleat/decide"
+	"mothcleat/internal/wire"
 )
 
 func batch(index, count uint32, body string) string {
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"chutetack/decide"
+	"mothcleat/decide"
 )
 
 // host is what a gateway of one's own brings: sends, answers and timers.
--- a/internal/wire/codes.go
+++ b/internal/wire/codes.go
@@ -2,7 +2,7 @@
 // and settings. Every code and key name of the dialect stands in this package.
 package wire
 
-import "chutetack/decide"
+import "mothcleat/decide"
 
 // Kind is the kind of an event.
 type Kind uint8
--- a/internal/wire/frames.go
+++ b/internal/wire/frames.go
@@ -7,7 +7,7 @@
 	"io"
 	"math"
 
-	"chutetack/decide"
+	"mothcleat/decide"
 )
 
 const (
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"strings"
 
-	"chutetack/decide"
+	"mothcleat/decide"
 )
 
 // draft is a settings text being read.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -10,7 +10,7 @@
 	"strings"
 	"testing"
 
-	"chutetack/decide"
+	"mothcleat/decide"
 )
 
 func unhex(t testing.TB, s string) []byte {
