--- /dev/null
+++ b/internal/gateway/backends.go
@@ -0,0 +1,406 @@
+package gateway
+
+import (
+	"context"
+	"hash/fnv"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"mothcleat/decide"
+	"mothcleat/internal/resp"
+)
+
+// attempt is one send of a request or, with no request, a probe.
+type attempt struct {
+	r       *request
+	number  int
+	backend uint32
+	sent    decide.Time
+	until   decide.Time
+	conn    *backendConn // nil: it waits for one
+	ended   bool
+}
+
+// backend is a member that discovery has named, by its id.
+type backend struct {
+	number  uint32
+	address string
+	state   decide.State
+	idle    []*backendConn // the one used last at the end
+	waiting []*attempt     // for a connection, oldest first
+	dialing int
+}
+
+// backendConn is a connection to a backend. It carries one attempt at a time:
+// answers come in order, so a slow one would hold up all behind it, and giving
+// one up closes the connection under the others.
+type backendConn struct {
+	b       *backend
+	conn    *net.TCPConn
+	out     *sender
+	a       *attempt
+	used    bool // has carried an attempt
+	replied bool // has answered one
+	closed  bool
+	since   decide.Time // idle since
+}
+
+// backends is the table of members and their connections.
+type backends struct {
+	byNumber map[uint32]*backend
+	byID     map[string]*backend
+	most     int // connections and dials
+	open     int
+	dial     net.Dialer
+}
+
+func newBackends(cfg *Config, most int) *backends {
+	return &backends{
+		byNumber: map[uint32]*backend{}, byID: map[string]*backend{}, most: most,
+		dial: net.Dialer{Timeout: time.Duration(cfg.Host.DialTimeout) * time.Microsecond, KeepAlive: -1},
+	}
+}
+
+// find finds or makes the record of a member. Its number is the hexadecimal
+// end of its id, else a hash of it: the same at every gateway, as notes name
+// backends by it.
+func (bs *backends) find(id string) *backend {
+	if b := bs.byID[id]; b != nil {
+		return b
+	}
+	tail := id[strings.LastIndexByte(id, '-')+1:]
+	n, err := strconv.ParseUint(tail, 16, 32)
+	if err != nil {
+		h := fnv.New32a()
+		_, _ = h.Write([]byte(id))
+		n = uint64(h.Sum32())
+	}
+	number := uint32(n)
+	for bs.byNumber[number] != nil {
+		number++ // two ids share a number: they are still two backends
+	}
+	b := &backend{number: number, state: decide.Left}
+	bs.byID[id], bs.byNumber[number] = b, b
+	return b
+}
+
+// start carries out a Send or a Probe.
+func (bs *backends) start(l *Loop, a *attempt, number uint32) {
+	a.backend = number
+	b := bs.byNumber[number]
+	l.at(a.until, giveUp{a})
+	if b == nil || b.state != decide.Ready {
+		l.finish(a, decide.Moot, nil)
+		return
+	}
+	bs.place(l, b, a)
+}
+
+// place gives an attempt the idle connection used last, or has one dialed.
+func (bs *backends) place(l *Loop, b *backend, a *attempt) {
+	for n := len(b.idle); n > 0; n = len(b.idle) {
+		c := b.idle[n-1]
+		b.idle = b.idle[:n-1]
+		if bs.write(l, c, a) {
+			return
+		}
+	}
+	b.waiting = append(b.waiting, a)
+	bs.connect(l, b)
+}
+
+// connect dials as long as more attempts wait than dials are under way.
+func (bs *backends) connect(l *Loop, b *backend) {
+	for b.dialing < len(b.waiting) {
+		if bs.open >= bs.most && !bs.evict() {
+			// No descriptor to spare is no fault of the backend's: nothing was
+			// sent, and nothing is to be learnt of it.
+			a := b.waiting[len(b.waiting)-1]
+			b.waiting = b.waiting[:len(b.waiting)-1]
+			l.finish(a, decide.Moot, nil)
+			continue
+		}
+		b.dialing++
+		bs.open++
+		go func(address string) {
+			conn, err := bs.dial.DialContext(context.Background(), "tcp", address)
+			e := dialed{b: b, address: address, err: err}
+			if err == nil {
+				e.conn = conn.(*net.TCPConn)
+			}
+			l.post(e)
+		}(b.address)
+	}
+}
+
+// evict closes the connection that has been idle longest.
+func (bs *backends) evict() bool {
+	var oldest *backendConn
+	for _, b := range bs.byNumber {
+		if len(b.idle) > 0 && (oldest == nil || b.idle[0].since < oldest.since) {
+			oldest = b.idle[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	bs.close(oldest)
+	return true
+}
+
+// dialed tells how a dial ended.
+type dialed struct {
+	b       *backend
+	address string
+	conn    *net.TCPConn
+	err     error
+}
+
+func (e dialed) handle(l *Loop) {
+	bs, b := l.backends, e.b
+	b.dialing--
+	if e.err != nil {
+		bs.open--
+		if len(b.waiting) > b.dialing {
+			a := b.waiting[0]
+			b.waiting = b.waiting[1:]
+			l.finish(a, decide.ConnectFailed, nil)
+		}
+		return
+	}
+	c := &backendConn{b: b, conn: e.conn, out: newSender(e.conn)}
+	if e.address != b.address {
+		bs.close(c)
+		bs.connect(l, b)
+		return
+	}
+	go c.read(l)
+	bs.free(l, c)
+}
+
+// free gives a connection to the attempt that has waited longest, or keeps it.
+func (bs *backends) free(l *Loop, c *backendConn) {
+	b := c.b
+	for len(b.waiting) > 0 {
+		a := b.waiting[0]
+		b.waiting = b.waiting[1:]
+		if bs.write(l, c, a) {
+			return
+		}
+		if c.closed {
+			b.waiting = slices.Insert(b.waiting, 0, a)
+			bs.connect(l, b)
+			return
+		}
+	}
+	c.since = l.now()
+	b.idle = append(b.idle, c)
+	l.at(c.since+l.cfg.Host.IdleClose/2, idleEnd{c, c.since})
+}
+
+// write writes an attempt to an idle connection. It tells whether the attempt
+// is done with: on its way, or ended. If the connection turned out broken the
+// attempt was not sent, and may go by another.
+func (bs *backends) write(l *Loop, c *backendConn, a *attempt) bool {
+	if c.b.state != decide.Ready {
+		// The drain was told while the attempt waited for its connection:
+		// nothing new goes there, however slow the dial was.
+		l.finish(a, decide.Moot, nil)
+		c.since = l.now()
+		bs.close(c)
+		return true
+	}
+	var b []byte
+	switch {
+	case a.r != nil:
+		b = a.r.forward(a.until - l.now())
+	case l.cfg.Host.ReportVia == "pull":
+		b = []byte("*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n")
+	default:
+		b = []byte("*1\r\n$4\r\nPING\r\n")
+	}
+	if n, err := c.out.try(b); err != nil {
+		bs.close(c)
+		return false
+	} else if n < len(b) {
+		c.out.send(b[n:], len(b))
+	}
+	c.a, a.conn, c.used = a, c, true
+	return true
+}
+
+// idleEnd closes a connection well before the backend does: a request that
+// crosses its close would end as a reset.
+type idleEnd struct {
+	c     *backendConn
+	since decide.Time
+}
+
+func (e idleEnd) due(l *Loop) {
+	if e.c.a == nil && !e.c.closed && e.c.since == e.since {
+		l.backends.close(e.c)
+	}
+}
+
+// close closes a connection that carries nothing any more.
+func (bs *backends) close(c *backendConn) {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	bs.open--
+	_ = c.conn.Close()
+	if i := slices.Index(c.b.idle, c); i >= 0 {
+		c.b.idle = slices.Delete(c.b.idle, i, i+1)
+	}
+}
+
+// read posts what a backend answers until the connection ends.
+func (c *backendConn) read(l *Loop) {
+	in := resp.NewReader(c.conn)
+	for {
+		reply, err := in.ReadReply()
+		l.post(replied{c, reply, err})
+		if err != nil {
+			return
+		}
+	}
+}
+
+// replied is an answer on a backend's connection, or its end.
+type replied struct {
+	c     *backendConn
+	reply resp.Reply
+	err   error
+}
+
+func (e replied) handle(l *Loop) {
+	c, a := e.c, e.c.a
+	if c.closed {
+		return
+	}
+	if e.err != nil || a == nil {
+		l.backends.close(c)
+		if c.a = nil; a != nil {
+			// Its last byte was written, or may have been: it may have run.
+			l.finish(a, decide.Reset, nil)
+		}
+		return
+	}
+	result, value, load := classify(e.reply, a.r == nil)
+	c.a = nil
+	l.finishWith(a, result, value, l.report(load))
+	l.backends.free(l, c)
+}
+
+// classify tells what an answer means.
+func classify(re resp.Reply, probe bool) (result decide.Result, value []byte, load string) {
+	switch {
+	case re.Kind == '-':
+		word, rest, _ := strings.Cut(string(re.Text), " ")
+		if word == "BUSY" {
+			return decide.Full, nil, rest
+		}
+		return decide.Failed, nil, rest[strings.LastIndexByte(rest, ' ')+1:]
+	case probe:
+		return decide.OK, nil, string(re.Text)
+	case re.Kind == '$' && !re.Null:
+		return decide.OK, re.Text, ""
+	case re.Kind == '*' && len(re.Items) > 0 && re.Items[0].Kind == '$' && !re.Items[0].Null:
+		if len(re.Items) > 2 {
+			load = string(re.Items[2].Text)
+		}
+		return decide.OK, re.Items[0].Text, load
+	}
+	return decide.Failed, nil, "" // no value: it may have run
+}
+
+// report reads a load report, in the order of the settings; nil if it is none.
+func (l *Loop) report(text string) []float32 {
+	names := l.cfg.Host.Report
+	if len(l.cfg.Settings.Report) == 0 || !strings.Contains(text, "=") {
+		return nil
+	}
+	load := make([]float32, len(names))
+	for pair := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(pair, "=")
+		v, err := strconv.ParseFloat(value, 32)
+		i := slices.Index(names, name)
+		if err != nil || i < 0 {
+			continue
+		}
+		load[i] = float32(v)
+	}
+	return load
+}
+
+// giveUp ends an attempt whose time has passed, and its connection with it.
+type giveUp struct{ a *attempt }
+
+func (g giveUp) due(l *Loop) {
+	a := g.a
+	if a.ended {
+		return
+	}
+	if a.conn == nil {
+		b := l.backends.byNumber[a.backend]
+		b.waiting = slices.DeleteFunc(b.waiting, func(w *attempt) bool { return w == a })
+		l.finish(a, decide.Moot, nil)
+		return
+	}
+	a.conn.a = nil
+	l.backends.close(a.conn)
+	l.finish(a, decide.TimedOut, nil)
+}
+
+// finish ends an attempt: the first call counts, and brings its one outcome.
+func (l *Loop) finish(a *attempt, result decide.Result, value []byte) {
+	l.finishWith(a, result, value, nil)
+}
+
+func (l *Loop) finishWith(a *attempt, result decide.Result, value []byte, load []float32) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	l.later(outcome{a, result, value, load, l.now() - a.sent})
+}
+
+// members takes in discovery's list or its changes.
+func (bs *backends) members(l *Loop, news decide.News, list []member) {
+	told := make([]decide.Member, 0, len(list))
+	if news != decide.Changed {
+		for _, b := range bs.byNumber {
+			b.state = decide.Left // but for those that the list names
+		}
+	}
+	for _, m := range list {
+		b := bs.find(m.ID)
+		b.state = m.state()
+		if b.address != m.HostPort {
+			b.address = m.HostPort
+			for len(b.idle) > 0 {
+				bs.close(b.idle[0])
+			}
+		}
+		told = append(told, decide.Member{
+			Backend: b.number, Zone: l.discovery.zone(m.Locality), Cell: m.Cell, State: b.state,
+			Hint: m.Size, Started: m.UpSince * 1000,
+		})
+	}
+	l.module.Members(l.now(), news, told)
+	for id, b := range bs.byID {
+		if b.state != decide.Ready {
+			for len(b.idle) > 0 {
+				bs.close(b.idle[0])
+			}
+		}
+		if b.state == decide.Left && len(b.waiting) == 0 && b.dialing == 0 {
+			delete(bs.byID, id)
+			delete(bs.byNumber, b.number)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/command.go
@@ -0,0 +1,147 @@
+package gateway
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+
+	"mothcleat/decide"
+	"mothcleat/internal/resp"
+)
+
+// command is a client's request as it was read.
+type command struct {
+	args  [][]byte
+	class string
+	wait  [2]int // where the value of d stands in args[3]
+	what  decide.Request
+}
+
+const (
+	mostUnits    = 1e6
+	mostWait     = 24 * 3600 * 1000 // ms
+	mostCustomer = 1 << 33
+)
+
+// parse reads API.READ or API.WRITE. Every field must be known and right: what
+// is not understood reaches no backend.
+func (cfg *Config) parse(args [][]byte) (command, error) {
+	if len(args) < 4 || len(args) > 5 {
+		return command{}, errors.New("wrong number of arguments")
+	}
+	c := command{args: args}
+	customer, ok := hex16(args[1])
+	if !ok || customer >= mostCustomer {
+		return c, errors.New("customer: 16 hex digits below 2^33 wanted")
+	}
+	if _, ok := hex16(args[2]); !ok {
+		return c, errors.New("id: 16 hex digits wanted")
+	}
+	c.what.Customer = customer
+	seen, err := cfg.fields(&c)
+	if err != nil {
+		return c, err
+	}
+	for _, name := range []string{"c", "t", "d", "units", "spread", "first"} {
+		if !seen[name] {
+			return c, fmt.Errorf("field %s: missing", name)
+		}
+	}
+	effect := cfg.Settings.Classes[c.what.Class].Effect
+	if effect == decide.Keyed && !seen["k"] {
+		return c, errors.New("field k: missing")
+	}
+	if reads := bytes.EqualFold(args[0], apiRead); reads != (effect == decide.Safe) {
+		return c, fmt.Errorf("class %s does not go by this command", c.class)
+	}
+	return c, nil
+}
+
+// fields reads the list of names and values.
+func (cfg *Config) fields(c *command) (map[string]bool, error) {
+	seen := make(map[string]bool, 8)
+	list := c.args[3]
+	for start := 0; start <= len(list); {
+		end := len(list)
+		if i := bytes.IndexByte(list[start:], ','); i >= 0 {
+			end = start + i
+		}
+		name, value, ok := bytes.Cut(list[start:end], []byte{'='})
+		if !ok || seen[string(name)] {
+			return nil, errors.New("fields: name=value wanted, each once")
+		}
+		if err := cfg.field(c, string(name), string(value)); err != nil {
+			return nil, err
+		}
+		if string(name) == "d" {
+			c.wait = [2]int{end - len(value), end}
+		}
+		seen[string(name)] = true
+		start = end + 1
+	}
+	return seen, nil
+}
+
+func (cfg *Config) field(c *command, name, value string) error {
+	ok := false
+	switch name {
+	case "c":
+		c.what.Class, c.class = slices.Index(cfg.Host.Classes, value), value
+		ok = c.what.Class >= 0
+	case "t":
+		c.what.Plan = slices.Index(cfg.Host.Plans, value)
+		ok = c.what.Plan >= 0
+	case "d":
+		ms, err := strconv.ParseInt(value, 10, 64)
+		c.what.Grace = ms * 1000
+		ok = err == nil && ms > 0 && ms <= mostWait
+	case "k":
+		ok = value != ""
+	case "r":
+		ok = value == "0" || value == "1"
+	case "units":
+		units, err := strconv.ParseFloat(value, 64)
+		c.what.Units = units
+		ok = err == nil && !math.IsNaN(units) && units > 0 && units <= mostUnits
+	case "spread":
+		n, err := strconv.Atoi(value)
+		c.what.Spread = n
+		ok = err == nil && n >= 1
+	case "first":
+		n, err := strconv.Atoi(value)
+		c.what.First = n
+		ok = err == nil && n >= 0
+	default:
+		return fmt.Errorf("field %q: unknown", name)
+	}
+	if !ok {
+		return fmt.Errorf("field %s: bad value %q", name, value)
+	}
+	return nil
+}
+
+func hex16(b []byte) (uint64, bool) {
+	n, err := strconv.ParseUint(string(b), 16, 64)
+	return n, err == nil && len(b) == 16
+}
+
+// forward is the request as a backend gets it: as it came, but for d.
+func (r *request) forward(wait decide.Time) []byte {
+	fields := r.args[3]
+	list := make([]byte, 0, len(fields)+8)
+	list = append(list, fields[:r.wait[0]]...)
+	list = strconv.AppendInt(list, max(1, wait/1000), 10)
+	list = append(list, fields[r.wait[1]:]...)
+
+	b := resp.AppendArray(make([]byte, 0, size(r.args)+72), len(r.args))
+	for i, arg := range r.args {
+		if i == 3 {
+			arg = list
+		}
+		b = resp.AppendBulk(b, arg)
+	}
+	return b
+}
--- /dev/null
+++ b/internal/gateway/config.go
@@ -0,0 +1,133 @@
+// Package gateway is a gateway on real sockets around the decision module: it
+// reads clients, backends, discovery, the counter and peers, tells the module
+// what happened and carries out what the module decides. It decides nothing
+// about requests but what no module could: malformed ones, and its own limits.
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"strconv"
+
+	"mothcleat/decide"
+	"mothcleat/internal/wire"
+)
+
+// Config is what a gateway is told at its start.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	MemoryMB  int
+	Sockets   int
+
+	PeerListen string
+	Peers      []netip.AddrPort // by number, this gateway's own among them
+	Counter    string
+	Known      memberList
+
+	Settings decide.Settings
+	Host     wire.Host
+}
+
+// file is the configuration as it is written.
+type file struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		MemoryMB int `json:"memory_mb"`
+		Sockets  int `json:"sockets"`
+	} `json:"limits"`
+	PeerListen string          `json:"peer_listen"`
+	Peers      []string        `json:"peers"`
+	Counter    string          `json:"counter"`
+	Known      memberList      `json:"known"`
+	Settings   json.RawMessage `json:"settings"`
+}
+
+// The limits held where the configuration states none, and the least that a
+// gateway can work with.
+const (
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	leastSockets    = 32
+)
+
+// ParseConfig reads a configuration.
+func ParseConfig(raw []byte) (Config, error) {
+	var f file
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return Config{}, fmt.Errorf("configuration: %w", err)
+	}
+	c := Config{
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery,
+		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
+		PeerListen: f.PeerListen, Counter: f.Counter, Known: f.Known,
+	}
+	if c.MemoryMB <= 0 {
+		c.MemoryMB = defaultMemoryMB
+	}
+	if c.Sockets <= 0 {
+		c.Sockets = defaultSockets
+	}
+	var err error
+	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return c, fmt.Errorf("configuration: seed %q: 16 hex digits wanted", f.Seed)
+	}
+	for i, p := range f.Peers {
+		addr, err := netip.ParseAddrPort(p)
+		if err != nil {
+			return c, fmt.Errorf("configuration: peers[%d]: %w", i, err)
+		}
+		c.Peers = append(c.Peers, addr)
+	}
+	if len(f.Settings) == 0 {
+		return c, errors.New("configuration: settings: missing")
+	}
+	if c.Settings, c.Host, err = wire.ParseJSON(f.Settings); err != nil {
+		return c, fmt.Errorf("configuration: %w", err)
+	}
+	return c, c.check()
+}
+
+// check tells which part of the configuration cannot be served.
+func (c *Config) check() error {
+	switch {
+	case c.Listen == "":
+		return errors.New("configuration: listen: missing")
+	case c.Discovery == "":
+		return errors.New("configuration: discovery: missing")
+	case c.Sockets < leastSockets:
+		return fmt.Errorf("configuration: limits.sockets: %d, at least %d wanted", c.Sockets, leastSockets)
+	case c.Settings.Peers && (c.PeerListen == "" || len(c.Peers) != c.Settings.Gateways):
+		return fmt.Errorf("configuration: peers: %d addresses for %d gateways, peer_listen %q",
+			len(c.Peers), c.Settings.Gateways, c.PeerListen)
+	case c.Settings.Counter && !c.Settings.Peers && c.Counter == "":
+		return errors.New("configuration: counter: missing")
+	}
+	for i, name := range c.Host.Classes {
+		if name == "" {
+			return fmt.Errorf("configuration: class %d has no name", i)
+		}
+	}
+	for i, name := range c.Host.Plans {
+		if name == "" {
+			return fmt.Errorf("configuration: plan %d has no name", i)
+		}
+	}
+	if c.Host.DialTimeout <= 0 {
+		c.Host.DialTimeout = 250_000
+	}
+	if c.Host.IdleClose <= 0 {
+		c.Host.IdleClose = 10_000_000
+	}
+	if c.Host.CounterTimeout <= 0 {
+		c.Host.CounterTimeout = 50_000
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/counter.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"mothcleat/decide"
+)
+
+const (
+	countLines = 4  // connections, each with its own share of the names
+	countQueue = 64 // calls that wait on one
+)
+
+// counter calls the central counter. Calls for one name go out in order, as the
+// module takes their totals in order.
+type counter struct {
+	url    string
+	client *http.Client
+	wait   time.Duration
+	lines  [countLines]chan countCall
+	on     bool
+}
+
+type countCall struct {
+	name     uint64
+	add      float64
+	life     decide.Time
+	deadline time.Time
+}
+
+func newCounter(cfg *Config) *counter {
+	c := &counter{
+		url:  "http://" + cfg.Counter + "/v1/count/",
+		wait: time.Duration(cfg.Host.CounterTimeout) * time.Microsecond,
+		on:   cfg.Settings.Counter && cfg.Counter != "",
+		client: &http.Client{Transport: &http.Transport{
+			MaxConnsPerHost: countLines, MaxIdleConnsPerHost: countLines,
+			IdleConnTimeout: 4 * time.Second, DisableCompression: true,
+		}},
+	}
+	for i := range c.lines {
+		c.lines[i] = make(chan countCall, countQueue)
+	}
+	return c
+}
+
+// count has a call made. Its one answer comes as an event.
+func (c *counter) count(l *Loop, name uint64, add float64, life decide.Time) {
+	call := countCall{name, add, life, time.Now().Add(c.wait)}
+	if c.on {
+		select {
+		case c.lines[name%countLines] <- call:
+			return
+		default:
+		}
+	}
+	l.later(counted{name: name, result: decide.Full})
+}
+
+// run makes the calls of one line, one after another.
+func (c *counter) run(ctx context.Context, l *Loop, line <-chan countCall) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case call := <-line:
+			total, result := c.call(ctx, call)
+			l.post(counted{call.name, result, total})
+		}
+	}
+}
+
+// counted is how a call ended.
+type counted struct {
+	name   uint64
+	result decide.Result
+	total  float64
+}
+
+func (e counted) handle(l *Loop) { l.module.Counted(l.now(), e.name, e.result, e.total) }
+
+// call makes one call. Full and ConnectFailed tell that nothing was added; with
+// TimedOut and Reset it may have been, or may yet be.
+func (c *counter) call(ctx context.Context, call countCall) (float64, decide.Result) {
+	ctx, cancel := context.WithDeadline(ctx, call.deadline)
+	defer cancel()
+	var written atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteRequest: func(info httptrace.WroteRequestInfo) { written.Store(info.Err == nil) },
+	})
+	url := c.url + strconv.FormatUint(call.name, 16) +
+		fmt.Sprintf("?add=%s&ttl_ms=%d", strconv.FormatFloat(call.add, 'f', -1, 64), max(1, call.life/1000))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
+	if err != nil {
+		return 0, decide.ConnectFailed
+	}
+	var body []byte
+	res, err := c.client.Do(req)
+	if err == nil {
+		defer res.Body.Close()
+		body, err = io.ReadAll(io.LimitReader(res.Body, 256))
+	}
+	switch {
+	case err != nil && !written.Load():
+		return 0, decide.ConnectFailed
+	case err != nil && ctx.Err() != nil:
+		return 0, decide.TimedOut
+	case err != nil:
+		return 0, decide.Reset
+	case res.StatusCode == http.StatusServiceUnavailable:
+		return 0, decide.Full
+	case res.StatusCode != http.StatusOK:
+		return 0, decide.Failed
+	}
+	total, err := strconv.ParseFloat(strings.TrimSpace(string(body)), 64)
+	if err != nil {
+		return 0, decide.Failed
+	}
+	return total, decide.OK
+}
--- /dev/null
+++ b/internal/gateway/discovery.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"mothcleat/decide"
+)
+
+// memberList is the list of members, or what changed of it, in discovery's form.
+type memberList struct {
+	Revision uint64   `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []member `json:"members"`
+}
+
+type member struct {
+	ID       string  `json:"id"`
+	HostPort string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Cell     int     `json:"cell"`
+	Phase    string  `json:"phase"`
+	Size     float64 `json:"size"`
+	UpSince  int64   `json:"up_since_ms"`
+}
+
+func (m *member) state() decide.State {
+	switch m.Phase {
+	case "Ready":
+		return decide.Ready
+	case "Gone":
+		return decide.Left
+	}
+	return decide.Draining // a phase not known is none to send to
+}
+
+const (
+	watchWait  = 20 * time.Second
+	watchSlack = 2 * time.Second        // for an answer after the wait is over
+	listWait   = 2 * time.Second        // for the whole list, which comes at once
+	retryAfter = 100 * time.Millisecond // after a call that failed
+	mostList   = 8 << 20                // bytes
+)
+
+// discovery follows the list of members.
+type discovery struct {
+	url    string
+	client *http.Client
+	asks   bool          // discovery tells only who asks
+	start  chan struct{} // closed when the list is to be followed
+	once   bool
+	zones  []string // by number, this gateway's own first
+}
+
+func newDiscovery(cfg *Config) *discovery {
+	d := &discovery{
+		url: "http://" + cfg.Discovery + "/catalog/members",
+		client: &http.Client{Transport: &http.Transport{
+			MaxConnsPerHost: 1, MaxIdleConns: 1, DisableCompression: true,
+		}},
+		asks: cfg.Settings.AskMembers, start: make(chan struct{}), zones: cfg.Host.Zones,
+	}
+	if !d.asks {
+		d.follow()
+	}
+	return d
+}
+
+// follow has the list followed from now on.
+func (d *discovery) follow() {
+	if !d.once {
+		d.once = true
+		close(d.start)
+	}
+}
+
+// zone gives a zone's number.
+func (d *discovery) zone(name string) int {
+	if i := slices.Index(d.zones, name); i >= 0 {
+		return i
+	}
+	d.zones = append(d.zones, name)
+	return len(d.zones) - 1
+}
+
+// news is what discovery has told.
+type news struct {
+	kind decide.News
+	list memberList
+}
+
+func (n news) handle(l *Loop) {
+	if n.kind == decide.Unheard {
+		l.module.Members(l.now(), n.kind, nil)
+		return
+	}
+	l.backends.members(l, n.kind, n.list.Members)
+	l.ready()
+}
+
+// run watches for changes; after a break it takes the whole list.
+func (d *discovery) run(ctx context.Context, l *Loop) {
+	<-d.start
+	version := ""
+	for ctx.Err() == nil {
+		list, err := d.get(ctx, version)
+		if err != nil {
+			version = ""
+			if ctx.Err() == nil {
+				l.log.Warn("discovery", "error", err)
+			}
+			if d.asks {
+				l.urgent <- news{kind: decide.Unheard}
+			}
+			select {
+			case <-time.After(retryAfter):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		version = fmt.Sprint(list.Revision)
+		kind := decide.Changed
+		if list.Complete {
+			kind = decide.Whole
+		}
+		l.urgent <- news{kind, list}
+	}
+}
+
+// get makes one call: a watch from a version on, or one for the whole list.
+func (d *discovery) get(ctx context.Context, version string) (list memberList, err error) {
+	url, wait := d.url, listWait
+	if version != "" {
+		url += fmt.Sprintf("?index=%s&wait=%d", version, watchWait.Milliseconds())
+		wait = watchWait + watchSlack
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return list, fmt.Errorf("discovery call: %w", err)
+	}
+	res, err := d.client.Do(req)
+	if err != nil {
+		return list, fmt.Errorf("discovery call: %w", err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return list, fmt.Errorf("discovery call: status %s", res.Status)
+	}
+	// A list that is cut or has no end must not pass for a short one.
+	if err := json.NewDecoder(io.LimitReader(res.Body, mostList)).Decode(&list); err != nil {
+		return list, fmt.Errorf("discovery list: %w", err)
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, 64)) // so that the connection is kept
+	return list, nil
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"time"
+
+	"mothcleat/decide"
+)
+
+const (
+	queued     = 1024 // events that wait for the loop
+	otherFiles = 48   // descriptors for all but clients and backends
+)
+
+// Run serves until stop is closed and all that was taken is answered.
+func Run(cfg Config, log *slog.Logger, stopped <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l, err := newLoop(cfg, log)
+	if err != nil {
+		return err
+	}
+	l.start(ctx)
+	go func() {
+		select {
+		case <-stopped:
+			l.post(stop{})
+		case <-ctx.Done():
+		}
+	}()
+	l.run()
+	_ = l.clients.listener.Close()
+	if l.peers.conn != nil {
+		_ = l.peers.conn.Close()
+	}
+	return nil
+}
+
+// newLoop makes a gateway with its sockets. Clients are accepted once it is ready.
+func newLoop(cfg Config, log *slog.Logger) (*Loop, error) {
+	l := &Loop{
+		cfg: cfg, log: log, clock: newClock(),
+		events: make(chan event, queued), urgent: make(chan event, 16),
+		requests: map[uint64]*request{}, timer: time.NewTimer(time.Hour),
+		counter: newCounter(&cfg), discovery: newDiscovery(&cfg),
+	}
+	l.timer.Stop()
+	// Two in five descriptors are for clients, as many for backends, some spare.
+	share := (cfg.Sockets - otherFiles/2) * 2 / 5
+	l.backends = newBackends(&cfg, share)
+	l.clients = &clients{
+		most: share, room: make(chan struct{}, share+share/8), conns: map[*client]bool{},
+	}
+	var err error
+	if l.module, err = decide.New(cfg.Settings, cfg.Seed, l); err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	if l.peers, err = newPeers(&cfg, log); err != nil {
+		return nil, err
+	}
+	addr, err := net.ResolveTCPAddr("tcp", cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	if l.clients.listener, err = net.ListenTCP("tcp", addr); err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return l, nil
+}
+
+// start begins with the list as last known and has all sockets read.
+func (l *Loop) start(ctx context.Context) {
+	l.backends.members(l, decide.Cached, l.cfg.Known.Members)
+	l.follow()
+	l.at(l.now()+untilReady, readyAnyway{})
+	go l.discovery.run(ctx, l)
+	if l.peers.conn != nil {
+		go l.peers.read(l)
+	}
+	if l.counter.on {
+		for _, line := range l.counter.lines {
+			go l.counter.run(ctx, l, line)
+		}
+	}
+}
+
+// ready has clients accepted from now on: until then nothing answers PING.
+func (l *Loop) ready() {
+	if !l.accepting {
+		l.accepting = true
+		l.log.Info("ready", "listen", l.clients.listener.Addr().String(), "backends", len(l.backends.byNumber))
+		go l.clients.accept(l)
+	}
+}
+
+// readyAnyway ends the wait for discovery, which may be down for long.
+type readyAnyway struct{}
+
+func (readyAnyway) due(l *Loop) { l.ready() }
--- /dev/null
+++ b/internal/gateway/loop.go
@@ -0,0 +1,218 @@
+package gateway
+
+import (
+	"container/heap"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"mothcleat/decide"
+)
+
+// margin is how long before the client stops waiting a request is ended: its
+// answer has to reach the client, and this process may be kept from running.
+const margin = 25_000
+
+// clock gives the time in microseconds since 1970 as of the start, monotonic
+// from then on.
+type clock struct {
+	wall  decide.Time
+	start time.Time
+}
+
+func newClock() clock {
+	now := time.Now()
+	return clock{now.UnixMicro(), now}
+}
+
+func (c clock) now() decide.Time { return c.wall + time.Since(c.start).Microseconds() }
+
+// event is something that happened, posted by a socket's goroutine.
+type event interface {
+	handle(l *Loop)
+}
+
+// due is something to be done at a time.
+type due interface {
+	due(l *Loop)
+}
+
+// Loop owns the module and the table of open requests. Only its goroutine
+// touches either; all else reaches it as an event.
+type Loop struct {
+	cfg    Config
+	log    *slog.Logger
+	clock  clock
+	last   decide.Time
+	module *decide.Gateway
+
+	events chan event
+	urgent chan event // discovery's news: ahead of all queued work
+	queue  []event    // what follows from the module's own actions
+	timers timerHeap
+	timer  *time.Timer
+	armed  decide.Time
+
+	requests map[uint64]*request
+	nextID   uint64
+	open     int // requests without a final answer
+	held     int // bytes of requests kept
+
+	clients   *clients
+	backends  *backends
+	peers     *peers
+	counter   *counter
+	discovery *discovery
+	drain     drain
+	accepting bool
+	done      bool
+}
+
+// post hands an event to the loop.
+func (l *Loop) post(e event) { l.events <- e }
+
+// later has an event handled right after the one at hand. Actions use it: they
+// must not call the module while it is deciding.
+func (l *Loop) later(e event) { l.queue = append(l.queue, e) }
+
+// now is the time, never going back.
+func (l *Loop) now() decide.Time {
+	l.last = max(l.last, l.clock.now())
+	return l.last
+}
+
+// run handles events until the gateway has ended.
+func (l *Loop) run() {
+	for !l.done {
+		l.fire()
+		// Discovery first: work queued before a drain was told must not be sent
+		// on after its grace.
+		select {
+		case e := <-l.urgent:
+			l.handle(e)
+			continue
+		default:
+		}
+		select {
+		case e := <-l.urgent:
+			l.handle(e)
+		case e := <-l.events:
+			l.handle(e)
+		case <-l.timer.C:
+			l.armed = 0
+		}
+	}
+}
+
+func (l *Loop) handle(e event) {
+	e.handle(l)
+	l.follow()
+}
+
+// follow handles what the actions left behind.
+func (l *Loop) follow() {
+	for i := 0; i < len(l.queue); i++ {
+		l.queue[i].handle(l)
+	}
+	clear(l.queue)
+	l.queue = l.queue[:0]
+}
+
+// at has something done at a time.
+func (l *Loop) at(when decide.Time, d due) { heap.Push(&l.timers, timer{when, d}) }
+
+// fire does all that is due and arms the timer for the next.
+func (l *Loop) fire() {
+	for len(l.timers) > 0 {
+		next, now := l.timers[0].at, l.now()
+		if next > now {
+			if l.armed == 0 || next < l.armed {
+				l.timer.Reset(time.Duration(next-now) * time.Microsecond)
+				l.armed = next
+			}
+			return
+		}
+		t := heap.Pop(&l.timers).(timer)
+		t.what.due(l)
+		l.follow()
+	}
+}
+
+type timer struct {
+	at   decide.Time
+	what due
+}
+
+type timerHeap []timer
+
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)        { *h = append(*h, x.(timer)) }
+func (h *timerHeap) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = timer{}
+	*h = old[:len(old)-1]
+	return t
+}
+
+// alarm is a timer that the module has set.
+type alarm uint32
+
+func (a alarm) due(l *Loop) { l.module.Timer(l.now(), uint32(a)) }
+
+// The module's actions.
+
+// Send starts the next attempt of a request.
+func (l *Loop) Send(id uint64, backend uint32, until decide.Time) {
+	r := l.requests[id]
+	if r == nil {
+		panic(fmt.Sprintf("send for request %d, which is not open", id))
+	}
+	if until == 0 || until > r.deadline {
+		until = r.deadline
+	}
+	a := &attempt{r: r, number: r.attempts, sent: l.now(), until: until}
+	r.attempts++
+	r.out++
+	l.backends.start(l, a, backend)
+}
+
+// Refuse gives the final answer that trying again is harmless.
+func (l *Loop) Refuse(id uint64, after decide.Time) {
+	if r := l.requests[id]; r != nil {
+		l.answer(r, busy(after))
+	}
+}
+
+// Fail gives the final answer that promises nothing.
+func (l *Loop) Fail(id uint64) {
+	if r := l.requests[id]; r != nil {
+		l.answer(r, failed)
+	}
+}
+
+// SetTimer has the module called at the time.
+func (l *Loop) SetTimer(at decide.Time, token uint32) { l.at(at, alarm(token)) }
+
+// Probe asks a backend whether it lives.
+func (l *Loop) Probe(backend uint32) {
+	now := l.now()
+	a := &attempt{sent: now, until: now + l.cfg.Host.DialTimeout}
+	l.backends.start(l, a, backend)
+}
+
+// Tell sends a note to a peer.
+func (l *Loop) Tell(peer int, note []byte) { l.peers.tell(peer, note) }
+
+// Count adds to a number that all gateways share.
+func (l *Loop) Count(name uint64, add float64, life decide.Time) {
+	l.counter.count(l, name, add, life)
+}
+
+// Follow asks discovery for the list and its changes from now on.
+func (l *Loop) Follow() { l.discovery.follow() }
+
+// Log writes a line for the people on call.
+func (l *Loop) Log(line string) { l.log.Info(line) }
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+)
+
+const noteMost = 256 // bytes in a datagram between gateways
+
+// peers sends and receives notes through one socket.
+type peers struct {
+	conn  *net.UDPConn
+	addrs []netip.AddrPort
+	self  int
+	log   *slog.Logger
+}
+
+func newPeers(cfg *Config, log *slog.Logger) (*peers, error) {
+	p := &peers{addrs: cfg.Peers, self: cfg.Settings.Self, log: log}
+	if !cfg.Settings.Peers {
+		return p, nil
+	}
+	addr, err := net.ResolveUDPAddr("udp", cfg.PeerListen)
+	if err != nil {
+		return nil, fmt.Errorf("peer_listen: %w", err)
+	}
+	if p.conn, err = net.ListenUDP("udp", addr); err != nil {
+		return nil, fmt.Errorf("peer_listen: %w", err)
+	}
+	return p, nil
+}
+
+// tell sends a note, which may be lost. One over the limit is never sent.
+func (p *peers) tell(peer int, note []byte) {
+	if p.conn == nil || peer < 0 || peer >= len(p.addrs) || peer == p.self {
+		return
+	}
+	if len(note) > noteMost {
+		p.log.Error("note over the limit", "bytes", len(note))
+		return
+	}
+	_, _ = p.conn.WriteToUDPAddrPort(note, p.addrs[peer])
+}
+
+// heard is a note from a peer.
+type heard struct {
+	from int
+	note []byte
+}
+
+func (h heard) handle(l *Loop) { l.module.Peer(l.now(), h.from, h.note) }
+
+// read posts notes until the socket is closed. What comes from no peer, or is
+// longer than any note, is dropped.
+func (p *peers) read(l *Loop) {
+	number := make(map[netip.AddrPort]int, len(p.addrs))
+	for i, a := range p.addrs {
+		number[a] = i
+	}
+	buf := make([]byte, noteMost+1)
+	for {
+		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		peer, ok := number[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
+		if err != nil || !ok || peer == p.self || n > noteMost {
+			continue
+		}
+		l.post(heard{peer, append([]byte(nil), buf[:n]...)})
+	}
+}
--- /dev/null
+++ b/internal/gateway/requests.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"fmt"
+
+	"mothcleat/decide"
+	"mothcleat/internal/resp"
+)
+
+// request is a client's request that this gateway has taken. It stays in the
+// table until it is answered and none of its attempts is out.
+type request struct {
+	id       uint64
+	client   *client
+	args     [][]byte
+	class    string
+	wait     [2]int // where the value of d stands in the list of fields
+	deadline decide.Time
+	attempts int // made so far
+	out      int // of those, without an outcome
+	answered bool
+	reply    []byte // waits in the client's line for its turn
+}
+
+// The answers that are the gateway's own.
+var (
+	pong   = []byte("+PONG\r\n")
+	failed = []byte("-ERR failed\r\n")
+)
+
+// busy is a refusal with the time after which to come again.
+func busy(after decide.Time) []byte {
+	if after <= 0 {
+		return []byte("-BUSY\r\n")
+	}
+	return fmt.Appendf(nil, "-BUSY %d\r\n", (after+999)/1000)
+}
+
+// answer gives a request its final answer. The first one counts; what comes
+// later never reaches the client.
+func (l *Loop) answer(r *request, reply []byte) {
+	if r.answered {
+		return
+	}
+	r.answered, r.reply = true, reply
+	l.open--
+	r.client.flush(l)
+	l.forget(r)
+}
+
+// forget drops a request that nothing waits for any more.
+func (l *Loop) forget(r *request) {
+	if r.answered && r.out == 0 && l.requests[r.id] == r {
+		delete(l.requests, r.id)
+		l.held -= size(r.args)
+	}
+}
+
+func size(args [][]byte) int {
+	n := 0
+	for _, a := range args {
+		n += len(a)
+	}
+	return n
+}
+
+// backstop fails a request that is still open just before its client stops
+// waiting, whatever went wrong: no request may be lost.
+type backstop struct{ r *request }
+
+func (b backstop) due(l *Loop) {
+	if b.r.answered {
+		return
+	}
+	l.log.Warn("request was open at its deadline", "id", string(b.r.args[2]))
+	l.answer(b.r, failed)
+	l.module.Gone(l.now(), b.r.id)
+}
+
+// outcome ends an attempt: exactly one for each Send.
+type outcome struct {
+	a      *attempt
+	result decide.Result
+	value  []byte
+	load   []float32
+	took   decide.Time
+}
+
+func (o outcome) handle(l *Loop) {
+	r := o.a.r
+	if r == nil {
+		l.module.Probed(l.now(), o.a.backend, o.result, o.load)
+		return
+	}
+	r.out--
+	if o.result == decide.OK && !r.answered {
+		l.answer(r, resp.AppendBulk(make([]byte, 0, len(o.value)+16), o.value))
+	}
+	l.module.Outcome(l.now(), decide.Outcome{
+		ID: r.id, Attempt: o.a.number, Backend: o.a.backend, Result: o.result,
+		Took: o.took, Over: r.answered, Load: o.load,
+	})
+	l.forget(r)
+}
--- /dev/null
+++ b/internal/gateway/sender.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"net"
+	"sync"
+	"syscall"
+)
+
+// sender writes to a connection without ever making the loop wait: what the
+// socket takes at once is written at once, the rest by a goroutine of its own.
+type sender struct {
+	conn *net.TCPConn
+	raw  syscall.RawConn
+
+	mu   sync.Mutex
+	rest []byte
+	busy bool // a goroutine is writing
+	fin  bool // ends the sending after the rest
+}
+
+func newSender(conn *net.TCPConn) *sender {
+	raw, _ := conn.SyscallConn() // fails only for a closed connection: so does try
+	return &sender{conn: conn, raw: raw}
+}
+
+// try writes what the socket takes at once.
+func (s *sender) try(b []byte) (n int, err error) {
+	if s.raw == nil {
+		return 0, net.ErrClosed
+	}
+	var werr error
+	err = s.raw.Write(func(fd uintptr) bool {
+		for {
+			n, werr = syscall.Write(int(fd), b)
+			if werr != syscall.EINTR {
+				return true
+			}
+		}
+	})
+	n = max(n, 0)
+	if err == nil && werr != syscall.EAGAIN {
+		err = werr
+	}
+	return n, err
+}
+
+// send writes b, which is the sender's from then on. It tells whether there was
+// room: at most so many bytes are kept for a reader that takes nothing.
+func (s *sender) send(b []byte, most int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.busy {
+		s.rest = append(s.rest, b...)
+		return len(s.rest) <= most
+	}
+	n, err := s.try(b)
+	if err == nil && n < len(b) {
+		s.rest, s.busy = append(s.rest, b[n:]...), true
+		go s.write()
+	}
+	return true // a broken connection is the reader's to find
+}
+
+func (s *sender) write() {
+	for {
+		s.mu.Lock()
+		b := s.rest
+		s.rest = nil
+		if len(b) == 0 {
+			s.busy = false
+			if s.fin {
+				_ = s.conn.CloseWrite()
+			}
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		_, _ = s.conn.Write(b) // as above
+	}
+}
+
+// end ends the sending after what was sent. The reading goes on until the other
+// side has closed, so that no answer is lost with a reset.
+func (s *sender) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fin = true
+	if !s.busy {
+		_ = s.conn.CloseWrite()
+	}
+}
+
+// idle tells whether all that was sent is written.
+func (s *sender) idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.busy
+}
--- /dev/null
+++ b/internal/resp/resp.go
@@ -0,0 +1,230 @@
+// Package resp reads and writes RESP2, bounded: no input makes it hold more
+// than a few values of MaxValue bytes.
+//
+// It stands in for a library's parser because two of them lose what the gateway
+// needs: redcon v1.6.4 panics on a bulk length of -2 and lets a command grow
+// without bound, redigo allocates whatever length it is told.
+package resp
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+)
+
+// Limits of what is read.
+const (
+	MaxValue = 64 << 10  // bytes in one value
+	MaxArgs  = 16        // values in one command or array that are kept
+	maxCount = 1024      // values in one that is passed over for its size
+	maxSkip  = 512 << 20 // bytes in a value that is passed over
+)
+
+// ErrTooLarge tells that a well-framed command was read past and dropped. The
+// next one can be read.
+var ErrTooLarge = errors.New("command too large")
+
+// ErrProtocol tells that the framing is lost: nothing more can be read.
+var ErrProtocol = errors.New("protocol error")
+
+func malformed(what string) error { return fmt.Errorf("%w: %s", ErrProtocol, what) }
+
+// Reader reads commands or replies from a connection.
+type Reader struct {
+	in *bufio.Reader
+}
+
+// NewReader makes a reader.
+func NewReader(in io.Reader) *Reader { return &Reader{bufio.NewReaderSize(in, 2048)} }
+
+// line reads up to the end of a line, which is left out. It is valid until the
+// next read.
+func (r *Reader) line() ([]byte, error) {
+	b, err := r.in.ReadSlice('\n')
+	switch {
+	case errors.Is(err, bufio.ErrBufferFull):
+		return nil, malformed("line too long")
+	case err != nil:
+		return nil, err
+	case len(b) < 2 || b[len(b)-2] != '\r':
+		return nil, malformed("line does not end in CRLF")
+	}
+	return b[:len(b)-2], nil
+}
+
+// length reads the number after a kind byte.
+func length(b []byte, least, most int) (int, error) {
+	n, err := strconv.Atoi(string(b))
+	if err != nil || n < least || n > most {
+		return 0, malformed("invalid length")
+	}
+	return n, nil
+}
+
+// ReadCommand reads an array of bulk strings. The values are the caller's. An
+// empty array is passed over.
+func (r *Reader) ReadCommand() ([][]byte, error) {
+	for {
+		head, err := r.line()
+		if err != nil {
+			return nil, err
+		}
+		if len(head) == 0 || head[0] != '*' {
+			return nil, malformed("expected an array")
+		}
+		n, err := length(head[1:], 0, maxCount)
+		if err != nil {
+			return nil, err
+		}
+		if n > 0 {
+			return r.values(n)
+		}
+	}
+}
+
+// values reads the bulk strings of a command into one buffer.
+func (r *Reader) values(n int) ([][]byte, error) {
+	tooLarge := n > MaxArgs
+	var ends [MaxArgs]int
+	buf := make([]byte, 0, 192)
+	for i := range n {
+		head, err := r.line()
+		if err != nil {
+			return nil, midway(err)
+		}
+		if len(head) == 0 || head[0] != '$' {
+			return nil, malformed("expected a bulk string")
+		}
+		size, err := length(head[1:], 0, maxSkip)
+		if err != nil {
+			return nil, err
+		}
+		if tooLarge = tooLarge || size > MaxValue; tooLarge {
+			_, err = r.in.Discard(size)
+		} else {
+			ends[i] = len(buf) + size
+			buf, err = r.append(buf, size)
+		}
+		if err == nil {
+			err = r.crlf()
+		}
+		if err != nil {
+			return nil, midway(err)
+		}
+	}
+	if tooLarge {
+		return nil, ErrTooLarge
+	}
+	args, start := make([][]byte, n), 0
+	for i := range args {
+		args[i] = buf[start:ends[i]:ends[i]]
+		start = ends[i]
+	}
+	return args, nil
+}
+
+// append reads size bytes more behind buf.
+func (r *Reader) append(buf []byte, size int) ([]byte, error) {
+	start := len(buf)
+	if cap(buf)-start < size {
+		buf = append(make([]byte, 0, start+size+64), buf...)
+	}
+	buf = buf[:start+size]
+	_, err := io.ReadFull(r.in, buf[start:])
+	return buf, err
+}
+
+func (r *Reader) crlf() error {
+	var end [2]byte
+	for i := range end {
+		c, err := r.in.ReadByte()
+		if err != nil {
+			return err
+		}
+		end[i] = c
+	}
+	if end != [2]byte{'\r', '\n'} {
+		return malformed("value does not end in CRLF")
+	}
+	return nil
+}
+
+// midway tells an end within a message from one between two.
+func midway(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// Reply is what came back for a command.
+type Reply struct {
+	Kind  byte   // '+', '-', ':', '$' or '*'
+	Null  bool   // a null string or array
+	Text  []byte // of all but arrays
+	Items []Reply
+}
+
+// ReadReply reads one reply: at most an array of plain values.
+func (r *Reader) ReadReply() (Reply, error) { return r.reply(true) }
+
+func (r *Reader) reply(arrays bool) (Reply, error) {
+	head, err := r.line()
+	if err != nil {
+		return Reply{}, err
+	}
+	if len(head) == 0 {
+		return Reply{}, malformed("empty line")
+	}
+	re := Reply{Kind: head[0]}
+	switch re.Kind {
+	case '+', '-', ':':
+		re.Text = bytes.Clone(head[1:])
+		return re, nil
+	case '$':
+		size, err := length(head[1:], -1, 16*MaxValue)
+		if err != nil {
+			return re, err
+		}
+		if size < 0 {
+			re.Null = true
+			return re, nil
+		}
+		if re.Text, err = r.append(nil, size); err == nil {
+			err = r.crlf()
+		}
+		return re, midway(err)
+	case '*':
+		n, err := length(head[1:], -1, MaxArgs)
+		if err != nil || !arrays {
+			return re, malformed("unexpected array")
+		}
+		re.Null = n < 0
+		for range n {
+			item, err := r.reply(false)
+			if err != nil {
+				return re, midway(err)
+			}
+			re.Items = append(re.Items, item)
+		}
+		return re, nil
+	}
+	return re, malformed("unknown kind of reply")
+}
+
+// AppendArray appends the head of an array of n values.
+func AppendArray(b []byte, n int) []byte { return appendHead(b, '*', n) }
+
+// AppendBulk appends a bulk string.
+func AppendBulk(b, value []byte) []byte {
+	b = append(appendHead(b, '$', len(value)), value...)
+	return append(b, '\r', '\n')
+}
+
+func appendHead(b []byte, kind byte, n int) []byte {
+	b = strconv.AppendInt(append(b, kind), int64(n), 10)
+	return append(b, '\r', '\n')
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -8,9 +8,23 @@
 	"mothcleat/decide"
 )
 
+// Host is what the settings tell the host of a gateway on real sockets; the
+// simulator does these things itself.
+type Host struct {
+	Classes, Plans []string // their names, in the order of the settings
+	Zones          []string // names, by number
+	Report         []string // the names of the values in a load report
+	ReportVia      string   // "piggyback", "pull" or "silent"
+	MaxOpen        int      // requests open at once
+	DialTimeout    decide.Time
+	IdleClose      decide.Time // backends close an idle connection by then
+	CounterTimeout decide.Time
+}
+
 // draft is a settings text being read.
 type draft struct {
 	decide.Settings
+	host Host
 }
 
 type setter func(d *draft, value string) error
@@ -45,6 +59,13 @@
 	}
 }
 
+func text(field func(*draft) *string) setter {
+	return func(d *draft, v string) error {
+		*field(d) = v
+		return nil
+	}
+}
+
 func word[V any](table map[string]V, field func(*draft) *V) setter {
 	return func(d *draft, v string) error {
 		x, ok := table[v]
@@ -58,16 +79,25 @@
 
 // keys are the plain settings.
 var keys = map[string]setter{
-	"self-index":                  whole(func(d *draft) *int { return &d.Self }),
-	"balancers":                   whole(func(d *draft) *int { return &d.Gateways }),
-	"az":                          whole(func(d *draft) *int { return &d.Zone }),
-	"granularity-us":              whole(func(d *draft) *decide.Time { return &d.Tick }),
-	"ceilings.peers":              flag(func(d *draft) *bool { return &d.Peers }),
-	"ceilings.probes":             flag(func(d *draft) *bool { return &d.Probes }),
-	"ceilings.second-copies":      flag(func(d *draft) *bool { return &d.SecondCopies }),
-	"ceilings.retry-after":        flag(func(d *draft) *bool { return &d.RetryAfter }),
-	"ceilings.max-attempts":       whole(func(d *draft) *int { return &d.MaxAttempts }),
-	"ceilings.max-retry-after-us": whole(func(d *draft) *decide.Time { return &d.MaxRetryAfter }),
+	"self-index":                     whole(func(d *draft) *int { return &d.Self }),
+	"balancers":                      whole(func(d *draft) *int { return &d.Gateways }),
+	"az":                             whole(func(d *draft) *int { return &d.Zone }),
+	"granularity-us":                 whole(func(d *draft) *decide.Time { return &d.Tick }),
+	"ceilings.peers":                 flag(func(d *draft) *bool { return &d.Peers }),
+	"ceilings.probes":                flag(func(d *draft) *bool { return &d.Probes }),
+	"ceilings.second-copies":         flag(func(d *draft) *bool { return &d.SecondCopies }),
+	"ceilings.retry-after":           flag(func(d *draft) *bool { return &d.RetryAfter }),
+	"ceilings.max-attempts":          whole(func(d *draft) *int { return &d.MaxAttempts }),
+	"ceilings.max-retry-after-us":    whole(func(d *draft) *decide.Time { return &d.MaxRetryAfter }),
+	"ceilings.max-open":              whole(func(d *draft) *int { return &d.host.MaxOpen }),
+	"ceilings.dial-timeout-us":       whole(func(d *draft) *decide.Time { return &d.host.DialTimeout }),
+	"ceilings.idle-close-us":         whole(func(d *draft) *decide.Time { return &d.host.IdleClose }),
+	"family-info.counter-timeout-us": whole(func(d *draft) *decide.Time { return &d.host.CounterTimeout }),
+	"localities": func(d *draft, v string) error {
+		d.host.Zones = strings.Split(v, ",")
+		return nil
+	},
+	"report.via":                  text(func(d *draft) *string { return &d.host.ReportVia }),
 	"family-info.counter":         flag(func(d *draft) *bool { return &d.Counter }),
 	"family-info.settles":         flag(func(d *draft) *bool { return &d.Settles }),
 	"family-info.meter-period-us": whole(func(d *draft) *decide.Time { return &d.MeterPeriod }),
@@ -82,19 +112,22 @@
 	"weights": word(map[string]bool{"silent": false, "nominal": true, "rough": true, "live": true},
 		func(d *draft) *bool { return &d.HintsTell }),
 	"report.names": func(d *draft, v string) error {
-		d.Report = nil
-		for name := range strings.SplitSeq(v, ",") {
+		d.Report, d.host.Report = nil, strings.Split(v, ",")
+		for _, name := range d.host.Report {
 			d.Report = append(d.Report, metrics[name])
 		}
 		return nil
 	},
 }
 
-func lastClass(d *draft) *decide.Class { return &d.Classes[len(d.Classes)-1] }
-func lastPlan(d *draft) *decide.Plan   { return &d.Plans[len(d.Plans)-1] }
+func last[T any](items []T) *T { return &items[len(items)-1] }
+
+func lastClass(d *draft) *decide.Class { return last(d.Classes) }
+func lastPlan(d *draft) *decide.Plan   { return last(d.Plans) }
 
 // classKeys and planKeys are the settings of an item of a list.
 var classKeys = map[string]setter{
+	"name":       text(func(d *draft) *string { return last(d.host.Classes) }),
 	"promise-us": whole(func(d *draft) *decide.Time { return &lastClass(d).Aim }),
 	"window-us":  whole(func(d *draft) *decide.Time { return &lastClass(d).Window }),
 	"worth":      number(func(d *draft) *float64 { return &lastClass(d).Worth }),
@@ -103,6 +136,7 @@
 }
 
 var planKeys = map[string]setter{
+	"name":            text(func(d *draft) *string { return last(d.host.Plans) }),
 	"rate":            number(func(d *draft) *float64 { return &lastPlan(d).Rate }),
 	"burst":           number(func(d *draft) *float64 { return &lastPlan(d).Burst }),
 	"never-over-rate": number(func(d *draft) *float64 { return &lastPlan(d).CeilingRate }),
@@ -129,16 +163,36 @@
 			values[key] = value
 		}
 	}
+	d, err := parse(values)
+	return d.Settings, err
+}
+
+// ParseJSON reads the settings in the form of a gateway's configuration: the
+// same names and units, as nested JSON.
+func ParseJSON(raw []byte) (decide.Settings, Host, error) {
+	values, err := flatten(raw)
+	if err != nil {
+		return decide.Settings{}, Host{}, err
+	}
+	d, err := parse(values)
+	return d.Settings, d.host, err
+}
+
+func parse(values map[string]string) (*draft, error) {
 	d := &draft{}
 	if err := d.take(values, "", keys); err != nil {
-		return d.Settings, err
+		return d, err
 	}
-	err := d.list(values, classList, classKeys, func() { d.Classes = append(d.Classes, decide.Class{}) })
+	err := d.list(values, classList, classKeys, func() {
+		d.Classes, d.host.Classes = append(d.Classes, decide.Class{}), append(d.host.Classes, "")
+	})
 	if err != nil {
-		return d.Settings, err
+		return d, err
 	}
-	err = d.list(values, planList, planKeys, func() { d.Plans = append(d.Plans, decide.Plan{Price: 1}) })
-	return d.Settings, err
+	err = d.list(values, planList, planKeys, func() {
+		d.Plans, d.host.Plans = append(d.Plans, decide.Plan{Price: 1}), append(d.host.Plans, "")
+	})
+	return d, err
 }
 
 func (d *draft) take(values map[string]string, prefix string, table map[string]setter) error {
