Close connections that lead nowhere; bound what unread answers hold

After one connection to a backend broke, its idle ones were still used, and each would have reset one more request; so were those to a backend that discovery told to have started anew. Both have a test that fails without the mend (checked). Also: a request that follows another on a connection which is about to end is served, not dropped; an answer that came before the whole request was written no longer leaves the connection for the next; answers that wait their turn or a slow reader count towards the memory bound; accept and watch can no longer spin.

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -28,6 +28,7 @@
 type backend struct {
 	number  uint32
 	address string
+	upSince int64 // as discovery tells it
 	state   decide.State
 	idle    []*backendConn // the one used last at the end
 	waiting []*attempt     // for a connection, oldest first
@@ -38,14 +39,12 @@
 // answers come in order, so a slow one would hold up all behind it, and giving
 // one up closes the connection under the others.
 type backendConn struct {
-	b       *backend
-	conn    *net.TCPConn
-	out     *sender
-	a       *attempt
-	used    bool // has carried an attempt
-	replied bool // has answered one
-	closed  bool
-	since   decide.Time // idle since
+	b      *backend
+	conn   *net.TCPConn
+	out    *sender
+	a      *attempt
+	closed bool
+	since  decide.Time // idle since
 }
 
 // backends is the table of members and their connections.
@@ -151,6 +150,13 @@
 	return true
 }
 
+// drop closes a backend's idle connections.
+func (bs *backends) drop(b *backend) {
+	for len(b.idle) > 0 {
+		bs.close(b.idle[0])
+	}
+}
+
 // dialed tells how a dial ended.
 type dialed struct {
 	b       *backend
@@ -184,6 +190,13 @@
 // free gives a connection to the attempt that has waited longest, or keeps it.
 func (bs *backends) free(l *Loop, c *backendConn) {
 	b := c.b
+	if b.state != decide.Ready && len(b.waiting) == 0 || !c.out.idle() {
+		// It is not to be used again; or the answer came before all of the
+		// request was written, and the next would be written into its rest.
+		bs.close(c)
+		bs.connect(l, b)
+		return
+	}
 	for len(b.waiting) > 0 {
 		a := b.waiting[0]
 		b.waiting = b.waiting[1:]
@@ -209,7 +222,6 @@
 		// The drain was told while the attempt waited for its connection:
 		// nothing new goes there, however slow the dial was.
 		l.finish(a, decide.Moot, nil)
-		c.since = l.now()
 		bs.close(c)
 		return true
 	}
@@ -228,7 +240,7 @@
 	} else if n < len(b) {
 		c.out.send(b[n:], len(b))
 	}
-	c.a, a.conn, c.used = a, c, true
+	c.a, a.conn = a, c
 	return true
 }
 
@@ -285,7 +297,10 @@
 	if e.err != nil || a == nil {
 		l.backends.close(c)
 		if c.a = nil; a != nil {
-			// Its last byte was written, or may have been: it may have run.
+			// Its last byte was written, or may have been: it may have run. The
+			// process behind has most likely died: idle connections to it would
+			// reset the next requests too.
+			l.backends.drop(c.b)
 			l.finish(a, decide.Reset, nil)
 		}
 		return
@@ -380,11 +395,10 @@
 	for _, m := range list {
 		b := bs.find(m.ID)
 		b.state = m.state()
-		if b.address != m.HostPort {
-			b.address = m.HostPort
-			for len(b.idle) > 0 {
-				bs.close(b.idle[0])
-			}
+		if b.address != m.HostPort || b.upSince != m.UpSince {
+			// It has moved or started anew: what stands idle leads nowhere.
+			b.address, b.upSince = m.HostPort, m.UpSince
+			bs.drop(b)
 		}
 		told = append(told, decide.Member{
 			Backend: b.number, Zone: l.discovery.zone(m.Locality), Cell: m.Cell, State: b.state,
@@ -394,9 +408,7 @@
 	l.module.Members(l.now(), news, told)
 	for id, b := range bs.byID {
 		if b.state != decide.Ready {
-			for len(b.idle) > 0 {
-				bs.close(b.idle[0])
-			}
+			bs.drop(b)
 		}
 		if b.state == decide.Left && len(b.waiting) == 0 && b.dialing == 0 {
 			delete(bs.byID, id)
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -7,17 +7,19 @@
 	"net"
 	"slices"
 	"strings"
+	"time"
 
 	"mothcleat/decide"
 	"mothcleat/internal/resp"
 )
 
 const (
-	pipelined   = 256     // commands of one connection without an answer
-	unread      = 1 << 20 // bytes of answers that a client has not taken
-	refuseAfter = 500_000 // advice where the gateway itself has no room
-	lingerFor   = 500_000 // for the other side to close, after the last answer,
-	lingerMost  = 10      // and so many times longer while it takes answers slowly
+	acceptAgain = 20 * time.Millisecond
+	pipelined   = 256               // commands of one connection without an answer
+	unread      = 2 * resp.MaxValue // bytes of answers that a client has not taken
+	refuseAfter = 500_000           // advice where the gateway itself has no room
+	lingerFor   = 500_000           // for the other side to close, after the last answer,
+	lingerMost  = 10                // and so many times longer while it takes answers slowly
 )
 
 var (
@@ -41,7 +43,8 @@
 	line    []*request // in the order of their commands; answers wait their turn
 	room    chan struct{}
 	gone    bool // nothing more can be written
-	ending  bool // no more is taken: ends when its line is empty
+	ending  bool // ends as soon as its line is empty
+	ended   bool // has ended its sending: no more is taken
 	surplus bool // over the share: refused at once, then ended
 	used    decide.Time
 }
@@ -58,6 +61,7 @@
 		if err != nil { // such as a shortage of descriptors: the next may do better
 			<-cs.room
 			l.log.Warn("accept", "error", err)
+			time.Sleep(acceptAgain)
 			continue
 		}
 		l.post(connected{conn})
@@ -160,10 +164,10 @@
 
 func (e taken) handle(l *Loop) {
 	c, now := e.client, l.now()
-	if c.gone || c.ending {
+	if c.gone || c.ended {
 		return // it crossed the end of the connection: the client sends it again
 	}
-	r := &request{client: c, args: e.cmd.args, class: e.cmd.class, wait: e.cmd.wait}
+	r := &request{client: c, args: e.cmd.args, wait: e.cmd.wait}
 	c.line, c.used = append(c.line, r), now
 	l.open++
 	if e.last {
@@ -191,7 +195,7 @@
 // refusal is the prompt answer where the gateway itself has no room.
 func (l *Loop) refusal(c *client) []byte {
 	full := l.cfg.Host.MaxOpen > 0 && l.open > l.cfg.Host.MaxOpen
-	if !full && !c.surplus && l.held < l.cfg.MemoryMB<<20/4 {
+	if !full && !c.surplus && !l.drain.answered && l.held < l.cfg.MemoryMB<<20/4 {
 		return nil
 	}
 	c.ending = c.ending || c.surplus
@@ -212,6 +216,7 @@
 		} else {
 			out = append(out[:len(out):len(out)], c.line[n].reply...)
 		}
+		l.held -= len(c.line[n].reply)
 		c.line[n].reply = nil
 		n++
 		<-c.room
@@ -243,6 +248,10 @@
 // close with something unread would reset the connection, and with it an answer
 // that is still on its way.
 func (c *client) finish(l *Loop) {
+	if c.ended {
+		return
+	}
+	c.ended = true
 	c.out.end()
 	l.at(l.now()+lingerFor, linger{c, 0})
 }
@@ -276,6 +285,7 @@
 	<-l.clients.room
 	now := l.now()
 	for _, r := range c.line {
+		l.held -= len(r.reply)
 		if !r.answered {
 			r.answered = true
 			l.open--
--- a/internal/gateway/command.go
+++ b/internal/gateway/command.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"math"
 	"slices"
 	"strconv"
 
@@ -14,10 +13,9 @@
 
 // command is a client's request as it was read.
 type command struct {
-	args  [][]byte
-	class string
-	wait  [2]int // where the value of d stands in args[3]
-	what  decide.Request
+	args [][]byte
+	wait [2]int // where the value of d stands in args[3]
+	what decide.Request
 }
 
 const (
@@ -45,24 +43,39 @@
 	if err != nil {
 		return c, err
 	}
-	for _, name := range []string{"c", "t", "d", "units", "spread", "first"} {
-		if !seen[name] {
+	for i, name := range fieldNames {
+		if i < needed && seen&(1<<i) == 0 {
 			return c, fmt.Errorf("field %s: missing", name)
 		}
 	}
 	effect := cfg.Settings.Classes[c.what.Class].Effect
-	if effect == decide.Keyed && !seen["k"] {
+	if effect == decide.Keyed && seen&(1<<keyField) == 0 {
 		return c, errors.New("field k: missing")
 	}
 	if reads := bytes.EqualFold(args[0], apiRead); reads != (effect == decide.Safe) {
-		return c, fmt.Errorf("class %s does not go by this command", c.class)
+		return c, fmt.Errorf("class %s does not go by this command", cfg.Host.Classes[c.what.Class])
 	}
 	return c, nil
 }
 
-// fields reads the list of names and values.
-func (cfg *Config) fields(c *command) (map[string]bool, error) {
-	seen := make(map[string]bool, 8)
+// The fields by name, those that every request needs first.
+const (
+	classField = iota
+	planField
+	waitField
+	unitsField
+	spreadField
+	firstField
+	keyField
+	retryField
+	needed = keyField
+)
+
+var fieldNames = [...]string{"c", "t", "d", "units", "spread", "first", "k", "r"}
+
+// fields reads the list of names and values, and tells which it holds: a bit for
+// each.
+func (cfg *Config) fields(c *command) (seen uint, err error) {
 	list := c.args[3]
 	for start := 0; start <= len(list); {
 		end := len(list)
@@ -70,55 +83,57 @@
 			end = start + i
 		}
 		name, value, ok := bytes.Cut(list[start:end], []byte{'='})
-		if !ok || seen[string(name)] {
-			return nil, errors.New("fields: name=value wanted, each once")
+		field := slices.Index(fieldNames[:], string(name))
+		switch {
+		case field < 0:
+			return seen, fmt.Errorf("field %.32q: unknown", name)
+		case !ok || seen&(1<<field) != 0:
+			return seen, errors.New("fields: name=value wanted, each once")
 		}
-		if err := cfg.field(c, string(name), string(value)); err != nil {
-			return nil, err
+		if err := cfg.field(c, field, string(value)); err != nil {
+			return seen, err
 		}
-		if string(name) == "d" {
+		if field == waitField {
 			c.wait = [2]int{end - len(value), end}
 		}
-		seen[string(name)] = true
+		seen |= 1 << field
 		start = end + 1
 	}
 	return seen, nil
 }
 
-func (cfg *Config) field(c *command, name, value string) error {
+func (cfg *Config) field(c *command, field int, value string) error {
 	ok := false
-	switch name {
-	case "c":
-		c.what.Class, c.class = slices.Index(cfg.Host.Classes, value), value
+	switch field {
+	case classField:
+		c.what.Class = slices.Index(cfg.Host.Classes, value)
 		ok = c.what.Class >= 0
-	case "t":
+	case planField:
 		c.what.Plan = slices.Index(cfg.Host.Plans, value)
 		ok = c.what.Plan >= 0
-	case "d":
+	case waitField:
 		ms, err := strconv.ParseInt(value, 10, 64)
 		c.what.Grace = ms * 1000
 		ok = err == nil && ms > 0 && ms <= mostWait
-	case "k":
+	case keyField:
 		ok = value != ""
-	case "r":
+	case retryField:
 		ok = value == "0" || value == "1"
-	case "units":
+	case unitsField:
 		units, err := strconv.ParseFloat(value, 64)
 		c.what.Units = units
-		ok = err == nil && !math.IsNaN(units) && units > 0 && units <= mostUnits
-	case "spread":
+		ok = err == nil && units > 0 && units <= mostUnits // which NaN is not
+	case spreadField:
 		n, err := strconv.Atoi(value)
 		c.what.Spread = n
 		ok = err == nil && n >= 1
-	case "first":
+	case firstField:
 		n, err := strconv.Atoi(value)
 		c.what.First = n
 		ok = err == nil && n >= 0
-	default:
-		return fmt.Errorf("field %q: unknown", name)
 	}
 	if !ok {
-		return fmt.Errorf("field %s: bad value %q", name, value)
+		return fmt.Errorf("field %s: bad value %.64q", fieldNames[field], value)
 	}
 	return nil
 }
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -44,6 +44,7 @@
 	watchSlack = 2 * time.Second        // for an answer after the wait is over
 	listWait   = 2 * time.Second        // for the whole list, which comes at once
 	retryAfter = 100 * time.Millisecond // after a call that failed
+	tooSoon    = 50 * time.Millisecond  // for a watch that tells nothing
 	mostList   = 8 << 20                // bytes
 )
 
@@ -107,7 +108,14 @@
 func (d *discovery) run(ctx context.Context, l *Loop) {
 	<-d.start
 	version := ""
+	pause := func(wait time.Duration) {
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+	}
 	for ctx.Err() == nil {
+		called := time.Now()
 		list, err := d.get(ctx, version)
 		if err != nil {
 			version = ""
@@ -117,12 +125,12 @@
 			if d.asks {
 				l.urgent <- news{kind: decide.Unheard}
 			}
-			select {
-			case <-time.After(retryAfter):
-			case <-ctx.Done():
-			}
+			pause(retryAfter)
 			continue
 		}
+		if version != "" && len(list.Members) == 0 && time.Since(called) < tooSoon {
+			pause(tooSoon) // a watch that does not wait must not become a busy loop
+		}
 		version = fmt.Sprint(list.Revision)
 		kind := decide.Changed
 		if list.Complete {
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -12,7 +12,7 @@
 
 // drain is the state of a planned shutdown.
 type drain struct {
-	begun, closing, last bool
+	begun, closing, answered, last bool
 }
 
 // stop begins a planned shutdown.
@@ -42,6 +42,7 @@
 		}
 	case s.answer:
 		// What SIGKILL would find unanswered would be lost.
+		l.drain.answered = true
 		l.failAll()
 	case s.exit:
 		l.done = true
@@ -74,8 +75,6 @@
 	}
 }
 
-var _ due = drainStep{}
-
 // untilReady is how long a start waits for discovery before it serves with the
 // list it was given.
 const untilReady decide.Time = 500_000
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -254,6 +254,46 @@
 	wait(t, served, "the second request")
 }
 
+// A connection that breaks under a request tells that the process behind has
+// died: the idle ones to it are not used for the next requests.
+func TestBrokenConnectionDropsIdleOnes(t *testing.T) {
+	r, b, _ := oneBackend(t, nil)
+	c, other := r.client(t), r.client(t)
+	c.lookup(1, "60000")
+	first := b.next(t)
+	other.lookup(2, "60000")
+	second := b.next(t)
+	second.serve(t, "second")
+	other.value("second") // its connection is idle by now
+	first.conn.Close()
+	again := b.next(t)
+	again.serve(t, "first")
+	c.value("first")
+	if again.conn == second.conn {
+		t.Error("an idle connection was used after another broke")
+	}
+}
+
+// A backend that has started anew is reached by a new connection, though the old
+// one, as of a machine that vanished, was never closed.
+func TestRestartedBackendGetsNewConnections(t *testing.T) {
+	r, b, d := oneBackend(t, nil)
+	c := r.client(t)
+	c.lookup(1, "60000")
+	first := b.next(t)
+	first.serve(t, "ok")
+	c.value("ok")
+	d.tell(strings.Replace(b.entry("s-00000001", "Ready"), `"up_since_ms":0`, `"up_since_ms":1000000000000`, 1))
+	d.settled(t)
+	c.lookup(2, "60000")
+	second := b.next(t)
+	second.serve(t, "ok")
+	c.value("ok")
+	if second.conn == first.conn {
+		t.Error("the old connection was used")
+	}
+}
+
 // After a drain was told nothing new goes to the backend; the ids are its
 // identity, so the same backend at a new address is still the same.
 func TestDrainAndChangeOfAddress(t *testing.T) {
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -56,7 +56,7 @@
 	requests map[uint64]*request
 	nextID   uint64
 	open     int // requests without a final answer
-	held     int // bytes of requests kept
+	held     int // bytes of requests and of answers that wait their turn
 
 	clients   *clients
 	backends  *backends
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -13,7 +13,6 @@
 	id       uint64
 	client   *client
 	args     [][]byte
-	class    string
 	wait     [2]int // where the value of d stands in the list of fields
 	deadline decide.Time
 	attempts int // made so far
@@ -43,6 +42,7 @@
 		return
 	}
 	r.answered, r.reply = true, reply
+	l.held += len(reply)
 	l.open--
 	r.client.flush(l)
 	l.forget(r)
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -185,7 +185,7 @@
 		re.Text = bytes.Clone(head[1:])
 		return re, nil
 	case '$':
-		size, err := length(head[1:], -1, 16*MaxValue)
+		size, err := length(head[1:], -1, MaxValue)
 		if err != nil {
 			return re, err
 		}
