--- /dev/null
+++ b/internal/gateway/peers_test.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"io"
+	"log/slog"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"mothcleat/decide"
+)
+
+func udp(t *testing.T) *net.UDPConn {
+	t.Helper()
+	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(patience))
+	return c
+}
+
+// A note over 256 bytes would void the run; what is too long or comes from no
+// peer is dropped.
+func TestNotes(t *testing.T) {
+	peer, stranger := udp(t), udp(t)
+	cfg := &Config{PeerListen: "127.0.0.1:0", Settings: decide.Settings{Peers: true},
+		Peers: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1"), peer.LocalAddr().(*net.UDPAddr).AddrPort()}}
+	p, err := newPeers(cfg, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.conn.Close() })
+	l := &Loop{events: make(chan event, 8)}
+	go p.read(l)
+
+	p.tell(1, make([]byte, noteMost+1))
+	p.tell(0, []byte("to itself"))
+	p.tell(2, []byte("to nobody"))
+	p.tell(1, []byte("to the peer"))
+	buf := make([]byte, 1024)
+	n, from, err := peer.ReadFromUDPAddrPort(buf)
+	if err != nil || string(buf[:n]) != "to the peer" {
+		t.Fatalf("%q, %v", buf[:n], err)
+	}
+
+	for _, send := range []struct {
+		conn *net.UDPConn
+		note []byte
+	}{{stranger, []byte("from nobody")}, {peer, make([]byte, noteMost+1)}, {peer, []byte("answer")}} {
+		if _, err := send.conn.WriteToUDPAddrPort(send.note, from); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if h := wait(t, l.events, "a note").(heard); h.from != 1 || string(h.note) != "answer" {
+		t.Errorf("note %q from %d", h.note, h.from)
+	}
+}
