--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
+	"log/slog"
 	"strings"
 	"testing"
 
+	"mothcleat/decide"
 	"mothcleat/internal/resp"
 )
 
@@ -319,6 +323,50 @@
 	}
 }
 
+// A drain that is told while an attempt waits for its dial holds for it too: the
+// connection comes up, and nothing is written to it.
+func TestDrainDuringDial(t *testing.T) {
+	b := newBackend(t)
+	d := newFakeDiscovery(t)
+	l, err := newLoop(configure(t, d, nil), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.clients.listener.Close()
+	m := member{ID: "s-00000001", HostPort: b.listener.Addr().String(), Phase: "Ready"}
+	l.backends.members(l, decide.Whole, []member{m})
+	a := &attempt{sent: l.now(), until: l.now() + 1e9}
+	l.backends.start(l, a, 1)
+	m.Phase = "Terminating"
+	l.backends.members(l, decide.Changed, []member{m})
+	up := wait(t, l.events, "the dial").(dialed)
+	if up.err != nil {
+		t.Fatal(up.err)
+	}
+	up.handle(l)
+	if len(l.queue) != 1 || l.queue[0].(outcome).result != decide.Moot {
+		t.Errorf("outcomes %+v, want one that tells that nothing ran", l.queue)
+	}
+	if err := wait(t, b.ended, "the connection's end"); !errors.Is(err, io.EOF) || len(b.got) > 0 {
+		t.Errorf("the connection ended with %v after %d commands", err, len(b.got))
+	}
+}
+
+// An idle connection is closed before the backend does it: a request that
+// crossed the backend's close would end as a reset.
+func TestIdleConnectionIsClosed(t *testing.T) {
+	r, b, _ := oneBackend(t, func(f map[string]any) {
+		f["settings"] = json.RawMessage(strings.Replace(settingsText, `"idle-close-us":30000000`, `"idle-close-us":200000`, 1))
+	})
+	c := r.client(t)
+	c.lookup(1, "60000")
+	b.next(t).serve(t, "ok")
+	c.value("ok")
+	if err := wait(t, b.ended, "the idle connection's end"); !errors.Is(err, io.EOF) {
+		t.Error(err)
+	}
+}
+
 // After a broken watch the whole list is taken: what changed may be missed.
 func TestDiscoveryTakesTheWholeListAfterABreak(t *testing.T) {
 	_, b, d := oneBackend(t, nil)
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -24,7 +24,7 @@
 type fakeBackend struct {
 	listener net.Listener
 	got      chan *backendCall
-	conns    chan net.Conn
+	ended    chan error // how each connection ended
 }
 
 // backendCall is one command that a backend has got whole.
@@ -51,7 +51,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &fakeBackend{listener: l, got: make(chan *backendCall, 1024), conns: make(chan net.Conn, 1024)}
+	b := &fakeBackend{listener: l, got: make(chan *backendCall, 1024), ended: make(chan error, 1024)}
 	t.Cleanup(func() { l.Close() })
 	go func() {
 		for {
@@ -59,13 +59,13 @@
 			if err != nil {
 				return
 			}
-			b.conns <- conn
 			go func() {
 				in := resp.NewReader(conn)
 				for {
 					args, err := in.ReadCommand()
 					if err != nil {
 						conn.Close()
+						b.ended <- err
 						return
 					}
 					b.got <- &backendCall{args, conn}
