Take in a new configuration on SIGHUP

Cause: cmd/mothcleat asked for SIGTERM and SIGINT only, so that SIGHUP kept its default, to end the program; discovery and counter kept the address they were made with.

SIGHUP now has the file read anew. The watch under way at the old discovery is cancelled and the list taken whole at the new one; counter calls go to the new address, those under way end where they began. A file that can't be read or used is logged and the old one stays. Addresses of discovery and the counter must be HOST:PORT, else a reload could take in what nothing can be called at.

--- a/cmd/mothcleat/main.go
+++ b/cmd/mothcleat/main.go
@@ -22,15 +22,9 @@
 }
 
 func run() error {
-	path := os.Getenv("RELAY_CONFIG")
-	if path == "" {
-		return fmt.Errorf("configuration: RELAY_CONFIG is not set")
-	}
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return fmt.Errorf("configuration: %w", err)
-	}
-	cfg, err := gateway.ParseConfig(raw)
+	// Before all else: a signal that comes early must not end the program.
+	control := signals()
+	cfg, err := control.Read()
 	if err != nil {
 		return err
 	}
@@ -40,12 +34,37 @@
 	debug.SetGCPercent(400)
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 2 / 3)
 
-	stopped, signals := make(chan struct{}), make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("gateway", cfg.Name)
+	return gateway.Run(cfg, log, control)
+}
+
+// signals has SIGTERM stop the gateway and SIGHUP reload its configuration.
+func signals() gateway.Control {
+	stopped, reload := make(chan struct{}), make(chan struct{}, 1)
+	stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
 	go func() {
-		<-signals
+		<-stops
 		close(stopped)
 	}()
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("gateway", cfg.Name)
-	return gateway.Run(cfg, log, stopped)
+	go func() {
+		for range reloads {
+			reload <- struct{}{}
+		}
+	}()
+	return gateway.Control{Stop: stopped, Reload: reload, Read: configuration}
+}
+
+// configuration reads the file that RELAY_CONFIG names.
+func configuration() (gateway.Config, error) {
+	path := os.Getenv("RELAY_CONFIG")
+	if path == "" {
+		return gateway.Config{}, fmt.Errorf("configuration: RELAY_CONFIG is not set")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return gateway.Config{}, fmt.Errorf("configuration: %w", err)
+	}
+	return gateway.ParseConfig(raw)
 }
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/netip"
 	"strconv"
 
@@ -110,6 +111,15 @@
 	case c.Settings.Counter && !c.Settings.Peers && c.Counter == "":
 		return errors.New("configuration: counter: missing")
 	}
+	addresses := map[string]string{"discovery": c.Discovery, "counter": c.Counter}
+	if c.Counter == "" {
+		delete(addresses, "counter")
+	}
+	for name, address := range addresses {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return fmt.Errorf("configuration: %s: %w", name, err)
+		}
+	}
 	for i, name := range c.Host.Classes {
 		if name == "" {
 			return fmt.Errorf("configuration: class %d has no name", i)
--- a/internal/gateway/counter.go
+++ b/internal/gateway/counter.go
@@ -30,6 +30,7 @@
 }
 
 type countCall struct {
+	url      string // of the counter, when the call was made
 	name     uint64
 	add      float64
 	life     decide.Time
@@ -38,7 +39,7 @@
 
 func newCounter(cfg *Config) *counter {
 	c := &counter{
-		url:  "http://" + cfg.Counter + "/v1/count/",
+		url:  counterURL(cfg.Counter),
 		wait: time.Duration(cfg.Host.CounterTimeout) * time.Microsecond,
 		on:   cfg.Settings.Counter && cfg.Counter != "",
 		client: &http.Client{Transport: &http.Transport{
@@ -52,9 +53,18 @@
 	return c
 }
 
+func counterURL(address string) string { return "http://" + address + "/v1/count/" }
+
+// move has calls made at another address from now on. Those under way end where
+// they were begun: each has its one answer.
+func (c *counter) move(address string) {
+	c.url = counterURL(address)
+	c.client.CloseIdleConnections()
+}
+
 // count has a call made. Its one answer comes as an event.
 func (c *counter) count(l *Loop, name uint64, add float64, life decide.Time) {
-	call := countCall{name, add, life, time.Now().Add(c.wait)}
+	call := countCall{c.url, name, add, life, time.Now().Add(c.wait)}
 	if c.on {
 		select {
 		case c.lines[name%countLines] <- call:
@@ -96,7 +106,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		WroteRequest: func(info httptrace.WroteRequestInfo) { written.Store(info.Err == nil) },
 	})
-	url := c.url + strconv.FormatUint(call.name, 16) +
+	url := call.url + strconv.FormatUint(call.name, 16) +
 		fmt.Sprintf("?add=%s&ttl_ms=%d", strconv.FormatFloat(call.add, 'f', -1, 64), max(1, call.life/1000))
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
 	if err != nil {
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -50,17 +50,18 @@
 
 // discovery follows the list of members.
 type discovery struct {
-	url    string
-	client *http.Client
-	asks   bool          // discovery tells only who asks
-	start  chan struct{} // closed when the list is to be followed
-	once   bool
-	zones  []string // by number, this gateway's own first
+	address string
+	moved   chan string // addresses of new configurations: the last one only
+	client  *http.Client
+	asks    bool          // discovery tells only who asks
+	start   chan struct{} // closed when the list is to be followed
+	once    bool
+	zones   []string // by number, this gateway's own first
 }
 
 func newDiscovery(cfg *Config) *discovery {
 	d := &discovery{
-		url: "http://" + cfg.Discovery + "/catalog/members",
+		address: cfg.Discovery, moved: make(chan string, 1),
 		client: &http.Client{Transport: &http.Transport{
 			MaxConnsPerHost: 1, MaxIdleConns: 1, DisableCompression: true,
 		}},
@@ -104,9 +105,42 @@
 	l.ready()
 }
 
-// run watches for changes; after a break it takes the whole list.
+// move has the list followed at another address. Only the loop calls it.
+func (d *discovery) move(address string) {
+	select {
+	case <-d.moved: // a newer configuration came before this one was acted on
+	default:
+	}
+	d.moved <- address
+}
+
+// run follows the list, at another address as soon as there is one: a watch that
+// is under way at the old one ends, and its news come before any of the new one.
 func (d *discovery) run(ctx context.Context, l *Loop) {
-	<-d.start
+	select {
+	case <-d.start:
+	case <-ctx.Done():
+		return
+	}
+	for address := d.address; ctx.Err() == nil; {
+		watching, cancel := context.WithCancel(ctx)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			d.watch(watching, l, "http://"+address+"/catalog/members")
+		}()
+		select {
+		case address = <-d.moved:
+		case <-ctx.Done():
+		}
+		cancel()
+		<-ended
+		d.client.CloseIdleConnections()
+	}
+}
+
+// watch watches for changes; at first and after a break it takes the whole list.
+func (d *discovery) watch(ctx context.Context, l *Loop, url string) {
 	version := ""
 	pause := func(wait time.Duration) {
 		select {
@@ -114,16 +148,23 @@
 		case <-ctx.Done():
 		}
 	}
+	tell := func(n news) {
+		select {
+		case l.urgent <- n:
+		case <-ctx.Done():
+		}
+	}
 	for ctx.Err() == nil {
 		called := time.Now()
-		list, err := d.get(ctx, version)
+		list, err := d.get(ctx, url, version)
+		if ctx.Err() != nil {
+			return
+		}
 		if err != nil {
 			version = ""
-			if ctx.Err() == nil {
-				l.log.Warn("discovery", "error", err)
-			}
+			l.log.Warn("discovery", "error", err)
 			if d.asks {
-				l.urgent <- news{kind: decide.Unheard}
+				tell(news{kind: decide.Unheard})
 			}
 			pause(retryAfter)
 			continue
@@ -136,13 +177,13 @@
 		if list.Complete {
 			kind = decide.Whole
 		}
-		l.urgent <- news{kind, list}
+		tell(news{kind, list})
 	}
 }
 
 // get makes one call: a watch from a version on, or one for the whole list.
-func (d *discovery) get(ctx context.Context, version string) (list memberList, err error) {
-	url, wait := d.url, listWait
+func (d *discovery) get(ctx context.Context, url, version string) (list memberList, err error) {
+	wait := listWait
 	if version != "" {
 		url += fmt.Sprintf("?index=%s&wait=%d", version, watchWait.Milliseconds())
 		wait = watchWait + watchSlack
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,28 +15,22 @@
 	otherFiles = 48   // descriptors for all but clients and backends
 )
 
-// Run serves until stopped is closed and all that was taken is answered.
-func Run(cfg Config, log *slog.Logger, stopped <-chan struct{}) error {
+// Run serves until it is told to stop and all that was taken is answered.
+func Run(cfg Config, log *slog.Logger, control Control) error {
 	l, err := newLoop(cfg, log)
 	if err != nil {
 		return err
 	}
-	l.serve(stopped)
+	l.serve(control)
 	return nil
 }
 
 // serve runs the loop and all that reads for it.
-func (l *Loop) serve(stopped <-chan struct{}) {
+func (l *Loop) serve(control Control) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	l.start(ctx)
-	go func() {
-		select {
-		case <-stopped:
-			l.post(stop{})
-		case <-ctx.Done():
-		}
-	}()
+	go control.steer(ctx, l)
 	l.run()
 	_ = l.clients.listener.Close()
 	if l.peers.conn != nil {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -464,12 +464,12 @@
 }
 
 func TestBadConfiguration(t *testing.T) {
-	good := fmt.Sprintf(`{"name":"n","listen":"127.0.0.1:0","discovery":"d","seed":"01","settings":%s}`, settingsText)
+	good := fmt.Sprintf(`{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"01","settings":%s}`, settingsText)
 	if _, err := ParseConfig([]byte(good)); err != nil {
 		t.Fatal(err)
 	}
 	for _, c := range [][2]string{
-		{`"seed":"01"`, `"seed":"x"`}, {`"listen":"127.0.0.1:0"`, `"listen":""`}, {`"discovery":"d"`, `"discovery":""`},
+		{`"seed":"01"`, `"seed":"x"`}, {`"listen":"127.0.0.1:0"`, `"listen":""`}, {`"discovery":"127.0.0.1:1"`, `"discovery":""`},
 		{`"balancers":1`, `"balancers":"many"`}, {`"peers":false`, `"peers":true`}, {`"name":"team"`, `"nam":"team"`},
 		{`{"name":"n"`, `{"peers":["nowhere"]`}, {`"settings":{`, `"set":{`}, {`}`, ``},
 	} {
--- /dev/null
+++ b/internal/gateway/reload.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+)
+
+// Control is how the program round a gateway steers it.
+type Control struct {
+	Stop   <-chan struct{}        // closed for a planned shutdown
+	Reload <-chan struct{}        // a value for each configuration to be taken in
+	Read   func() (Config, error) // reads the configuration as it is now
+}
+
+// steer passes on what the gateway is told to do. A new configuration that can't
+// be read or used leaves the old one in force: a gateway that serves goes on.
+func (c Control) steer(ctx context.Context, l *Loop) {
+	stopped := c.Stop
+	for {
+		var e event
+		select {
+		case <-ctx.Done():
+			return
+		case <-stopped:
+			stopped, e = nil, stop{}
+		case <-c.Reload:
+			cfg, err := c.Read()
+			if err != nil {
+				l.log.Error("reload: the old configuration stays", "error", err)
+				continue
+			}
+			e = reloaded{cfg}
+		}
+		select {
+		case l.urgent <- e: // not behind a queue of requests
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// reloaded is a new configuration.
+type reloaded struct{ cfg Config }
+
+// handle moves to the new addresses of discovery and the counter. Requests,
+// connections and all that the module knows go on as they are; the list is
+// taken whole at the new address, as its versions may be others.
+func (e reloaded) handle(l *Loop) {
+	l.log.Info("reload", "discovery", e.cfg.Discovery, "counter", e.cfg.Counter)
+	if kept := l.cfg.fixed(&e.cfg); len(kept) > 0 {
+		l.log.Warn("reload: what needs a restart stays as it was", "settings", kept)
+	}
+	l.cfg.Discovery, l.cfg.Counter = e.cfg.Discovery, e.cfg.Counter
+	l.discovery.move(e.cfg.Discovery)
+	if e.cfg.Counter != "" {
+		l.counter.move(e.cfg.Counter)
+	}
+}
+
+// fixed names what another configuration would change that only a restart can.
+func (c *Config) fixed(other *Config) (names []string) {
+	for name, changed := range map[string]bool{
+		"name":        c.Name != other.Name,
+		"listen":      c.Listen != other.Listen,
+		"peer_listen": c.PeerListen != other.PeerListen,
+		"peers":       !slices.Equal(c.Peers, other.Peers),
+		"limits":      c.MemoryMB != other.MemoryMB || c.Sockets != other.Sockets,
+	} {
+		if changed {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -173,6 +173,9 @@
 // rig is a gateway between fakes.
 type rig struct {
 	addr    string
+	loop    *Loop
+	reload  chan struct{}
+	configs chan func() (Config, error) // what the next reload reads
 	once    sync.Once
 	stopped chan struct{}
 	ended   chan struct{}
@@ -181,6 +184,12 @@
 // stop begins a planned shutdown.
 func (r *rig) stop() { r.once.Do(func() { close(r.stopped) }) }
 
+// reloads has the gateway take in another configuration, or fail to.
+func (r *rig) reloads(cfg Config, err error) {
+	r.configs <- func() (Config, error) { return cfg, err }
+	r.reload <- struct{}{}
+}
+
 // configure gives the configuration of a gateway that discovery serves.
 func configure(t testing.TB, d *fakeDiscovery, change func(map[string]any)) Config {
 	t.Helper()
@@ -210,8 +219,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &rig{addr: l.clients.listener.Addr().String(), stopped: make(chan struct{}), ended: make(chan struct{})}
-	go func() { l.serve(r.stopped); close(r.ended) }()
+	r := &rig{addr: l.clients.listener.Addr().String(), loop: l, stopped: make(chan struct{}), ended: make(chan struct{}),
+		reload: make(chan struct{}), configs: make(chan func() (Config, error), 1)}
+	control := Control{Stop: r.stopped, Reload: r.reload, Read: func() (Config, error) { return (<-r.configs)() }}
+	go func() { l.serve(control); close(r.ended) }()
 	t.Cleanup(func() {
 		r.stop()
 		select {
