One spoilt answer fails one attempt and closes one connection

Cause: replied.handle ended any unreadable answer as Reset (the module leaves the backend out as dead) and dropped all its idle connections; an answer of a wrong form (:5) kept its connection; free reused a connection with bytes beyond its answer. Ruled out: CPU (0.03 s a second), places for clients (217 of 384 descriptors). A value can't be told to be the request's own: it holds neither the id nor anything derived from it that we know of.

Spoilt answers are Failed and close their own connection only; Reset stays for connections that break. A connection is used again only if nothing was read beyond its last answer and nothing lies in the socket. An answer that has begun must be whole within a second. A good value counts even if what follows it can't be read. Load reports that are not whole, negative or no number are not passed on.

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"hash/fnv"
+	"math"
 	"net"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"mothcleat/decide"
@@ -44,9 +48,23 @@
 	out    *sender
 	a      *attempt
 	closed bool
-	since  decide.Time // idle since
+	since  decide.Time  // idle since
+	read   atomic.Int64 // bytes that have come
+	used   int64        // those of them that belong to the answers taken in
 }
 
+// Read counts what comes, for the connection's reader.
+func (c *backendConn) Read(b []byte) (int, error) {
+	n, err := c.conn.Read(b)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// clean tells whether nothing has come that no request asked for. What lies
+// there when a request is written would be taken for its answer: a second copy
+// of the last one, or noise.
+func (c *backendConn) clean() bool { return c.read.Load() == c.used && c.out.quiet() }
+
 // backends is the table of members and their connections.
 type backends struct {
 	byNumber map[uint32]*backend
@@ -183,7 +201,7 @@
 		bs.connect(l, b)
 		return
 	}
-	go c.read(l)
+	go c.receive(l)
 	bs.free(l, c)
 }
 
@@ -225,6 +243,10 @@
 		bs.close(c)
 		return true
 	}
+	if !c.clean() {
+		bs.close(c)
+		return false
+	}
 	var b []byte
 	switch {
 	case a.r != nil:
@@ -270,13 +292,25 @@
 	}
 }
 
-// read posts what a backend answers until the connection ends.
-func (c *backendConn) read(l *Loop) {
-	in := resp.NewReader(c.conn)
+// wholeWithin is how soon an answer must have come whole after its first byte:
+// its length may be spoilt and promise more than ever comes.
+const wholeWithin = time.Second
+
+// receive posts what a backend answers until the connection ends or its answers
+// can't be told apart any more.
+func (c *backendConn) receive(l *Loop) {
+	in := resp.NewReader(c)
 	for {
-		reply, err := in.ReadReply()
-		l.post(replied{c, reply, err})
-		if err != nil {
+		e := replied{c: c}
+		if e.err = in.Await(); e.err == nil {
+			_ = c.conn.SetReadDeadline(time.Now().Add(wholeWithin))
+			e.reply, e.err = in.ReadReply()
+			_ = c.conn.SetReadDeadline(time.Time{})
+			e.spoilt = errors.Is(e.err, resp.ErrProtocol) || errors.Is(e.err, os.ErrDeadlineExceeded)
+		}
+		e.used, e.more = c.read.Load()-int64(in.Buffered()), in.Buffered() > 0
+		l.post(e)
+		if e.err != nil || e.more {
 			return
 		}
 	}
@@ -284,9 +318,12 @@
 
 // replied is an answer on a backend's connection, or its end.
 type replied struct {
-	c     *backendConn
-	reply resp.Reply
-	err   error
+	c      *backendConn
+	reply  resp.Reply
+	err    error
+	spoilt bool  // an answer has come that can't be read
+	used   int64 // bytes that have come with it and before
+	more   bool  // and others behind it
 }
 
 func (e replied) handle(l *Loop) {
@@ -294,7 +331,8 @@
 	if c.closed {
 		return
 	}
-	if e.err != nil || a == nil {
+	c.used = e.used
+	if a == nil || e.err != nil && !e.spoilt {
 		l.backends.close(c)
 		if c.a = nil; a != nil {
 			// Its last byte was written, or may have been: it may have run. The
@@ -305,49 +343,68 @@
 		}
 		return
 	}
-	result, value, load := classify(e.reply, a.r == nil)
+	result, value, load, fine := classify(e.reply, a.r == nil)
+	if e.spoilt && value == nil {
+		result = decide.Failed
+	}
 	c.a = nil
+	if !fine || e.spoilt || e.more {
+		// What comes next on this connection may belong to nothing. That tells
+		// only of it: the others to the backend go on.
+		l.backends.close(c)
+		l.backends.connect(l, c.b)
+	}
 	l.finishWith(a, result, value, l.report(load))
-	l.backends.free(l, c)
+	if !c.closed {
+		l.backends.free(l, c)
+	}
 }
 
-// classify tells what an answer means.
-func classify(re resp.Reply, probe bool) (result decide.Result, value []byte, load string) {
+// classify tells what an answer means, and whether it is in the form agreed on:
+// an array with the value first, or an error. What follows the value, such as a
+// load report that can't be read, does not spoil it.
+func classify(re resp.Reply, probe bool) (result decide.Result, value []byte, load string, fine bool) {
 	switch {
 	case re.Kind == '-':
 		word, rest, _ := strings.Cut(string(re.Text), " ")
 		if word == "BUSY" {
-			return decide.Full, nil, rest
+			return decide.Full, nil, rest, true
 		}
-		return decide.Failed, nil, rest[strings.LastIndexByte(rest, ' ')+1:]
+		return decide.Failed, nil, rest[strings.LastIndexByte(rest, ' ')+1:], true
 	case probe:
-		return decide.OK, nil, string(re.Text)
-	case re.Kind == '$' && !re.Null:
-		return decide.OK, re.Text, ""
+		return decide.OK, nil, string(re.Text), re.Kind == '+' || re.Kind == '$'
 	case re.Kind == '*' && len(re.Items) > 0 && re.Items[0].Kind == '$' && !re.Items[0].Null:
 		if len(re.Items) > 2 {
 			load = string(re.Items[2].Text)
 		}
-		return decide.OK, re.Items[0].Text, load
+		return decide.OK, re.Items[0].Text, load, true
 	}
-	return decide.Failed, nil, "" // no value: it may have run
+	return decide.Failed, nil, "", false // no value: it may have run
 }
 
 // report reads a load report, in the order of the settings; nil if it is none.
+// One that is not whole, or holds what no load can be, must not reach the
+// decisions: it would draw all requests to its backend, or none.
 func (l *Loop) report(text string) []float32 {
 	names := l.cfg.Host.Report
 	if len(l.cfg.Settings.Report) == 0 || !strings.Contains(text, "=") {
 		return nil
 	}
-	load := make([]float32, len(names))
+	load, told := make([]float32, len(names)), 0
 	for pair := range strings.SplitSeq(text, ",") {
 		name, value, _ := strings.Cut(pair, "=")
 		v, err := strconv.ParseFloat(value, 32)
 		i := slices.Index(names, name)
-		if err != nil || i < 0 {
+		if i < 0 {
 			continue
 		}
-		load[i] = float32(v)
+		if err != nil || !(v >= 0) || math.IsInf(v, 0) {
+			return nil
+		}
+		load[i], told = float32(v), told|1<<i
+	}
+	if told != 1<<len(names)-1 {
+		return nil
 	}
 	return load
 }
--- a/internal/gateway/sender.go
+++ b/internal/gateway/sender.go
@@ -44,6 +44,20 @@
 	return n, err
 }
 
+// quiet tells whether the connection is open and nothing waits to be read from it.
+func (s *sender) quiet() bool {
+	if s.raw == nil {
+		return false
+	}
+	quiet := false
+	err := s.raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN || err == syscall.EINTR
+	})
+	return err == nil && quiet
+}
+
 // send writes b, which is the sender's from then on. It tells whether there was
 // room: at most so many bytes are kept for a reader that takes nothing.
 func (s *sender) send(b []byte, most int) bool {
--- /dev/null
+++ b/internal/gateway/spoilt_test.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"mothcleat/decide"
+)
+
+// Bytes behind a good answer lie there when the next request is written, and
+// would be taken for its answer: the connection is not used again.
+func TestSecondCopyAnswersNothing(t *testing.T) {
+	const good = "+PONG\r\n"
+	for name, answers := range map[string][]string{
+		"at once": {good + good},
+		"behind":  {good, good}, // read when the first is long taken in
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBackend(t)
+			l, err := newLoop(configure(t, newFakeDiscovery(t), nil), slog.New(slog.NewTextHandler(io.Discard, nil)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.clients.listener.Close()
+			m := member{ID: "s-00000001", HostPort: b.listener.Addr().String(), Phase: "Ready"}
+			l.backends.members(l, decide.Whole, []member{m})
+			first := &attempt{sent: l.now(), until: l.now() + 1e9}
+			l.backends.start(l, first, 1)
+			wait(t, l.events, "the dial").handle(l)
+			call := b.next(t) // a probe: its answer is read like any other
+			call.answer(t, answers[0])
+			wait(t, l.events, "the answer").handle(l)
+			var late event
+			if len(answers) > 1 {
+				call.answer(t, answers[1])
+				late = wait(t, l.events, "what follows") // read, and not taken in yet
+			}
+			second := &attempt{sent: l.now(), until: l.now() + 1e9}
+			l.backends.start(l, second, 1)
+			if late != nil {
+				late.handle(l)
+			}
+			for again := false; !again; {
+				e := wait(t, l.events, "another dial")
+				_, again = e.(dialed)
+				e.handle(l)
+			}
+			if !first.ended || second.ended || second.conn == nil || second.conn == first.conn {
+				t.Errorf("first attempt %+v, second %+v", first, second)
+			}
+		})
+	}
+}
+
+// An answer that can't be read is one failed attempt and ends one connection.
+// The others to that backend go on: its process has not died.
+func TestSpoiltAnswerEndsOneConnection(t *testing.T) {
+	for _, answer := range []string{
+		"?\r\n", ":5\r\n", "+OK\r\n", "$2\r\nno\r\n", "*3\r\n*3\r\n*3\r\n", "*3\r\n$-7\r\n$-1\r\n$-1\r\n",
+		"*1000000000\r\n", "*3\r\n$4\r\nabcdefgh\r\n$-1\r\n$-1\r\n", "*3\r\n$3221225472\r\nxxxx",
+		strings.Repeat("x", 4096), "*3\r\n$100\r\nends here",
+	} {
+		t.Run(answer[:min(len(answer), 12)], func(t *testing.T) {
+			r, b, _ := oneBackend(t, nil)
+			c, other := r.client(t), r.client(t)
+			c.lookup(1, "60000")
+			spoilt := b.next(t)
+			other.lookup(2, "60000")
+			fine := b.next(t)
+			fine.serve(t, "fine")
+			other.value("fine")
+			spoilt.answer(t, answer)
+			again := b.next(t)
+			again.serve(t, "again")
+			c.value("again")
+			if again.conn != fine.conn {
+				t.Error("the idle connection was not used")
+			}
+			if err := wait(t, b.ended, "the end of the spoilt connection"); errors.Is(err, io.ErrUnexpectedEOF) {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// A load report or figure on use that can't be read leaves the value good.
+func TestBadReportLeavesTheValue(t *testing.T) {
+	r, b, _ := oneBackend(t, nil)
+	c := r.client(t)
+	for id, tail := range []string{"$-1\r\n$3\r\n=,=\r\n", ":12\r\n$-1\r\n", "$x\r\n$-1\r\n", "*9\r\n", "?"} {
+		c.lookup(id, "60000")
+		b.next(t).answer(t, "*3\r\n$4\r\ngood\r\n"+tail+"\r\n")
+		c.value("good")
+	}
+}
+
+// What is no load must not reach the decisions.
+func TestReports(t *testing.T) {
+	settings := strings.Replace(settingsText, `"names":[],"via":"silent"`, `"names":["busy_reqs","pending"],"via":"piggyback"`, 1)
+	cfg := configure(t, newFakeDiscovery(t), func(f map[string]any) { f["settings"] = json.RawMessage(settings) })
+	l := &Loop{cfg: cfg}
+	if got := l.report("pending=2,busy_reqs=7,other=1"); len(got) != 2 || got[0] != 7 || got[1] != 2 {
+		t.Errorf("a good report: %v", got)
+	}
+	for _, text := range []string{
+		"", "=,=", "busy_reqs=7", "busy_reqs=7,pending=", "busy_reqs=NaN,pending=1", "busy_reqs=-1,pending=1",
+		"busy_reqs=1,pending=+Inf", "busy_reqs=1,pending=1e99",
+	} {
+		if got := l.report(text); got != nil {
+			t.Errorf("%q: %v", text, got)
+		}
+	}
+}
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -160,6 +160,15 @@
 	return err
 }
 
+// Await waits for the first byte of what comes next.
+func (r *Reader) Await() error {
+	_, err := r.in.Peek(1)
+	return err
+}
+
+// Buffered is how many bytes were read that belong to no message yet.
+func (r *Reader) Buffered() int { return r.in.Buffered() }
+
 // Reply is what came back for a command.
 type Reply struct {
 	Kind  byte   // '+', '-', ':', '$' or '*'
@@ -168,7 +177,8 @@
 	Items []Reply
 }
 
-// ReadReply reads one reply: at most an array of plain values.
+// ReadReply reads one reply: at most an array of plain values. With an error
+// comes what was read whole of an array before it.
 func (r *Reader) ReadReply() (Reply, error) { return r.reply(true) }
 
 func (r *Reader) reply(arrays bool) (Reply, error) {
