Bound what clients can hold: time, places, bytes, ids

Now: 2.2 s for a first command, 2 s for any other once begun, -ERR and a close after; 1 MiB is the most that is read past; five bad commands in a row end a connection and what it still sends is not read; a command holds 68 KiB at most, taken as it comes; timers are cancelled. Places go by worth: connections that never asked make room first, then those that asked once, the front's last.

They now make room for newcomers when idle for 0.2 s and close after 3 s.

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -25,6 +25,7 @@
 	sent    decide.Time
 	until   decide.Time
 	conn    *backendConn // nil: it waits for one
+	giveUp  *timer
 	ended   bool
 }
 
@@ -108,7 +109,7 @@
 func (bs *backends) start(l *Loop, a *attempt, number uint32) {
 	a.backend = number
 	b := bs.byNumber[number]
-	l.at(a.until, giveUp{a})
+	a.giveUp = l.at(a.until, giveUp{a})
 	if b == nil || b.state != decide.Ready {
 		l.finish(a, decide.Moot, nil)
 		return
@@ -229,7 +230,6 @@
 	}
 	c.since = l.now()
 	b.idle = append(b.idle, c)
-	l.at(c.since+l.cfg.Host.IdleClose/2, idleEnd{c, c.since})
 }
 
 // write writes an attempt to an idle connection. It tells whether the attempt
@@ -266,16 +266,14 @@
 	return true
 }
 
-// idleEnd closes a connection well before the backend does: a request that
-// crosses its close would end as a reset.
-type idleEnd struct {
-	c     *backendConn
-	since decide.Time
-}
-
-func (e idleEnd) due(l *Loop) {
-	if e.c.a == nil && !e.c.closed && e.c.since == e.since {
-		l.backends.close(e.c)
+// sweep closes idle connections well before their backends do: a request that
+// crosses the close would end as a reset.
+func (bs *backends) sweep(l *Loop) {
+	since := l.now() - l.cfg.Host.IdleClose/2
+	for _, b := range bs.byNumber {
+		for len(b.idle) > 0 && b.idle[0].since <= since {
+			bs.close(b.idle[0])
+		}
 	}
 }
 
@@ -438,6 +436,8 @@
 		return
 	}
 	a.ended = true
+	l.cancel(a.giveUp)
+	a.giveUp, a.conn = nil, nil
 	l.later(outcome{a, result, value, load, l.now() - a.sent})
 }
 
--- /dev/null
+++ b/internal/gateway/clients_test.go
@@ -0,0 +1,167 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+
+	"mothcleat/decide"
+)
+
+// A connection that says nothing, or only half a command, is ended; one whose
+// request is open is not.
+func TestSilentAndHalfCommandsAreEnded(t *testing.T) {
+	r, b, _ := oneBackend(t, nil)
+	good := r.client(t)
+	good.lookup(1, "60000")
+	call := b.next(t)
+	silent, half, slow := r.client(t), r.client(t), r.client(t)
+	half.raw("*4\r\n$8\r\nAPI.READ\r\n$16\r\n0000")
+	slow.send("PING")
+	slow.want("+PONG")
+	slow.raw("*1\r\n$4\r\nPI")
+	silent.closed()
+	for _, c := range []*testClient{half, slow} {
+		if got := c.line(); !strings.HasPrefix(got, "-ERR ") {
+			t.Errorf("answer %q", got)
+		}
+		c.ended()
+	}
+	call.serve(t, "ok")
+	good.value("ok")
+}
+
+// Values far beyond any limit are not read: the error comes before they do.
+func TestHugeValueIsNotRead(t *testing.T) {
+	r, _, _ := oneBackend(t, nil)
+	c := r.client(t)
+	c.raw("*5\r\n$9\r\nAPI.WRITE\r\n$62914560\r\n")
+	if got := c.line(); !strings.HasPrefix(got, "-ERR ") {
+		t.Errorf("answer %q", got)
+	}
+	c.ended()
+}
+
+// A client that only errs is cut off; one that errs now and then is not.
+func TestErrorsInARowEndTheConnection(t *testing.T) {
+	r, _, _ := oneBackend(t, nil)
+	c := r.client(t)
+	for range 2 * mostErrors {
+		c.send("NOTHING")
+		if got := c.line(); !strings.HasPrefix(got, "-ERR ") {
+			t.Errorf("answer %q", got)
+		}
+		c.send("PING")
+		c.want("+PONG")
+	}
+	var flood strings.Builder
+	for range 300 {
+		flood.WriteString("*1\r\n$7\r\nNOTHING\r\n")
+	}
+	go func() { _, _ = io.WriteString(c.conn, flood.String()) }() // may be cut off before its end
+	for range mostErrors {
+		if got := c.line(); !strings.HasPrefix(got, "-ERR ") {
+			t.Errorf("answer %q", got)
+		}
+	}
+	c.ended()
+}
+
+// The id of another client's open request is turned away: that one is served.
+func TestIDOfAnOpenRequest(t *testing.T) {
+	r, b, _ := oneBackend(t, nil)
+	c, other := r.client(t), r.client(t)
+	c.lookup(1, "60000")
+	call := b.next(t)
+	other.lookup(1, "60000")
+	if got := other.line(); !strings.HasPrefix(got, "-ERR ") {
+		t.Errorf("answer %q", got)
+	}
+	call.serve(t, "ok")
+	c.value("ok")
+	c.lookup(1, "60000") // it is open no more
+	b.next(t).serve(t, "again")
+	c.value("again")
+}
+
+// Those that never asked make room first, then those that asked once.
+func TestWhoMakesRoom(t *testing.T) {
+	d := newFakeDiscovery(t)
+	l, err := newLoop(configure(t, d, nil), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.clients.listener.Close()
+	now := l.now()
+	add := func(asked int, idle decide.Time) *client {
+		near, err := net.DialTCP("tcp", nil, l.clients.listener.Addr().(*net.TCPAddr))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := &client{conn: near, out: newSender(near), done: make(chan struct{}), asked: asked, used: now - idle}
+		l.clients.conns[c] = true
+		l.clients.room <- struct{}{}
+		return c
+	}
+	front, gone := add(9, 1e6), add(9, 60e6)
+	once, onceOld := add(1, 0), add(1, 1e6)
+	busy, newcomer := add(1, 90e6), add(0, -60e6)
+	busy.line = []*request{{answered: true}}
+	old, older := add(0, 10e6), add(0, 20e6)
+	for i, c := range []struct {
+		asking *client
+		gone   *client
+	}{{nil, older}, {nil, old}, {nil, onceOld}, {nil, gone}, {newcomer, once}, {newcomer, front}, {newcomer, nil}} {
+		if made := l.clients.evict(l, c.asking); made != (c.gone != nil) || c.gone != nil && !c.gone.gone {
+			t.Fatalf("step %d: room made %t", i, made)
+		}
+	}
+	if busy.gone || newcomer.gone || len(l.clients.room) != 2 {
+		t.Error("one with an open request, or just come, made room")
+	}
+}
+
+// Connections that asked once and stay take no place from those that come.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	r, b := fourBackends(t, 40) // 6 clients, and 4 that may be turned away
+	for id := range 30 {
+		c := r.client(t)
+		c.lookup(id, "60000")
+		b.next(t).serve(t, "ok")
+		c.value("ok")
+	}
+}
+
+// inspect runs on the loop's goroutine.
+type inspect func(l *Loop)
+
+func (f inspect) handle(l *Loop) { f(l) }
+
+// A request that has ended leaves nothing behind until its time would be up.
+func TestEndedRequestsLeaveNoTimers(t *testing.T) {
+	r, b, _ := oneBackend(t, nil)
+	c := r.client(t)
+	const many = 50
+	for id := range many {
+		c.lookup(id, "80000000")
+		b.next(t).serve(t, "ok")
+		c.value("ok")
+	}
+	left := make(chan string, 1)
+	r.loop.post(inspect(func(l *Loop) {
+		timers := 0
+		for _, timer := range l.timers {
+			switch timer.what.(type) {
+			case backstop, giveUp:
+				timers++
+			}
+		}
+		left <- fmt.Sprint(timers, len(l.requests), len(l.names), l.held, l.open)
+	}))
+	if got := wait(t, left, "the loop"); got != "0 0 0 0 0" {
+		t.Errorf("timers, requests, ids, bytes, open: %s", got)
+	}
+}
--- a/internal/gateway/command.go
+++ b/internal/gateway/command.go
@@ -14,14 +14,16 @@
 // command is a client's request as it was read.
 type command struct {
 	args [][]byte
+	name uint64 // the id that the client gave
 	wait [2]int // where the value of d stands in args[3]
 	what decide.Request
 }
 
 const (
-	mostUnits    = 1e6
+	mostUnits    = 1e6              // where the settings tell none
 	mostWait     = 24 * 3600 * 1000 // ms
 	mostCustomer = 1 << 33
+	waitSlack    = 1_000_000 // that d may be over the class's limit
 )
 
 // parse reads API.READ or API.WRITE. Every field must be known and right: what
@@ -35,7 +37,7 @@
 	if !ok || customer >= mostCustomer {
 		return c, errors.New("customer: 16 hex digits below 2^33 wanted")
 	}
-	if _, ok := hex16(args[2]); !ok {
+	if c.name, ok = hex16(args[2]); !ok {
 		return c, errors.New("id: 16 hex digits wanted")
 	}
 	c.what.Customer = customer
@@ -48,6 +50,10 @@
 			return c, fmt.Errorf("field %s: missing", name)
 		}
 	}
+	if limit := cfg.Host.Limits[c.what.Class]; limit > 0 && c.what.Grace > limit+waitSlack {
+		// Longer than any client waits: it would keep its timers and its request.
+		return c, errors.New("field d: longer than the class allows")
+	}
 	effect := cfg.Settings.Classes[c.what.Class].Effect
 	if effect == decide.Keyed && seen&(1<<keyField) == 0 {
 		return c, errors.New("field k: missing")
@@ -122,15 +128,19 @@
 	case unitsField:
 		units, err := strconv.ParseFloat(value, 64)
 		c.what.Units = units
-		ok = err == nil && units > 0 && units <= mostUnits // which NaN is not
+		most := cfg.Host.MaxUnits
+		if most <= 0 {
+			most = mostUnits
+		}
+		ok = err == nil && units > 0 && units <= most // which NaN is not
 	case spreadField:
 		n, err := strconv.Atoi(value)
 		c.what.Spread = n
-		ok = err == nil && n >= 1
+		ok = err == nil && n >= 1 && n <= cfg.Settings.Gateways
 	case firstField:
 		n, err := strconv.Atoi(value)
 		c.what.First = n
-		ok = err == nil && n >= 0
+		ok = err == nil && n >= 0 && n < cfg.Settings.Gateways
 	}
 	if !ok {
 		return fmt.Errorf("field %s: bad value %.64q", fieldNames[field], value)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,7 +43,7 @@
 	l := &Loop{
 		cfg: cfg, log: log, clock: newClock(),
 		events: make(chan event, queued), urgent: make(chan event, 16),
-		requests: map[uint64]*request{}, timer: time.NewTimer(time.Hour),
+		requests: map[uint64]*request{}, names: map[uint64]*request{}, timer: time.NewTimer(time.Hour),
 		counter: newCounter(&cfg), discovery: newDiscovery(&cfg),
 	}
 	l.timer.Stop()
@@ -51,7 +51,7 @@
 	share := (cfg.Sockets - otherFiles/2) * 2 / 5
 	l.backends = newBackends(&cfg, share)
 	l.clients = &clients{
-		most: share, room: make(chan struct{}, share+max(4, share/8)), conns: map[*client]bool{},
+		most: share, room: make(chan struct{}, share+max(4, share/4)), conns: map[*client]bool{},
 	}
 	var err error
 	if l.module, err = decide.New(cfg.Settings, cfg.Seed, l); err != nil {
@@ -75,6 +75,7 @@
 	l.backends.members(l, decide.Cached, l.cfg.Known.Members)
 	l.follow()
 	l.at(l.now()+untilReady, readyAnyway{})
+	l.at(l.now()+sweepEvery, sweep{})
 	go l.discovery.run(ctx, l)
 	if l.peers.conn != nil {
 		go l.peers.read(l)
@@ -86,6 +87,17 @@
 	}
 }
 
+// sweep closes, now and then, connections that are of no more use.
+type sweep struct{}
+
+const sweepEvery = 100_000
+
+func (sweep) due(l *Loop) {
+	l.clients.sweep(l)
+	l.backends.sweep(l)
+	l.at(l.now()+sweepEvery, sweep{})
+}
+
 // ready has clients accepted from now on: until then nothing answers PING.
 func (l *Loop) ready() {
 	if !l.accepting {
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"mothcleat/decide"
@@ -54,9 +55,11 @@
 	armed  decide.Time
 
 	requests map[uint64]*request
+	names    map[uint64]*request // those without a final answer, by the id that the client gave
 	nextID   uint64
-	open     int // requests without a final answer
-	held     int // bytes of requests and of answers that wait their turn
+	open     int          // requests without a final answer
+	held     int          // bytes of requests and of answers that wait their turn
+	coming   atomic.Int64 // bytes of requests that were read and wait for the loop
 
 	clients   *clients
 	backends  *backends
@@ -119,7 +122,19 @@
 }
 
 // at has something done at a time.
-func (l *Loop) at(when decide.Time, d due) { heap.Push(&l.timers, timer{when, d}) }
+func (l *Loop) at(when decide.Time, d due) *timer {
+	t := &timer{at: when, what: d}
+	heap.Push(&l.timers, t)
+	return t
+}
+
+// cancel drops a timer that is not wanted any more: until due it would keep all
+// that it is about.
+func (l *Loop) cancel(t *timer) {
+	if t != nil && t.index >= 0 {
+		heap.Remove(&l.timers, t.index)
+	}
+}
 
 // fire does all that is due and arms the timer for the next.
 func (l *Loop) fire() {
@@ -132,28 +147,39 @@
 			}
 			return
 		}
-		t := heap.Pop(&l.timers).(timer)
+		t := heap.Pop(&l.timers).(*timer)
 		t.what.due(l)
 		l.follow()
 	}
 }
 
 type timer struct {
-	at   decide.Time
-	what due
+	at    decide.Time
+	what  due
+	index int // in the heap; -1: in it no more
 }
 
-type timerHeap []timer
+type timerHeap []*timer
 
 func (h timerHeap) Len() int           { return len(h) }
 func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *timerHeap) Push(x any)        { *h = append(*h, x.(timer)) }
+func (h timerHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+func (h *timerHeap) Push(x any) {
+	t := x.(*timer)
+	t.index = len(*h)
+	*h = append(*h, t)
+}
+
 func (h *timerHeap) Pop() any {
 	old := *h
 	t := old[len(old)-1]
-	old[len(old)-1] = timer{}
+	old[len(old)-1] = nil
 	*h = old[:len(old)-1]
+	t.index = -1
 	return t
 }
 
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -19,6 +19,8 @@
 	out      int // of those, without an outcome
 	answered bool
 	reply    []byte // waits in the client's line for its turn
+	name     uint64 // the id that the client gave
+	backstop *timer
 }
 
 // The answers that are the gateway's own.
@@ -41,13 +43,24 @@
 	if r.answered {
 		return
 	}
-	r.answered, r.reply = true, reply
+	r.reply = reply
 	l.held += len(reply)
-	l.open--
+	l.close(r)
 	r.client.flush(l)
 	l.forget(r)
 }
 
+// close takes note that a request has its final answer, or needs none any more.
+func (l *Loop) close(r *request) {
+	r.answered = true
+	l.open--
+	l.cancel(r.backstop)
+	r.backstop = nil
+	if l.names[r.name] == r {
+		delete(l.names, r.name)
+	}
+}
+
 // forget drops a request that nothing waits for any more.
 func (l *Loop) forget(r *request) {
 	if r.answered && r.out == 0 && l.requests[r.id] == r {
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -309,3 +309,11 @@
 		c.t.Fatalf("end of the connection: %q, %v", b, err)
 	}
 }
+
+// ended waits until the gateway has cut the connection off, in whatever way.
+func (c *testClient) ended() {
+	c.t.Helper()
+	if b, _ := io.ReadAll(c.in); len(b) > 0 {
+		c.t.Fatalf("end of the connection: %q", b)
+	}
+}
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -12,15 +12,18 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 )
 
 // Limits of what is read.
 const (
-	MaxValue = 64 << 10  // bytes in one value
-	MaxArgs  = 16        // values in one command or array that are kept
-	maxCount = 1024      // values in one that is passed over for its size
-	maxSkip  = 512 << 20 // bytes in a value that is passed over
+	MaxValue   = 64 << 10        // bytes in one value
+	MaxCommand = MaxValue + 4096 // bytes in all values of a command
+	MaxArgs    = 16              // values in one command or array that are kept
+	maxCount   = 1024            // values in one that is passed over for its size
+	maxSkip    = 1 << 20         // bytes in a value that is passed over
+	step       = 4096            // bytes that a buffer is taken ahead of what has come
 )
 
 // ErrTooLarge tells that a well-framed command was read past and dropped. The
@@ -102,7 +105,9 @@
 		if err != nil {
 			return nil, err
 		}
-		if tooLarge = tooLarge || size > MaxValue; tooLarge {
+		tooLarge = tooLarge || size > MaxValue || len(buf)+size > MaxCommand
+		if tooLarge {
+			buf = nil
 			_, err = r.in.Discard(size)
 		} else {
 			ends[i] = len(buf) + size
@@ -126,15 +131,19 @@
 	return args, nil
 }
 
-// append reads size bytes more behind buf.
+// append reads size bytes more behind buf. It takes room as the bytes come: many
+// that announce much and send little must not cost what they announce.
 func (r *Reader) append(buf []byte, size int) ([]byte, error) {
-	start := len(buf)
-	if cap(buf)-start < size {
-		buf = append(make([]byte, 0, start+size+64), buf...)
+	for size > 0 {
+		n := min(size, max(step, len(buf)))
+		start := len(buf)
+		buf = slices.Grow(buf, n)[:start+n]
+		if _, err := io.ReadFull(r.in, buf[start:]); err != nil {
+			return buf, err
+		}
+		size -= n
 	}
-	buf = buf[:start+size]
-	_, err := io.ReadFull(r.in, buf[start:])
-	return buf, err
+	return buf, nil
 }
 
 func (r *Reader) crlf() error {
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"reflect"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -76,6 +77,26 @@
 	}
 }
 
+// What is only announced takes no room: many half commands fit in little memory.
+func TestAnnouncedLengthsTakeNoRoom(t *testing.T) {
+	const runs = 200
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range runs {
+		if _, err := NewReader(strings.NewReader("*16\r\n$65536\r\nab")).ReadCommand(); !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Fatal(err)
+		}
+	}
+	runtime.ReadMemStats(&after)
+	if each := (after.TotalAlloc - before.TotalAlloc) / runs; each > 16<<10 {
+		t.Errorf("%d bytes for a command of which two came", each)
+	}
+	large := "$65536\r\n" + strings.Repeat("x", MaxValue) + "\r\n"
+	if _, err := NewReader(strings.NewReader("*2\r\n" + large + large)).ReadCommand(); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("a command beyond the limit in all: %v", err)
+	}
+}
+
 // Whatever comes, a reader neither panics nor keeps more than it may.
 func FuzzReadCommand(f *testing.F) {
 	for _, seed := range []string{"*1\r\n$4\r\nPING\r\n", "*1\r\n$-2\r\nxx", "*3\r\n$1\r\na\r\n", "*\r\n", "*1\r\n$\r\n"} {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -11,11 +11,13 @@
 // Host is what the settings tell the host of a gateway on real sockets; the
 // simulator does these things itself.
 type Host struct {
-	Classes, Plans []string // their names, in the order of the settings
-	Zones          []string // names, by number
-	Report         []string // the names of the values in a load report
-	ReportVia      string   // "piggyback", "pull" or "silent"
-	MaxOpen        int      // requests open at once
+	Classes, Plans []string      // their names, in the order of the settings
+	Limits         []decide.Time // of each class: how long a client waits at the most; 0: not told
+	MaxUnits       float64       // that a request may take; 0: not told
+	Zones          []string      // names, by number
+	Report         []string      // the names of the values in a load report
+	ReportVia      string        // "piggyback", "pull" or "silent"
+	MaxOpen        int           // requests open at once
 	DialTimeout    decide.Time
 	IdleClose      decide.Time // backends close an idle connection by then
 	CounterTimeout decide.Time
@@ -101,6 +103,7 @@
 	"family-info.counter":         flag(func(d *draft) *bool { return &d.Counter }),
 	"family-info.settles":         flag(func(d *draft) *bool { return &d.Settles }),
 	"family-info.meter-period-us": whole(func(d *draft) *decide.Time { return &d.MeterPeriod }),
+	"family-info.max-units":       number(func(d *draft) *float64 { return &d.host.MaxUnits }),
 	"family-info.mail-per-s":      number(func(d *draft) *float64 { return &d.MailPerSecond }),
 	"guarantees.ask-within-us":    whole(func(d *draft) *decide.Time { return &d.AskWithin }),
 	"guarantees.cold-from":        number(func(d *draft) *float64 { return &d.ColdFrom }),
@@ -127,12 +130,13 @@
 
 // classKeys and planKeys are the settings of an item of a list.
 var classKeys = map[string]setter{
-	"name":       text(func(d *draft) *string { return last(d.host.Classes) }),
-	"promise-us": whole(func(d *draft) *decide.Time { return &lastClass(d).Aim }),
-	"window-us":  whole(func(d *draft) *decide.Time { return &lastClass(d).Window }),
-	"worth":      number(func(d *draft) *float64 { return &lastClass(d).Worth }),
-	"repeat":     word(effects, func(d *draft) *decide.Effect { return &lastClass(d).Effect }),
-	"group":      word(groups, func(d *draft) *decide.Group { return &lastClass(d).Group }),
+	"name":          text(func(d *draft) *string { return last(d.host.Classes) }),
+	"promise-us":    whole(func(d *draft) *decide.Time { return &lastClass(d).Aim }),
+	"hard-limit-us": whole(func(d *draft) *decide.Time { return last(d.host.Limits) }),
+	"window-us":     whole(func(d *draft) *decide.Time { return &lastClass(d).Window }),
+	"worth":         number(func(d *draft) *float64 { return &lastClass(d).Worth }),
+	"repeat":        word(effects, func(d *draft) *decide.Effect { return &lastClass(d).Effect }),
+	"group":         word(groups, func(d *draft) *decide.Group { return &lastClass(d).Group }),
 }
 
 var planKeys = map[string]setter{
@@ -185,6 +189,7 @@
 	}
 	err := d.list(values, classList, classKeys, func() {
 		d.Classes, d.host.Classes = append(d.Classes, decide.Class{}), append(d.host.Classes, "")
+		d.host.Limits = append(d.host.Limits, 0)
 	})
 	if err != nil {
 		return d, err
