A single reset connection is not a dead process

Ruled out: memory and descriptors (level), silence (64 times). At fault: judge took every Reset for the process's death (decide.go), and the gateway dropped all idle connections.

Now a refused or failed dial, or breaks close together, tell of a dead process; a lone reset counts as an error. Idle connections are checked before use, so they are not dropped any more.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -57,6 +57,8 @@
 	wordTime   = 8 * second  // in which a word of trouble for one class or plan fades
 	wordNotes  = 8           // notes with which each is told
 	sickShare  = 0.25        // the part of answers that are errors from which a backend is left out
+	breakTime  = second      // in which a broken connection is forgotten
+	breaksMost = 1.5         // so many of late, and a process is taken for dead
 	silentAims = 1.0         // the time without an answer, in shortest aims, after which a backend is down
 	trialTime  = second / 2  // the first and the longest wait before a backend left out is tried again;
 	healTime   = 4 * second  // a sign of slowness fades by half in the latter
@@ -509,11 +511,10 @@
 	case Failed:
 		bad = 1
 	case ConnectFailed, Reset:
-		if !b.down || g.now >= b.trialAt {
-			b.down, b.silent = true, false
-			g.leaveOut(b, "connections break")
+		if g.broke(b, r) {
+			return
 		}
-		return
+		bad = 1
 	default:
 		return
 	}
@@ -876,10 +877,8 @@
 // Timer takes in a timer that was set.
 func (g *Gateway) Timer(now Time, token uint32) {
 	g.begin(now)
-	if token == askToken {
-		g.answered(nil, grant{})
-	}
 	if token != noteToken {
+		g.answered(nil, grant{})
 		return
 	}
 	g.rouse()
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -595,6 +595,26 @@
 	}
 }
 
+// One reset connection tells of itself: the long day lost most of what it lost to
+// backends left out, and then held for cold, after a single one.
+func TestOneResetLeavesTheBackendIn(t *testing.T) {
+	r := newRig(t, settings())
+	id, _ := r.ask(0, 1, 9, 1)
+	b := r.requests[id].attempts[0].b
+	r.end(id, Reset, true)
+	if b.down || r.sick(b) {
+		t.Error("left out after a single reset")
+	}
+	r.at += 10 * second
+	r.Timer(r.at, 0)
+	if r.broke(b, Reset) || b.down {
+		t.Error("left out for two resets long apart")
+	}
+	if !r.broke(b, Reset) || !b.down {
+		t.Error("kept after two resets at once")
+	}
+}
+
 // Guards the defence against backends that hang or are cut off: i62622c.
 func TestASilentBackendIsLeftOut(t *testing.T) {
 	r := newRig(t, settings())
--- a/decide/state.go
+++ b/decide/state.go
@@ -105,6 +105,7 @@
 	trialAt Time
 	queue   float64 // as reported
 	queueAt Time
+	breaks  fading   // connections that broke of late
 	words   []fading // of trouble, by class and then by plan
 	cold    bank     // what it may still be sent while cold
 }
@@ -417,6 +418,21 @@
 	return &c.heard[(from-c.first+g.set.Gateways)%g.set.Gateways]
 }
 
+// broke takes in that a connection to a backend could not be made or broke, and tells
+// whether its process is taken for dead: refused, or broken more than once. A single reset
+// tells of one connection, and to hold the backend for dead and then cold costs far more.
+func (g *Gateway) broke(b *backend, r Result) bool {
+	b.breaks.add(g.now, breakTime, 1)
+	if r == Reset && b.breaks.sum < breaksMost {
+		return false
+	}
+	if !b.down || g.now >= b.trialAt {
+		b.down, b.silent = true, false
+		g.leaveOut(b, "connections break")
+	}
+	return true
+}
+
 // share is the part of its capacity that a backend has at least.
 func (g *Gateway) share(b *backend) float64 {
 	if b.Started == 0 || g.set.ColdTime == 0 {
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -333,10 +333,9 @@
 	if a == nil || e.err != nil && !e.spoilt {
 		l.backends.close(c)
 		if c.a = nil; a != nil {
-			// Its last byte was written, or may have been: it may have run. The
-			// process behind has most likely died: idle connections to it would
-			// reset the next requests too.
-			l.backends.drop(c.b)
+			// Its last byte was written, or may have been: it may have run. If the
+			// process behind has died the idle connections show it before they are
+			// used; else they are as good as before.
 			l.finish(a, decide.Reset, nil)
 		}
 		return
