Resets alone bring a backend back warm; a stale connection drops those kept longer

Ruled out: CPU (0.05 s a second), descriptors (125 of 384), the quotas.

A process that died is known by what can't connect. Resets, three of them close together, leave a backend out for its trial, but it comes back warm. A kept connection that is reset when used takes along those kept for longer.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -58,7 +58,7 @@
 	wordNotes  = 8           // notes with which each is told
 	sickShare  = 0.25        // the part of answers that are errors from which a backend is left out
 	breakTime  = second      // in which a broken connection is forgotten
-	breaksMost = 1.5         // so many of late, and a process is taken for dead
+	breaksMost = 2.5         // so many of late, and a backend is left out for it
 	silentAims = 1.0         // the time without an answer, in shortest aims, after which a backend is down
 	trialTime  = second / 2  // the first and the longest wait before a backend left out is tried again;
 	healTime   = 4 * second  // a sign of slowness fades by half in the latter
@@ -464,8 +464,8 @@
 	g.do.Log(fmt.Sprintf("backend %d out: %s", b.Backend, why))
 }
 
-// up takes a backend in again. Where connections broke its process may have started
-// anew: it is held for cold, told or not. One that was only silent still runs warm.
+// up takes a backend in again. Where none could be made its process may have started
+// anew: it is held for cold, told or not. One that was silent or only reset runs warm.
 func (g *Gateway) up(b *backend) {
 	if !b.down {
 		return
@@ -534,6 +534,7 @@
 		g.loaded(b, load)
 		g.up(b)
 	case b.down:
+		b.silent = b.silent && r != ConnectFailed
 		b.wait = min(2*b.wait, healTime)
 		b.trialAt = now + b.wait
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -99,7 +99,7 @@
 	slowAt  Time
 	errs    float64 // part of late answers that were errors
 	down    bool    // left out until a trial succeeds
-	silent  bool    // down for answering nothing
+	silent  bool    // down for answering nothing, or for resets alone: its process runs on
 	left    Time    // when it was last left out
 	wait    Time    // before the next trial
 	trialAt Time
@@ -419,15 +419,16 @@
 }
 
 // broke takes in that a connection to a backend could not be made or broke, and tells
-// whether its process is taken for dead: refused, or broken more than once. A single reset
-// tells of one connection, and to hold the backend for dead and then cold costs far more.
+// whether the backend is down. One reset tells of one connection; even of many the process
+// may go on, and warm: that it has ended, and will be cold, is told by what can't connect.
 func (g *Gateway) broke(b *backend, r Result) bool {
 	b.breaks.add(g.now, breakTime, 1)
 	if r == Reset && b.breaks.sum < breaksMost {
 		return false
 	}
+	b.silent = r == Reset && (b.silent || !b.down)
 	if !b.down || g.now >= b.trialAt {
-		b.down, b.silent = true, false
+		b.down = true
 		g.leaveOut(b, "connections break")
 	}
 	return true
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -329,13 +329,17 @@
 	if c.closed {
 		return
 	}
+	kept := c.used > 0 // it has carried an answer before this one
 	c.used = e.used
 	if a == nil || e.err != nil && !e.spoilt {
 		l.backends.close(c)
 		if c.a = nil; a != nil {
-			// Its last byte was written, or may have been: it may have run. If the
-			// process behind has died the idle connections show it before they are
-			// used; else they are as good as before.
+			// Its last byte was written, or may have been: it may have run. Where a
+			// connection was kept and proved dead when used, those that have been
+			// kept for longer are most likely dead too, though nothing shows it.
+			for kept && len(c.b.idle) > 0 && c.b.idle[0].since <= c.since {
+				l.backends.close(c.b.idle[0])
+			}
 			l.finish(a, decide.Reset, nil)
 		}
 		return
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -290,6 +290,34 @@
 	}
 }
 
+// A kept connection that breaks when it is used speaks against those kept longer:
+// they are not tried one after another.
+func TestStaleConnectionsAreDropped(t *testing.T) {
+	r, b, _ := oneBackend(t, nil)
+	c, other := r.client(t), r.client(t)
+	c.lookup(1, "60000")
+	first := b.next(t)
+	other.lookup(2, "60000")
+	second := b.next(t)
+	for _, call := range []*backendCall{first, second} {
+		call.serve(t, "ok")
+	}
+	c.value("ok")
+	other.value("ok")
+	c.lookup(3, "60000")
+	stale := b.next(t)
+	if stale.conn != first.conn && stale.conn != second.conn {
+		t.Fatal("no kept connection was used")
+	}
+	stale.conn.Close()
+	again := b.next(t)
+	again.serve(t, "again")
+	c.value("again")
+	if again.conn == first.conn || again.conn == second.conn {
+		t.Error("a connection kept for longer was used")
+	}
+}
+
 // A backend that has started anew is reached by a new connection, though the old
 // one, as of a machine that vanished, was never closed.
 func TestRestartedBackendGetsNewConnections(t *testing.T) {
