Give up a watch that hangs after 3 s

The log shows the cause: a watch from index 0 that was never answered, given up after 22 s (20 s of wait and 2 s of slack), so that requests went on to servers that drained or had gone. Ruled out: CPU (0.04 s a second), descriptors (123 of 384), the agent being down: the next call was answered at once. A drain counts as told 6 s later at the latest, heard or not.

A watch now waits 2 s and is given up 1 s later; the list is then taken whole. The agent is on this machine and such calls cost nothing.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -40,8 +40,8 @@
 }
 
 const (
-	watchWait  = 20 * time.Second
-	watchSlack = 2 * time.Second        // for an answer after the wait is over
+	watchWait  = 2 * time.Second        // short: a watch that hangs hides all news until it is given up
+	watchSlack = time.Second            // for an answer after the wait is over
 	listWait   = 2 * time.Second        // for the whole list, which comes at once
 	retryAfter = 100 * time.Millisecond // after a call that failed
 	tooSoon    = 50 * time.Millisecond  // for a watch that tells nothing
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -5,8 +5,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"mothcleat/decide"
 	"mothcleat/internal/resp"
@@ -406,6 +411,34 @@
 	}
 }
 
+// A watch that is never answered hides a drain, which counts as told 6 s later all
+// the same: it is given up by then, and the list taken anew on another connection.
+func TestHungWatchIsGivenUp(t *testing.T) {
+	var held atomic.Bool
+	var d *fakeDiscovery
+	second := newBackend(t)
+	hung := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("index") && !held.Swap(true) {
+			wait, err := strconv.Atoi(r.URL.Query().Get("wait"))
+			if limit := time.Duration(wait)*time.Millisecond + watchSlack; err != nil || limit >= 6*time.Second {
+				t.Errorf("a watch is waited for %v, %v", limit, err)
+			}
+			d.tell(second.entry("s-00000002", "Ready"))
+			<-r.Context().Done()
+			return
+		}
+		d.ServeHTTP(w, r)
+	}))
+	t.Cleanup(func() { hung.CloseClientConnections(); hung.Close() })
+	d = newFakeDiscovery(t)
+	r := begin(t, configure(t, d, func(f map[string]any) { f["discovery"] = strings.TrimPrefix(hung.URL, "http://") }))
+	d.settled(t)
+	c := r.client(t)
+	c.lookup(1, "60000")
+	second.next(t).serve(t, "ok")
+	c.value("ok")
+}
+
 // After a broken watch the whole list is taken: what changed may be missed.
 func TestDiscoveryTakesTheWholeListAfterABreak(t *testing.T) {
 	_, b, d := oneBackend(t, nil)
