Counter and discovery: no redirects, bounded headers, totals that are numbers

Seen by reading and failing tests: a total of NaN or Inf parsed as good and would have spoilt a bank for good; a 307 had the call to the counter made twice (its amount added twice); headers up to 1 MiB were kept; a member with no usable address was sent requests that could only fail.

--- a/internal/gateway/counter.go
+++ b/internal/gateway/counter.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -42,9 +43,9 @@
 		url:  counterURL(cfg.Counter),
 		wait: time.Duration(cfg.Host.CounterTimeout) * time.Microsecond,
 		on:   cfg.Settings.Counter && cfg.Counter != "",
-		client: &http.Client{Transport: &http.Transport{
+		client: &http.Client{CheckRedirect: stay, Transport: &http.Transport{
 			MaxConnsPerHost: countLines, MaxIdleConnsPerHost: countLines,
-			IdleConnTimeout: 4 * time.Second, DisableCompression: true,
+			IdleConnTimeout: 4 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: mostHeader,
 		}},
 	}
 	for i := range c.lines {
@@ -131,7 +132,9 @@
 		return 0, decide.Failed
 	}
 	total, err := strconv.ParseFloat(strings.TrimSpace(string(body)), 64)
-	if err != nil {
+	if err != nil || math.IsNaN(total) || math.IsInf(total, 0) {
+		// The amount was added, but nothing more on this connection can be believed.
+		c.client.CloseIdleConnections()
 		return 0, decide.Failed
 	}
 	return total, decide.OK
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -32,6 +33,9 @@
 func (m *member) state() decide.State {
 	switch m.Phase {
 	case "Ready":
+		if _, err := netip.ParseAddrPort(m.HostPort); err != nil {
+			return decide.Draining // there is no way to it
+		}
 		return decide.Ready
 	case "Gone":
 		return decide.Left
@@ -48,6 +52,12 @@
 	mostList   = 8 << 20                // bytes
 )
 
+// stay follows no redirect: only the addresses of the configuration are called,
+// and a call to the counter must not be made twice.
+func stay(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+const mostHeader = 16 << 10 // bytes of an answer's header
+
 // discovery follows the list of members.
 type discovery struct {
 	address string
@@ -62,8 +72,8 @@
 func newDiscovery(cfg *Config) *discovery {
 	d := &discovery{
 		address: cfg.Discovery, moved: make(chan string, 1),
-		client: &http.Client{Transport: &http.Transport{
-			MaxConnsPerHost: 1, MaxIdleConns: 1, DisableCompression: true,
+		client: &http.Client{CheckRedirect: stay, Transport: &http.Transport{
+			MaxConnsPerHost: 1, MaxIdleConns: 1, DisableCompression: true, MaxResponseHeaderBytes: mostHeader,
 		}},
 		asks: cfg.Settings.AskMembers, start: make(chan struct{}), zones: cfg.Host.Zones,
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -411,6 +411,18 @@
 	}
 }
 
+// A member without a usable address gets nothing; one that is gone is gone.
+func TestUselessAddress(t *testing.T) {
+	for _, address := range []string{"", "nowhere", "127.0.0.1", "127.0.0.1:x", "127.0.0.1:99999"} {
+		if m := (member{HostPort: address, Phase: "Ready"}); m.state() != decide.Draining {
+			t.Errorf("%q: state %d", address, m.state())
+		}
+	}
+	if m := (member{Phase: "Gone"}); m.state() != decide.Left {
+		t.Error("a member that is gone is kept for its address")
+	}
+}
+
 // A watch that is never answered hides a drain, which counts as told 6 s later all
 // the same: it is given up by then, and the list taken anew on another connection.
 func TestHungWatchIsGivenUp(t *testing.T) {
