--- a/internal/gateway/clients_test.go
+++ b/internal/gateway/clients_test.go
@@ -89,11 +89,7 @@
 // Those that never asked make room first, then those that asked once.
 func TestWhoMakesRoom(t *testing.T) {
 	d := newFakeDiscovery(t)
-	l, err := newLoop(configure(t, d, nil), quiet())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.clients.listener.Close()
+	l := unstarted(t, d)
 	now := l.now()
 	add := func(asked int, idle decide.Time) *client {
 		near, err := net.DialTCP("tcp", nil, l.clients.listener.Addr().(*net.TCPAddr))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -372,11 +372,7 @@
 func TestDrainDuringDial(t *testing.T) {
 	b := newBackend(t)
 	d := newFakeDiscovery(t)
-	l, err := newLoop(configure(t, d, nil), quiet())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.clients.listener.Close()
+	l := unstarted(t, d)
 	m := member{ID: "s-00000001", HostPort: b.listener.Addr().String(), Phase: "Ready"}
 	l.backends.members(l, decide.Whole, []member{m})
 	a := &attempt{sent: l.now(), until: l.now() + 1e9}
--- a/internal/gateway/keep_test.go
+++ b/internal/gateway/keep_test.go
@@ -36,11 +36,7 @@
 // nothing was sent, and something listens there.
 func TestResetDialIsMadeOnceMore(t *testing.T) {
 	b := newBackend(t)
-	l, err := newLoop(configure(t, newFakeDiscovery(t), nil), quiet())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.clients.listener.Close()
+	l := unstarted(t, newFakeDiscovery(t))
 	l.backends.members(l, decide.Whole, []member{{ID: "s-00000001", HostPort: b.listener.Addr().String(), Phase: "Ready"}})
 	a := &attempt{sent: l.now(), until: l.now() + 1e9}
 	l.backends.start(l, a, 1)
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -215,6 +215,17 @@
 	return cfg
 }
 
+// unstarted is a gateway whose loop a test runs by hand.
+func unstarted(t testing.TB, d *fakeDiscovery) *Loop {
+	t.Helper()
+	l, err := newLoop(configure(t, d, nil), quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.clients.listener.Close() })
+	return l
+}
+
 // begin starts a gateway and waits until it is ready.
 func begin(t testing.TB, cfg Config) *rig {
 	t.Helper()
--- a/internal/gateway/spoilt_test.go
+++ b/internal/gateway/spoilt_test.go
@@ -20,11 +20,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBackend(t)
-			l, err := newLoop(configure(t, newFakeDiscovery(t), nil), quiet())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer l.clients.listener.Close()
+			l := unstarted(t, newFakeDiscovery(t))
 			m := member{ID: "s-00000001", HostPort: b.listener.Addr().String(), Phase: "Ready"}
 			l.backends.members(l, decide.Whole, []member{m})
 			first := &attempt{sent: l.now(), until: l.now() + 1e9}
