Mend the two ways in which the suite hung; end test gateways without their drain

Cause: the suite hung now and then, with two causes. TestHungWatchIsGivenUp waited for the version told before a change of its own, while calls every 3 s renewed its bound. TestDiscoveryTakesTheWholeListAfterABreak ran into the program: net/http sends a GET once more by itself when a kept connection breaks, so a broken watch went on from the old version, at whatever answers there now, and never took the list whole.

Change: discovery ends a call that the transport would send again; settled asks for the newest version and has one bound; the fake ends a watch as asked. Three tests that wait for seconds run beside others.

--- a/internal/gateway/clients_test.go
+++ b/internal/gateway/clients_test.go
@@ -13,6 +13,7 @@
 // A connection that says nothing, or only half a command, is ended; one whose
 // request is open is not.
 func TestSilentAndHalfCommandsAreEnded(t *testing.T) {
+	t.Parallel() // it waits for seconds
 	r, b, _ := oneBackend(t, nil)
 	good := r.client(t)
 	good.lookup(1, "60000")
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"mothcleat/decide"
@@ -191,6 +193,21 @@
 	}
 }
 
+// sentOnce has a call end where the transport would send it once more: it does so
+// by itself for a GET on a kept connection that broke. What answers then may be
+// another process, to which the version of the old one means nothing.
+func sentOnce(cancel func()) *httptrace.ClientTrace {
+	var sent atomic.Bool
+	return &httptrace.ClientTrace{
+		WroteRequest: func(info httptrace.WroteRequestInfo) { sent.Store(info.Err == nil) },
+		GotConn: func(httptrace.GotConnInfo) {
+			if sent.Load() {
+				cancel()
+			}
+		},
+	}
+}
+
 // get makes one call: a watch from a version on, or one for the whole list.
 func (d *discovery) get(ctx context.Context, url, version string) (list memberList, err error) {
 	wait := listWait
@@ -200,6 +217,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	ctx = httptrace.WithClientTrace(ctx, sentOnce(cancel))
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return list, fmt.Errorf("discovery call: %w", err)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -422,6 +422,7 @@
 // A watch that is never answered hides a drain, which counts as told 6 s later all
 // the same: it is given up by then, and the list taken anew on another connection.
 func TestHungWatchIsGivenUp(t *testing.T) {
+	t.Parallel() // it waits for seconds
 	var held atomic.Bool
 	var d *fakeDiscovery
 	second := newBackend(t)
@@ -481,6 +482,7 @@
 
 // What is still out when SIGKILL comes near is failed, not left.
 func TestStopFailsWhatIsNotServed(t *testing.T) {
+	t.Parallel() // it waits for seconds
 	r, b, _ := oneBackend(t, nil)
 	c := r.client(t)
 	c.lookup(1, "80000000")
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -126,13 +127,23 @@
 }
 
 // settled waits until the gateway watches from the last change on: it has then
-// read that change, and acts on it ahead of what it reads later.
+// read that change, and acts on it ahead of what it reads later. Which change is
+// the last is asked anew at each call: another may be told while this waits. The
+// bound is on all calls together, as a gateway that never settles goes on calling.
 func (d *fakeDiscovery) settled(t testing.TB) {
 	t.Helper()
-	d.mu.Lock()
-	want := fmt.Sprintf("index=%d&", d.revision)
-	d.mu.Unlock()
-	for !strings.HasPrefix(wait(t, d.calls, "a watch from the last change on"), want) {
+	for late := time.After(patience); ; {
+		select {
+		case call := <-d.calls:
+			d.mu.Lock()
+			want := fmt.Sprintf("index=%d&", d.revision)
+			d.mu.Unlock()
+			if strings.HasPrefix(call, want) {
+				return
+			}
+		case <-late:
+			t.Fatal("timed out waiting for a watch from the last change on")
+		}
 	}
 }
 
@@ -141,6 +152,8 @@
 	case d.calls <- r.URL.RawQuery:
 	default:
 	}
+	ms, _ := strconv.Atoi(r.URL.Query().Get("wait"))
+	over := time.After(time.Duration(ms) * time.Millisecond)
 	for {
 		d.mu.Lock()
 		revision, list, changed := d.revision, d.list, d.changed
@@ -151,6 +164,9 @@
 		}
 		select {
 		case <-changed:
+		case <-over:
+			fmt.Fprintf(w, `{"revision":%d,"complete":false,"members":[]}`, revision)
+			return
 		case <-r.Context().Done():
 			return
 		}
@@ -184,6 +200,12 @@
 	ended   chan struct{}
 }
 
+// halt ends the loop at once. A planned stop takes half a second at least: only
+// the tests that are about it wait for one.
+type halt struct{}
+
+func (halt) handle(l *Loop) { l.done = true }
+
 // stop begins a planned shutdown.
 func (r *rig) stop() { r.once.Do(func() { close(r.stopped) }) }
 
@@ -238,7 +260,11 @@
 	control := Control{Stop: r.stopped, Reload: r.reload, Read: func() (Config, error) { return (<-r.configs)() }}
 	go func() { l.serve(control); close(r.ended) }()
 	t.Cleanup(func() {
-		r.stop()
+		select {
+		case l.urgent <- halt{}:
+		case <-r.ended:
+		case <-time.After(patience):
+		}
 		select {
 		case <-r.ended:
 		case <-time.After(patience):
