--- /dev/null
+++ b/cmd/lab/main.go
@@ -0,0 +1,82 @@
+// Command lab runs the project's rig: the real gateway between stand-ins, on
+// loopback only, judged by an auditor that never asks the gateway.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"mothcleat/internal/lab"
+)
+
+const usage = `usage: lab NAME [--seed N] [--for D] ...
+
+  try      three gateways with stand-ins and a minute of traffic
+           --serve keeps them running
+  fleet    many instances, killed and restarted at random
+           --instances N, --state on|off|both, --only LIST
+
+Progress goes to standard error; the last line on standard output is one JSON
+object. Exit code 0: no rule broken and every promise kept; 1: not so; 2: misuse.`
+
+func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	code, err := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "lab:", err)
+	}
+	os.Exit(code)
+}
+
+// run runs one command and gives the exit code.
+func run(ctx context.Context, args []string, out, progress io.Writer) (int, error) {
+	if len(args) == 0 {
+		return 2, errors.New("a command is wanted: try or fleet; --help tells more")
+	}
+	if args[0] == "--help" || args[0] == "-h" || args[0] == "help" {
+		fmt.Fprintln(out, usage)
+		return 0, nil
+	}
+	flags := flag.NewFlagSet(args[0], flag.ContinueOnError)
+	flags.SetOutput(io.Discard)
+	seed := flags.Uint64("seed", 1, "")
+	length := flags.Duration("for", time.Minute, "")
+	var play func() (*lab.Figures, error)
+	switch args[0] {
+	case "try":
+		serve := flags.Bool("serve", false, "")
+		play = func() (*lab.Figures, error) { return lab.RunTry(ctx, *seed, *length, *serve, out, progress) }
+	default:
+		return 2, fmt.Errorf("%q is no command: try or fleet; --help tells more", args[0])
+	}
+	if err := flags.Parse(args[1:]); err != nil {
+		return 2, err
+	}
+	switch {
+	case flags.NArg() > 0:
+		return 2, fmt.Errorf("%q is too much", flags.Arg(0))
+	case *length < time.Second || *length > 24*time.Hour:
+		return 2, fmt.Errorf("--for %v: from 1s to 24h wanted", *length)
+	}
+	f, err := play()
+	if f == nil {
+		return 2, err
+	}
+	if err != nil {
+		f.OK = false
+		f.Why = append(f.Why, err.Error())
+	}
+	fmt.Fprintln(out, f.Line())
+	if !f.OK {
+		return 1, nil
+	}
+	return 0, nil
+}
--- /dev/null
+++ b/internal/lab/audit_test.go
@@ -0,0 +1,175 @@
+package lab
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// good is a record in which every rule holds: for each of n tries a request of a
+// customer under a ceiling is sent to a warm server and answered.
+func good(s *Site, n int) *Record {
+	rec := &Record{began: time.Now()}
+	rec.Boots = []Boot{{Server: "a", Cores: 2, Speed: 1}, {Server: "b", Cores: 2, Speed: 1}}
+	for g := range 2 {
+		rec.Lives = append(rec.Lives, Life{g, Started, 0}, Life{g, Ready, 10 * ms})
+	}
+	for i := range n {
+		at := time.Duration(i+1) * time.Second
+		id := fmt.Sprintf("%016x", i)
+		t := Try{ID: id, First: id, Customer: "c", Plan: 2, Class: i % 2, Units: 2, Asked: at, Sent: at, Wait: 2 * time.Second,
+			Answered: at + 200*ms, Kind: Served, Answers: 1, Value: valueOf(id, "a")}
+		a := Attempt{ID: id, Server: "a", Class: t.Class, Work: 100 * ms, First: at + 5*ms, Whole: at + 5*ms, Ran: true, Effect: true}
+		if s.Classes[t.Class].Keyed {
+			t.Key, a.Key = "k"+id, "k"+id
+		}
+		rec.Tries, rec.Attempts = append(rec.Tries, t), append(rec.Attempts, a)
+	}
+	return rec
+}
+
+// again adds a further attempt of a try.
+func again(rec *Record, try int, server string, after time.Duration) *Attempt {
+	a := rec.Attempts[try]
+	a.Server, a.First, a.Whole = server, a.First+after, a.Whole+after
+	rec.Attempts = append(rec.Attempts, a)
+	return &rec.Attempts[len(rec.Attempts)-1]
+}
+
+func TestAuditorPassesWhatKeepsTheRules(t *testing.T) {
+	s := NewSite(1, 2, 4, 0.5)
+	for name, change := range map[string]func(*Record){
+		"nothing":     func(*Record) {},
+		"a safe copy": func(r *Record) { again(r, 0, "b", 50*ms) },
+		"a keyed repeat in its window": func(r *Record) {
+			again(r, 1, "b", 50*ms).Effect = false
+		},
+		"drained, sent within the grace": func(r *Record) {
+			r.Told = []Told{{0, "a", true, r.Attempts[9].First - 1900*ms}}
+		},
+		"drained and back": func(r *Record) {
+			r.Told = []Told{{0, "a", true, 100 * ms}, {0, "a", false, 200 * ms}}
+		},
+		"another gateway was told": func(r *Record) { r.Told = []Told{{1, "a", true, 0}} },
+		"killed with a request": func(r *Record) {
+			x := &r.Tries[3]
+			x.Kind, x.Answers, x.Answered, x.Reset = Ended, 0, 0, true
+			r.Lives = append(r.Lives, Life{0, Killed, x.Sent + 100*ms})
+		},
+		"closed between requests": func(r *Record) {
+			x := &r.Tries[3]
+			x.Kind, x.Answers, x.Answered, x.Closed = Ended, 0, 0, x.Sent+ms
+			r.Attempts = slices.Delete(r.Attempts, 3, 4)
+		},
+		"refused": func(r *Record) { r.Tries[3].Kind = Refused },
+	} {
+		rec := good(s, 10)
+		change(rec)
+		if v := Audit(s, rec); !v.OK() {
+			t.Errorf("%s: %v", name, v.Breaches)
+		}
+	}
+}
+
+// Each rule is broken on purpose, and the auditor must find that one and no other.
+func TestAuditorCatchesEachRule(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		rule   Rule
+		change func(*Site, *Record)
+	}{
+		{"no answer", Lost, func(_ *Site, r *Record) { x := &r.Tries[3]; x.Kind, x.Answers, x.Answered = Silent, 0, 0 }},
+		{"two answers", Lost, func(_ *Site, r *Record) { r.Tries[3].Answers = 2 }},
+		{"too late", Lost, func(_ *Site, r *Record) { x := &r.Tries[3]; x.Answered = x.Sent + x.Wait + 60*ms }},
+		{"connection ended", Lost, func(_ *Site, r *Record) { x := &r.Tries[3]; x.Kind, x.Answers, x.Reset = Ended, 0, true }},
+		{"closed though read", Lost, func(_ *Site, r *Record) { x := &r.Tries[3]; x.Closed = x.Sent + 100*ms }},
+		{"made by nobody", Lost, func(_ *Site, r *Record) { r.Tries[3].Value = "quote" }},
+		{"made for another", Lost, func(_ *Site, r *Record) { r.Tries[3].Value = r.Tries[4].Value }},
+		{"sent on after the answer", Lost, func(_ *Site, r *Record) { again(r, 2, "b", 400*ms) }},
+		{"ended by itself", Lost, func(_ *Site, r *Record) { r.Lives = append(r.Lives, Life{1, Crashed, time.Second}) }},
+		{"another gateway was killed", Lost, func(_ *Site, r *Record) {
+			x := &r.Tries[3]
+			x.Kind, x.Answers, x.Reset = Ended, 0, true
+			r.Lives = append(r.Lives, Life{1, Killed, x.Sent + 100*ms})
+		}},
+		{"effect twice", Twice, func(_ *Site, r *Record) { again(r, 1, "b", 50*ms) }},
+		{"keyed after its window", Twice, func(s *Site, r *Record) {
+			s.Classes[1].Window = 100 * ms
+			again(r, 1, "b", 170*ms).Effect = false
+		}},
+		{"unsafe sent again", Twice, func(s *Site, r *Record) {
+			s.Classes[0].Unsafe = true
+			again(r, 0, "b", 50*ms)
+		}},
+		{"unsafe refused after it ran", Twice, func(s *Site, r *Record) { s.Classes[0].Unsafe, r.Tries[0].Kind = true, Refused }},
+		{"sent to a drained server", Drain, func(_ *Site, r *Record) {
+			r.Told = []Told{{0, "a", true, r.Attempts[9].First - 2100*ms}}
+		}},
+		{"told twice: the first counts", Drain, func(_ *Site, r *Record) {
+			r.Told = []Told{{0, "a", true, r.Attempts[9].First - 2100*ms}, {0, "a", true, r.Attempts[9].First - 500*ms}}
+		}},
+		{"overrun", Cold, func(_ *Site, r *Record) {
+			r.Boots[0].Cold = true
+			for i := range 30 {
+				again(r, 0, "a", time.Duration(i)*ms)
+			}
+			for i := range r.Attempts {
+				r.Attempts[i].Work = 300 * ms
+			}
+		}},
+		{"fell over", Cold, func(_ *Site, r *Record) { r.Boots[0].Fell = time.Second }},
+		{"over the ceiling", Ceiling, func(_ *Site, r *Record) {
+			for i := range r.Tries {
+				r.Tries[i].Units = 1000
+			}
+		}},
+	} {
+		s := NewSite(1, 2, 4, 0.5)
+		rec := good(s, 10)
+		c.change(s, rec)
+		v := Audit(s, rec)
+		for _, r := range Rules {
+			if (v.Broken[r] > 0) != (r == c.rule) {
+				t.Errorf("%s: broken %v, want %s alone: %v", c.name, v.Broken, c.rule, v.Breaches)
+				break
+			}
+		}
+	}
+}
+
+// What is sent on beyond a quota is counted in units.
+func TestAuditorCountsWhatIsBeyondQuotas(t *testing.T) {
+	s := NewSite(1, 2, 4, 0.5)
+	rec := good(s, 10)
+	s.Plans[2] = Plan{Rate: 1, Burst: 4}
+	for i := range rec.Attempts {
+		rec.Attempts[i].Whole = time.Duration(i) * ms
+	}
+	if v := Audit(s, rec); v.OverQuota != 16 || !v.OK() {
+		t.Errorf("%g units beyond the quotas, want 16 of 20 at once; broken %v", v.OverQuota, v.Broken)
+	}
+}
+
+// The figures fold a client's retries into its first try.
+func TestFiguresFoldRetries(t *testing.T) {
+	s := NewSite(1, 2, 4, 0.5)
+	rec := good(s, 2)
+	retry := rec.Tries[0]
+	rec.Tries[0].Kind, rec.Tries[0].Value = Refused, ""
+	retry.ID, retry.Sent, retry.Answered = "r", retry.Sent+500*ms, retry.Answered+500*ms
+	a := rec.Attempts[0]
+	a.ID = "r"
+	retry.Value = valueOf("r", "a")
+	rec.Tries, rec.Attempts = append(rec.Tries, retry), append(rec.Attempts, a)
+	f := Figure("x", 1, s, rec)
+	if !f.OK || f.Asked != 2 || f.InTime != 2 || f.Service != 1 || f.P99 != 700 {
+		t.Errorf("figures %s", f.Line())
+	}
+	if !strings.Contains(f.Line(), `"broken":{"ceiling":0,"cold":0,"drain":0,"lost":0,"twice":0}`) {
+		t.Errorf("line %s", f.Line())
+	}
+}
--- /dev/null
+++ b/internal/lab/front.go
@@ -0,0 +1,364 @@
+package lab
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"mothcleat/internal/resp"
+)
+
+func hex16(n uint64) string { return fmt.Sprintf("%016x", n) }
+
+// front deals requests out among the gateways. It keeps connections, opens more
+// when all are busy, takes a gateway in once it answers PING, and notices only
+// after some seconds that one has died.
+type front struct {
+	gateways []*Gateway
+	rec      *Record
+	entries  []*entryPoint
+	wg       sync.WaitGroup // polls for gateways that were down
+}
+
+// entryPoint is one gateway as the front sees it.
+type entryPoint struct {
+	mu      sync.Mutex
+	idle    []*frontConn
+	down    bool
+	failing time.Time // since when nothing answers there; zero: it does
+	notice  time.Duration
+}
+
+type frontConn struct {
+	net.Conn
+	in   *bufio.Reader
+	used bool
+}
+
+func newFront(rec *Record, gateways []*Gateway) *front {
+	f := &front{gateways: gateways, rec: rec}
+	for range gateways {
+		f.entries = append(f.entries, &entryPoint{})
+	}
+	return f
+}
+
+// up tells whether the front deals out to a gateway.
+func (f *front) up(g int) bool {
+	e := f.entries[g]
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.down
+}
+
+// refused takes note that nothing listens at a gateway: it is seen as down some
+// time later, and asked from then on whether it is back.
+func (f *front) refused(ctx context.Context, g int) {
+	e := f.entries[g]
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.failing.IsZero() {
+		e.failing = time.Now()
+		e.notice = time.Duration(between(rand.New(rand.NewPCG(uint64(g), uint64(e.failing.UnixNano()))), 1, 3.9) * float64(time.Second))
+		return
+	}
+	if e.down || time.Since(e.failing) < e.notice {
+		return
+	}
+	e.down = true
+	f.wg.Add(1)
+	go func() {
+		defer f.wg.Done()
+		for !f.gateways[g].ping() {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+		f.answered(g)
+	}()
+}
+
+func (f *front) answered(g int) {
+	e := f.entries[g]
+	e.mu.Lock()
+	e.down, e.failing = false, time.Time{}
+	e.mu.Unlock()
+}
+
+// take gives an idle connection to a gateway, or makes one.
+func (f *front) take(g int, fresh bool) (*frontConn, error) {
+	e := f.entries[g]
+	if !fresh {
+		e.mu.Lock()
+		if n := len(e.idle); n > 0 {
+			c := e.idle[n-1]
+			e.idle = e.idle[:n-1]
+			e.mu.Unlock()
+			return c, nil
+		}
+		e.mu.Unlock()
+	}
+	c, err := net.DialTimeout("tcp", f.gateways[g].Address, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	return &frontConn{Conn: c, in: bufio.NewReaderSize(c, 512)}, nil
+}
+
+func (f *front) keep(g int, c *frontConn) {
+	e := f.entries[g]
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c.used = true
+	e.idle = append(e.idle, c)
+}
+
+func (f *front) close() {
+	f.wg.Wait()
+	for _, e := range f.entries {
+		e.mu.Lock()
+		for _, c := range e.idle {
+			c.Close()
+		}
+		e.idle = nil
+		e.mu.Unlock()
+	}
+}
+
+// send sends a try to its gateway and waits for the answer. A kept connection
+// that the gateway closed, unread, has it sent once more on a new one.
+func (f *front) send(ctx context.Context, s *Site, c *Customer, t *Try) {
+	deadline := time.Now().Add(t.Wait)
+	for again := false; ; again = true {
+		conn, err := f.take(t.Gateway, again)
+		if err != nil {
+			t.NoPort = errors.Is(err, syscall.ECONNREFUSED)
+			f.refused(ctx, t.Gateway)
+			return // what a former connection ended with stands
+		}
+		now := f.rec.Now()
+		if !again {
+			t.Sent = now
+		}
+		cmd := command(s, c, t, max(time.Millisecond, time.Until(deadline)))
+		_ = conn.SetDeadline(deadline.Add(onSockets))
+		if _, err = conn.Write(cmd); err == nil {
+			if !again {
+				t.Sent = f.rec.Now()
+			}
+			err = t.read(conn.in, f.rec)
+		}
+		if err == nil {
+			f.answered(t.Gateway)
+			f.keep(t.Gateway, conn)
+			return
+		}
+		used := conn.used
+		conn.Close()
+		if errors.Is(err, context.DeadlineExceeded) || isTimeout(err) {
+			t.Kind = Silent
+			return
+		}
+		t.Kind, t.Reset = Ended, t.Reset || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+		if again || !used && !errors.Is(err, io.EOF) {
+			return
+		}
+		t.Closed = f.rec.Now()
+	}
+}
+
+func isTimeout(err error) bool {
+	var n net.Error
+	return errors.As(err, &n) && n.Timeout()
+}
+
+func command(s *Site, c *Customer, t *Try, wait time.Duration) []byte {
+	class := &s.Classes[t.Class]
+	fields := fmt.Sprintf("c=%s,t=%s,d=%d", class.Name, s.Plans[t.Plan].Name, wait.Milliseconds())
+	if t.Key != "" {
+		fields += ",k=" + t.Key
+	}
+	fields += fmt.Sprintf(",units=%s,spread=%d,first=%d", strconv.FormatFloat(t.Units, 'g', -1, 64), c.Spread, c.First)
+	args := []string{class.Command, c.ID, t.ID, fields}
+	if class.Command == "API.WRITE" {
+		args = append(args, "BODY")
+	}
+	b := resp.AppendArray(nil, len(args))
+	for _, a := range args {
+		b = resp.AppendBulk(b, []byte(a))
+	}
+	return b
+}
+
+// read reads the answer to a try.
+func (t *Try) read(in *bufio.Reader, rec *Record) error {
+	line, err := in.ReadString('\n')
+	if err != nil {
+		if line != "" && errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		return err
+	}
+	line = strings.TrimSuffix(line, "\r\n")
+	switch {
+	case strings.HasPrefix(line, "-BUSY"):
+		t.Kind = Refused
+		ms, _ := strconv.Atoi(strings.TrimSpace(strings.TrimPrefix(line, "-BUSY")))
+		t.After = time.Duration(ms) * time.Millisecond
+	case strings.HasPrefix(line, "$") && line != "$-1":
+		n, err := strconv.Atoi(line[1:])
+		if err != nil || n < 0 || n > resp.MaxValue {
+			return fmt.Errorf("answer %q", line)
+		}
+		b := make([]byte, n+2)
+		if _, err := io.ReadFull(in, b); err != nil {
+			return err
+		}
+		t.Kind, t.Value = Served, string(b[:n])
+	default:
+		t.Kind = Failed
+	}
+	t.Answers++
+	t.Answered = rec.Now()
+	if in.Buffered() > 0 { // nothing else was asked for
+		t.Answers++
+	}
+	return nil
+}
+
+// Clients send what a site's customers ask for, whatever comes back, and try
+// again through another gateway as clients do.
+type Clients struct {
+	site  *Site
+	rec   *Record
+	front *front
+	wg    sync.WaitGroup
+	ids   atomic.Uint64
+	seed  uint64
+
+	asked, served, open atomic.Int64
+}
+
+// NewClients makes the clients of a site.
+func NewClients(s *Site, rec *Record, gateways []*Gateway, seed uint64) *Clients {
+	c := &Clients{site: s, rec: rec, front: newFront(rec, gateways), seed: seed}
+	c.ids.Store(seed << 32)
+	return c
+}
+
+// Run asks until the context ends, then waits for all that is out.
+func (c *Clients) Run(ctx context.Context) {
+	// What is out when the asking ends still has its time.
+	tries, cancel := context.WithCancel(context.Background())
+	for i := range c.site.Customers {
+		c.wg.Add(1)
+		go func() {
+			defer c.wg.Done()
+			c.ask(ctx, tries, &c.site.Customers[i], rand.New(rand.NewPCG(c.seed, uint64(i))))
+		}()
+	}
+	c.wg.Wait()
+	cancel()
+	c.front.close()
+}
+
+// ask sends one customer's requests: a Poisson stream at the rate of its use.
+func (c *Clients) ask(ctx, tries context.Context, who *Customer, r *rand.Rand) {
+	s := c.site
+	units := 0.0
+	for _, k := range s.Classes {
+		units += k.Share * (k.Least + k.Most) / 2
+	}
+	rate := who.Use * s.Plans[who.Plan].Rate / units
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Duration(r.ExpFloat64() / rate * float64(time.Second))):
+		}
+		class := 0
+		for x := r.Float64(); class < len(s.Classes)-1 && x >= s.Classes[class].Share; class++ {
+			x -= s.Classes[class].Share
+		}
+		k := &s.Classes[class]
+		t := Try{Customer: who.ID, Plan: who.Plan, Class: class,
+			Units: k.Least + float64(r.IntN(int(k.Most-k.Least)+1)), Asked: c.rec.Now()}
+		if k.Keyed {
+			t.Key = hex16(r.Uint64())
+		}
+		seed := r.Uint64()
+		c.wg.Add(1)
+		c.asked.Add(1)
+		c.open.Add(1)
+		go func() {
+			defer c.wg.Done()
+			defer c.open.Add(-1)
+			c.request(tries, who, t, rand.New(rand.NewPCG(seed, 1)))
+		}()
+	}
+}
+
+// request sends a request until it is served or the client gives up.
+func (c *Clients) request(ctx context.Context, who *Customer, first Try, r *rand.Rand) {
+	k := &c.site.Classes[first.Class]
+	wait := time.Duration(between(r, 0.5, 1) * float64(k.GiveUp))
+	last := -1
+	for n := 0; n <= c.site.Retries; n++ {
+		t := first
+		t.ID, t.Wait = hex16(c.ids.Add(1)), wait
+		if n == 0 {
+			first.First, first.Gateway = t.ID, 0
+			t.First = t.ID
+		} else {
+			t.Asked = 0
+		}
+		t.Gateway = c.choose(who, last, r)
+		last = t.Gateway
+		c.front.send(ctx, c.site, who, &t)
+		c.rec.AddTry(t)
+		if t.Kind == Served {
+			c.served.Add(1)
+			return
+		}
+		pause := time.Duration(between(r, 50, 100)*float64(int(1)<<n)) * time.Millisecond
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(max(pause, t.After)):
+		}
+	}
+}
+
+// choose deals a request out to a gateway of the customer's set: unevenly, and
+// the busiest one changes now and then; a retry goes through another.
+func (c *Clients) choose(who *Customer, last int, r *rand.Rand) int {
+	n := c.site.Gateways
+	var set []int
+	for i := range who.Spread {
+		if g := (who.First + i) % n; g != last || who.Spread == 1 {
+			set = append(set, g)
+		}
+	}
+	up := slices.DeleteFunc(slices.Clone(set), func(g int) bool { return !c.front.up(g) })
+	if len(up) == 0 {
+		up = set
+	}
+	favourite := int(c.rec.Now()/(15*time.Second)) + who.First
+	if r.Float64() < 0.5 {
+		return up[favourite%len(up)]
+	}
+	return up[r.IntN(len(up))]
+}
--- /dev/null
+++ b/internal/lab/notes.go
@@ -0,0 +1,97 @@
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Notes carries datagrams between gateways: late, and some not at all. Each
+// gateway sees every other under an address of its own: what i sends to the
+// socket (i, j) comes to j from the socket (j, i).
+type Notes struct {
+	links [][]*net.UDPConn
+	dest  []netip.AddrPort // where each gateway listens
+
+	mu   sync.Mutex
+	rand *rand.Rand
+	loss float64
+
+	Sent, Dropped, Over atomic.Int64
+}
+
+const noteMost = 256 // bytes; a longer datagram breaks the protocol
+
+// NewNotes makes the links between gateways that listen at the addresses given.
+func NewNotes(dest []netip.AddrPort, loss float64, seed uint64) (*Notes, error) {
+	n := &Notes{dest: dest, loss: loss, rand: rand.New(rand.NewPCG(seed, 0x907e))}
+	for i := range dest {
+		n.links = append(n.links, make([]*net.UDPConn, len(dest)))
+		for j := range dest {
+			c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+			if err != nil {
+				n.Close()
+				return nil, fmt.Errorf("notes: %w", err)
+			}
+			n.links[i][j] = c
+		}
+	}
+	for i := range dest {
+		for j := range dest {
+			if i != j {
+				go n.carry(i, j)
+			}
+		}
+	}
+	return n, nil
+}
+
+// peers are the addresses under which gateway i finds all others.
+func (n *Notes) peers(i int) (addrs []string) {
+	for _, c := range n.links[i] {
+		addrs = append(addrs, c.LocalAddr().String())
+	}
+	return addrs
+}
+
+// Close ends all links.
+func (n *Notes) Close() {
+	for _, row := range n.links {
+		for _, c := range row {
+			if c != nil {
+				c.Close()
+			}
+		}
+	}
+}
+
+func (n *Notes) carry(i, j int) {
+	buf := make([]byte, 2048)
+	for {
+		size, _, err := n.links[i][j].ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		} else if err != nil {
+			continue
+		}
+		n.Sent.Add(1)
+		if size > noteMost {
+			n.Over.Add(1)
+		}
+		n.mu.Lock()
+		lost := n.rand.Float64() < n.loss
+		late := time.Duration(1300+n.rand.IntN(9700)) * time.Microsecond
+		n.mu.Unlock()
+		if lost {
+			n.Dropped.Add(1)
+			continue
+		}
+		note := append([]byte(nil), buf[:size]...)
+		time.AfterFunc(late, func() { _, _ = n.links[j][i].WriteToUDPAddrPort(note, n.dest[j]) })
+	}
+}
--- /dev/null
+++ b/internal/lab/process.go
@@ -0,0 +1,353 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Build compiles the gateway and returns the path of its binary.
+func Build(ctx context.Context, dir string) (string, error) {
+	bin := filepath.Join(dir, "mothcleat")
+	cmd := exec.CommandContext(ctx, "go", "build", "-o", bin, "mothcleat/cmd/mothcleat")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("build: %w\n%s", err, out)
+	}
+	return bin, nil
+}
+
+// Gateway is one instance: the real program, started as a process, and started
+// again under its name and address as often as a scenario wants.
+type Gateway struct {
+	Number  int
+	Address string // for clients
+	Peer    string // for notes
+	dir     string
+	bin     string
+	args    []string
+	rec     *Record
+	config  func(*Gateway) map[string]any
+
+	mu      sync.Mutex
+	pid     int // 0: none runs
+	older   []int
+	rss     int           // the most seen, in kB
+	began   time.Duration // when the process now running was started
+	wanted  bool          // to run: an end is a crash
+	readyIn []time.Duration
+}
+
+// freeAddress finds a host in 127.0.0.0/8, other than those that outgoing
+// connections use, with nothing on the port: an address that is free now and stays so
+// while the gateway behind it restarts.
+func freeAddress(network string, host netip.Addr, port int) (string, error) {
+	for range 64 {
+		address := netip.AddrPortFrom(host, uint16(port)).String()
+		var err error
+		if network == "udp" {
+			var c net.PacketConn
+			if c, err = net.ListenPacket("udp", address); err == nil {
+				return address, c.Close()
+			}
+		} else {
+			var l net.Listener
+			if l, err = net.Listen("tcp", address); err == nil {
+				return address, l.Close()
+			}
+		}
+		port++
+	}
+	return "", fmt.Errorf("no free port at %s", host)
+}
+
+func newGateway(dir, bin string, args []string, rec *Record, i int) (*Gateway, error) {
+	pid := os.Getpid()
+	host := netip.AddrFrom4([4]byte{127, byte(64 + pid%128), byte(pid / 128 % 250), byte(1 + i%250)})
+	g := &Gateway{Number: i, dir: filepath.Join(dir, fmt.Sprintf("n%d", i)), bin: bin, args: args, rec: rec}
+	if err := os.MkdirAll(g.dir, 0o700); err != nil {
+		return nil, err
+	}
+	var err error
+	if g.Address, err = freeAddress("tcp", host, 6379+i/250); err != nil {
+		return nil, err
+	}
+	g.Peer, err = freeAddress("udp", host, 7946+i/250)
+	return g, err
+}
+
+// Configure writes the configuration anew: with the list as the gateway's agent
+// knows it now, or last did.
+func (g *Gateway) Configure() error {
+	raw, err := json.Marshal(g.config(g))
+	if err != nil {
+		return err
+	}
+	// Whole or not at all: a reload may read it at any time.
+	path := filepath.Join(g.dir, "config.json")
+	if err := os.WriteFile(path+".new", raw, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
+
+// Start starts a process; the end of one that was not asked for is in the record.
+func (g *Gateway) Start() error {
+	if err := g.Configure(); err != nil {
+		return err
+	}
+	out, err := os.OpenFile(filepath.Join(g.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	cmd := exec.Command(g.bin, g.args...)
+	cmd.Dir = g.dir
+	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+filepath.Join(g.dir, "config.json"), "TMPDIR="+g.dir)
+	cmd.Stdout, cmd.Stderr = out, out
+	// Nothing may outlive the rig, whatever ends it.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.pid != 0 {
+		return errors.New("gateway: runs")
+	}
+	if err := startLocked(cmd); err != nil {
+		return fmt.Errorf("gateway %d: %w", g.Number, err)
+	}
+	g.pid, g.wanted, g.began = cmd.Process.Pid, true, g.rec.Now()
+	g.rec.AddLife(g.Number, Started)
+	go func() {
+		err := cmd.Wait()
+		g.ended(cmd.Process.Pid, err)
+	}()
+	return nil
+}
+
+// startLocked starts a command from a thread that lives as long as the rig: the
+// parent-death signal belongs to the thread that forked.
+var startLocked = func() func(*exec.Cmd) error {
+	type job struct {
+		cmd *exec.Cmd
+		err chan error
+	}
+	jobs := make(chan job)
+	var once sync.Once
+	return func(cmd *exec.Cmd) error {
+		once.Do(func() { go starter(func() (*exec.Cmd, chan error) { j := <-jobs; return j.cmd, j.err }) })
+		j := job{cmd, make(chan error, 1)}
+		jobs <- j
+		return <-j.err
+	}
+}()
+
+// ended takes note of a process's end. The one that has handed over is not the
+// one that serves.
+func (g *Gateway) ended(pid int, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if pid != g.pid {
+		return
+	}
+	g.pid = 0
+	if g.wanted {
+		if next := g.successor(pid); next != 0 {
+			g.pid = next
+			go g.watch(next)
+			return
+		}
+		g.rec.AddLife(g.Number, Crashed)
+		return
+	}
+	g.rec.AddLife(g.Number, Exited)
+	_ = err
+}
+
+func (g *Gateway) pidFile() string { return filepath.Join(g.dir, "pid") }
+
+// successor is the process that a pid file names, if it is another and lives.
+func (g *Gateway) successor(than int) int {
+	raw, err := os.ReadFile(g.pidFile())
+	if err != nil {
+		return 0
+	}
+	pid, err := strconv.Atoi(strings.TrimSpace(string(raw)))
+	if err != nil || pid == than || !alive(pid) {
+		return 0
+	}
+	return pid
+}
+
+// watch waits for the end of a process that is no child: one that has taken over.
+func (g *Gateway) watch(pid int) {
+	for alive(pid) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	g.ended(pid, nil)
+}
+
+// alive tells whether a process runs.
+func alive(pid int) bool {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return false
+	}
+	i := bytes.LastIndexByte(raw, ')')
+	if i < 0 || i+2 >= len(raw) {
+		return false
+	}
+	if raw[i+2] == 'Z' {
+		// The rig is where orphans go: it takes note of their end.
+		_, _ = syscall.Wait4(pid, nil, syscall.WNOHANG, nil)
+		return false
+	}
+	return true
+}
+
+// Signal sends a signal to the process that serves, and takes note of why.
+func (g *Gateway) Signal(s syscall.Signal) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.pid == 0 {
+		return errors.New("gateway: does not run")
+	}
+	switch s {
+	case syscall.SIGKILL:
+		g.wanted = false
+		g.rec.AddLife(g.Number, Killed)
+		for _, pid := range g.older {
+			_ = syscall.Kill(pid, s)
+		}
+	case syscall.SIGTERM:
+		g.wanted = false
+		g.rec.AddLife(g.Number, Stopping)
+	case syscall.SIGHUP:
+		g.rec.AddLife(g.Number, Reloaded)
+	case syscall.SIGUSR2:
+		g.rec.AddLife(g.Number, Handed)
+	}
+	g.sample()
+	return syscall.Kill(g.pid, s)
+}
+
+// HandOver asks the process to hand over to a new one and waits until that one
+// serves; it returns false if the old one serves on.
+func (g *Gateway) HandOver(ctx context.Context) (bool, error) {
+	g.mu.Lock()
+	old := g.pid
+	g.mu.Unlock()
+	if err := g.Signal(syscall.SIGUSR2); err != nil {
+		return false, err
+	}
+	for {
+		if next := g.successor(old); next != 0 {
+			g.mu.Lock()
+			if g.pid == old {
+				g.pid, g.began = next, g.rec.Now()
+				g.older = append(g.older[:0], old)
+				go g.watch(next)
+			}
+			g.mu.Unlock()
+			return true, nil
+		}
+		select {
+		case <-ctx.Done():
+			return false, nil
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// Running tells whether a process serves.
+func (g *Gateway) Running() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pid != 0
+}
+
+// Gone waits until no process of this gateway runs.
+func (g *Gateway) Gone(ctx context.Context) error {
+	for {
+		g.mu.Lock()
+		left := g.pid != 0
+		for _, pid := range g.older {
+			left = left || alive(pid)
+		}
+		g.mu.Unlock()
+		if !left {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("gateway %d: does not end", g.Number)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+// Ready waits until the gateway answers PING and takes note of how long its
+// process took for that.
+func (g *Gateway) Ready(ctx context.Context) error {
+	for {
+		if g.ping() {
+			g.mu.Lock()
+			g.readyIn = append(g.readyIn, g.rec.Now()-g.began)
+			g.mu.Unlock()
+			g.rec.AddLife(g.Number, Ready)
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("gateway %d: not ready: %w\n%s", g.Number, ctx.Err(), g.tail())
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+func (g *Gateway) ping() bool {
+	c, err := net.DialTimeout("tcp", g.Address, time.Second)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(time.Second))
+	_, _ = c.Write([]byte("*1\r\n$4\r\nPING\r\n"))
+	buf := make([]byte, 7)
+	n, _ := c.Read(buf)
+	return string(buf[:n]) == "+PONG\r\n"
+}
+
+// sample takes note of the memory in use.
+func (g *Gateway) sample() {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", g.pid))
+	if err != nil {
+		return
+	}
+	for line := range strings.SplitSeq(string(raw), "\n") {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kb, _ := strconv.Atoi(strings.Fields(rest)[0])
+			g.rss = max(g.rss, kb)
+		}
+	}
+}
+
+// tail is the end of the gateway's log.
+func (g *Gateway) tail() string {
+	raw, err := os.ReadFile(filepath.Join(g.dir, "log"))
+	if errors.Is(err, fs.ErrNotExist) {
+		return "(no log)"
+	}
+	return string(raw[max(0, len(raw)-2000):])
+}
--- /dev/null
+++ b/internal/lab/server.go
@@ -0,0 +1,379 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"mothcleat/internal/resp"
+)
+
+const (
+	serverIdle   = 10 * time.Second // a server closes a connection that stood idle for so long
+	queuePerCore = 8
+	slotsPerCore = 2
+)
+
+// Fault is something that a quote server does wrong until told otherwise.
+type Fault struct {
+	Errors float64 // the part of requests that fail quickly
+	Slow   float64 // how many times longer work takes; 0 and 1: none
+	Hang   bool    // takes requests and answers nothing
+	Reset  float64 // the part of requests whose connection is reset once they came
+}
+
+// Server is a stand-in quote server. It listens at one address for each gateway,
+// so that it can tell who sends; its work is time on one of its cores.
+type Server struct {
+	ID    string
+	site  *Site
+	rec   *Record
+	cores int
+	speed float64
+
+	mu      sync.Mutex
+	rand    *rand.Rand
+	up      bool
+	boot    int // in the record
+	life    Boot
+	fault   Fault
+	drain   bool
+	conns   map[net.Conn]bool
+	lists   []net.Listener
+	addrs   []string  // by gateway; the same after a restart
+	recent  []Attempt // within the span over which a fall is counted
+	waiting int
+	slots   chan struct{}
+	ended   chan struct{} // closed with this life
+	fell    func(*Server)
+}
+
+// NewServer makes a server that is up and warm.
+func NewServer(s *Site, rec *Record, i int, seed uint64) (*Server, error) {
+	cores, speed := s.machine(i)
+	sv := &Server{
+		ID: fmt.Sprintf("s-%08x", 0x1000+i*0x101), site: s, rec: rec, cores: int(cores), speed: speed,
+		rand: rand.New(rand.NewPCG(seed, uint64(i))), conns: map[net.Conn]bool{}, addrs: make([]string, s.Gateways),
+	}
+	return sv, sv.start(false)
+}
+
+// start brings the process up at the addresses that it had before.
+func (sv *Server) start(cold bool) error {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	if sv.up {
+		return errors.New("server: is up")
+	}
+	sv.lists = nil
+	for g := range sv.addrs {
+		address := sv.addrs[g]
+		if address == "" {
+			address = "127.0.0.1:0"
+		}
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, l := range sv.lists {
+				l.Close()
+			}
+			return fmt.Errorf("server %s: %w", sv.ID, err)
+		}
+		sv.addrs[g] = l.Addr().String()
+		sv.lists = append(sv.lists, l)
+	}
+	sv.up, sv.drain, sv.fault, sv.recent, sv.waiting = true, false, Fault{}, nil, 0
+	sv.slots, sv.ended = make(chan struct{}, sv.cores*slotsPerCore), make(chan struct{})
+	sv.life = Boot{Server: sv.ID, Cores: float64(sv.cores), Speed: sv.speed, Cold: cold, At: sv.rec.Now()}
+	sv.boot = sv.rec.AddBoot(sv.life)
+	for g, l := range sv.lists {
+		go sv.accept(l, g, sv.ended)
+	}
+	return nil
+}
+
+// Kill ends the process: connections are reset, new ones refused.
+func (sv *Server) Kill() {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.kill()
+}
+
+func (sv *Server) kill() {
+	if !sv.up {
+		return
+	}
+	sv.up = false
+	close(sv.ended)
+	for _, l := range sv.lists {
+		l.Close()
+	}
+	for c := range sv.conns {
+		reset(c)
+	}
+	clear(sv.conns)
+}
+
+// Start brings a killed process up again, cold.
+func (sv *Server) Start() error { return sv.start(true) }
+
+// SetDrain has the server turn away what is new, or take it again.
+func (sv *Server) SetDrain(on bool) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.drain = on
+}
+
+// SetFault has the server do something wrong from now on.
+func (sv *Server) SetFault(f Fault) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.fault = f
+}
+
+// Up tells whether the process runs, and when it started if it started cold.
+func (sv *Server) Up() (up bool, coldSince time.Duration) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	if sv.life.Cold {
+		coldSince = sv.life.At
+	}
+	return sv.up, coldSince
+}
+
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
+func (sv *Server) accept(l net.Listener, gateway int, ended chan struct{}) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		sv.mu.Lock()
+		if ended != sv.ended || !sv.up {
+			sv.mu.Unlock()
+			reset(c)
+			return
+		}
+		sv.conns[c] = true
+		sv.mu.Unlock()
+		go sv.serve(c, gateway, ended)
+	}
+}
+
+// serve answers the commands of one connection, in their order. What is written
+// behind a request waits for it; a connection that ends gives up what it waits for.
+func (sv *Server) serve(c net.Conn, gateway int, ended chan struct{}) {
+	defer func() {
+		sv.mu.Lock()
+		delete(sv.conns, c)
+		sv.mu.Unlock()
+		c.Close()
+	}()
+	type item struct {
+		args  [][]byte
+		first time.Duration
+		whole time.Duration
+	}
+	items := make(chan item, 16)
+	gone, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		defer cancel()
+		defer close(items)
+		in := resp.NewReader(c)
+		for {
+			_ = c.SetReadDeadline(time.Now().Add(serverIdle))
+			if in.Await() != nil {
+				return
+			}
+			it := item{first: sv.rec.Now()}
+			var err error
+			if it.args, err = in.ReadCommand(); err != nil {
+				return
+			}
+			it.whole = sv.rec.Now()
+			_ = c.SetReadDeadline(time.Time{})
+			select {
+			case items <- it:
+			case <-ended:
+				return
+			}
+		}
+	}()
+	for it := range items {
+		reply, ok := sv.command(gone, ended, it.args, gateway, it.first, it.whole)
+		if !ok {
+			reset(c)
+			return
+		}
+		if _, err := c.Write(reply); err != nil {
+			return
+		}
+		// The idle time begins with the answer.
+		_ = c.SetReadDeadline(time.Now().Add(serverIdle))
+	}
+}
+
+var (
+	serverBusy   = []byte("-BUSY\r\n")
+	serverFailed = []byte("-ERR failed\r\n")
+)
+
+// command carries out one command. Not ok: the connection breaks.
+func (sv *Server) command(gone context.Context, ended chan struct{}, args [][]byte, gateway int, first, whole time.Duration) ([]byte, bool) {
+	switch name := strings.ToUpper(string(args[0])); {
+	case name == "PING":
+		return []byte("+PONG\r\n"), true
+	case name == "CLIENT" || name == "SELECT":
+		return []byte("+OK\r\n"), true
+	case name != "API.READ" && name != "API.WRITE" || len(args) < 4:
+		return []byte("-ERR unknown command\r\n"), true
+	}
+	fields := fieldsOf(string(args[3]))
+	class := slices.IndexFunc(sv.site.Classes, func(c Class) bool { return c.Name == fields["c"] })
+	if class < 0 {
+		return []byte("-SYNTAX\r\n"), true
+	}
+	id := string(args[2])
+	a := Attempt{ID: id, Key: fields["k"], Server: sv.ID, Gateway: gateway, Class: class, First: first, Whole: whole}
+
+	sv.mu.Lock()
+	a.Work = sv.draw(class)
+	n := sv.rec.AddAttempt(a)
+	fault, life := sv.fault, sv.life
+	if sv.overrun(a) {
+		sv.rec.Fell(sv.boot)
+		sv.kill()
+		fell := sv.fell
+		sv.mu.Unlock()
+		if fell != nil {
+			fell(sv)
+		}
+		return nil, false
+	}
+	roll, late := sv.rand.Float64(), sv.rand.Float64()
+	full := sv.drain || sv.waiting >= sv.cores*queuePerCore
+	if full {
+		sv.mu.Unlock()
+		sv.rec.Turned(n)
+		return serverBusy, true
+	}
+	if !fault.Hang && roll < fault.Errors {
+		sv.mu.Unlock()
+		return serverFailed, true // before any work: it has no effect, and nobody can know
+	}
+	sv.waiting++
+	slots := sv.slots
+	sv.mu.Unlock()
+	left := func() {
+		sv.mu.Lock()
+		sv.waiting--
+		sv.mu.Unlock()
+	}
+	if fault.Hang {
+		select {
+		case <-gone.Done():
+		case <-ended:
+		}
+		left()
+		return nil, false
+	}
+	select {
+	case slots <- struct{}{}:
+		left()
+	case <-gone.Done():
+		left()
+		return nil, false // the client left: waiting work is dropped
+	case <-ended:
+		return nil, false
+	}
+	defer func() { <-slots }()
+	sv.rec.Ran(n, sv.effect(a))
+	if !sv.work(a, &life, fault, len(slots), ended) {
+		return nil, false
+	}
+	if late < fault.Reset {
+		return nil, false
+	}
+	value := valueOf(id, sv.ID)
+	b := resp.AppendArray(nil, 3)
+	b = resp.AppendBulk(b, []byte(value))
+	return append(b, "$-1\r\n$-1\r\n"...), true
+}
+
+// valueOf is the value that a server makes for a request: it holds both names, so
+// that the auditor can tell one made for another request or by nobody.
+func valueOf(id, server string) string { return "quote " + id + " by " + server }
+
+// draw is the work of one request, about its class's mean.
+func (sv *Server) draw(class int) time.Duration {
+	x := math.Exp(0.4*sv.rand.NormFloat64() - 0.08) // mean 1
+	return time.Duration(x * float64(sv.site.Classes[class].Work))
+}
+
+// effect takes note of a key and tells whether its effect happens now: a repeat
+// within the window is dropped, by whichever server it comes to.
+func (sv *Server) effect(a Attempt) bool {
+	c := &sv.site.Classes[a.Class]
+	if !c.Keyed || a.Key == "" {
+		return true
+	}
+	return sv.site.remember(a.Key, a.Whole, c.Window)
+}
+
+// overrun tells whether a cold server has been sent more than it can bear.
+func (sv *Server) overrun(a Attempt) bool {
+	sv.recent = append(sv.recent, a)
+	sv.recent = slices.DeleteFunc(sv.recent, func(b Attempt) bool { return a.Whole-b.Whole > sv.site.FallSpan })
+	share := sv.site.share(&sv.life, a.Whole)
+	if share == 1 {
+		return false
+	}
+	sum := 0.0
+	for _, b := range sv.recent {
+		sum += b.Work.Seconds()
+	}
+	can := sv.life.Cores * sv.life.Speed * share * sv.site.FallSpan.Seconds()
+	slack := 0.0
+	for _, c := range sv.site.Classes {
+		slack = max(slack, c.Work.Seconds())
+	}
+	return sum > sv.site.FallMultiple*can+slack
+}
+
+// work spends a request's time: slots share the cores.
+func (sv *Server) work(a Attempt, life *Boot, f Fault, busy int, ended chan struct{}) bool {
+	need := a.Work.Seconds() / sv.speed * max(1, f.Slow) * max(1, float64(busy)/float64(sv.cores))
+	for need > 0 {
+		step := min(need, 0.1)
+		share := sv.site.share(life, sv.rec.Now())
+		select {
+		case <-time.After(time.Duration(step / share * float64(time.Second))):
+		case <-ended:
+			return false
+		}
+		need -= step
+	}
+	return true
+}
+
+func fieldsOf(list string) map[string]string {
+	m := map[string]string{}
+	for pair := range strings.SplitSeq(list, ",") {
+		name, value, _ := strings.Cut(pair, "=")
+		m[name] = value
+	}
+	return m
+}
--- /dev/null
+++ b/internal/lab/site.go
@@ -0,0 +1,200 @@
+package lab
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Class is a class of requests as the operators describe it.
+type Class struct {
+	Name    string
+	Share   float64
+	Work    time.Duration // mean, of one core at speed 1
+	Aim     time.Duration // an answer by then has its full worth
+	GiveUp  time.Duration
+	Worth   float64
+	Keyed   bool          // else safe to repeat
+	Window  time.Duration // in which every server drops a repeat
+	Unsafe  bool          // must never run twice; no class of the site is, tests are
+	Least   float64       // units that a request takes, from
+	Most    float64       // and to
+	Command string
+}
+
+// Plan is what a customer buys. Rates are units a second.
+type Plan struct {
+	Name         string
+	Share        float64 // of the use inside the quotas
+	Rate, Burst  float64
+	Price        float64
+	BeyondEarns  float64
+	CeilingRate  float64 // 0: none
+	CeilingBurst float64
+	CeilingSlack float64
+}
+
+// Customer is one partner.
+type Customer struct {
+	ID            string
+	Plan          int
+	First, Spread int
+	Use           float64 // asked on average, as a part of the rate
+}
+
+// Site is a draw of all that the operators' ranges leave open.
+type Site struct {
+	Classes   []Class
+	Plans     []Plan
+	Customers []Customer
+	Servers   int
+	Gateways  int
+	PerSecond float64 // requests inside the quotas
+
+	ColdFrom     float64
+	ColdTime     time.Duration
+	FallMultiple float64
+	FallSpan     time.Duration
+	DrainGrace   time.Duration
+	NoteLoss     float64
+	RegisterLag  time.Duration // the longest
+	Retries      int
+	MaxAttempts  int
+	Counter      bool // no notes: the gateways count at the counter
+
+	keys keyMemory
+}
+
+// keyMemory is what all quote servers remember together of keys.
+type keyMemory struct {
+	mu   sync.Mutex
+	seen map[string]time.Duration
+}
+
+// remember tells whether a key's effect happens now, and keeps it for the window.
+func (s *Site) remember(key string, now, window time.Duration) bool {
+	k := &s.keys
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.seen == nil {
+		k.seen = map[string]time.Duration{}
+	}
+	if at, ok := k.seen[key]; ok && now-at <= window {
+		return false
+	}
+	k.seen[key] = now
+	return true
+}
+
+func between(r *rand.Rand, a, b float64) float64 { return a + (b-a)*r.Float64() }
+
+// NewSite draws a site. The ranges are those that the operators have published;
+// load is the part of what the servers can do that is asked inside the quotas.
+func NewSite(seed uint64, gateways, servers int, load float64) *Site {
+	r := rand.New(rand.NewPCG(seed, 0x51))
+	s := &Site{
+		Classes: []Class{
+			{Name: "cotacao", Share: 0.76, Work: time.Duration(between(r, 120, 210)) * time.Millisecond, Aim: time.Second,
+				GiveUp: 3 * time.Second, Worth: 1, Least: 1, Most: 2, Command: "API.READ"},
+			{Name: "alerta", Share: 0.24, Work: time.Duration(between(r, 260, 460)) * time.Millisecond, Aim: 4 * time.Second,
+				GiveUp: 15 * time.Second, Worth: 3, Keyed: true, Window: 30 * time.Second, Least: 2, Most: 4, Command: "API.WRITE"},
+		},
+		Plans: []Plan{
+			{Name: "basico", Share: 0.36, Rate: between(r, 0.96, 1.7), Price: 0.72},
+			{Name: "profissional", Share: 0.41, Rate: between(r, 2.9, 4.9), Price: 1.2},
+			{Name: "corporativo", Share: 0.23, Rate: between(r, 11, 20), Price: 1.8, BeyondEarns: 0.3},
+		},
+		Gateways: gateways, Servers: servers,
+		ColdFrom: 0.15, ColdTime: 16 * time.Second, FallMultiple: 4, FallSpan: time.Second, DrainGrace: 2 * time.Second,
+		NoteLoss: 0.06, RegisterLag: 2 * time.Second, Retries: 3, MaxAttempts: 3,
+	}
+	const most = 4 // units of the largest request
+	for i, burst := range [][2]float64{{3.2, 5.8}, {3.5, 6}, {1.3, 2.8}} {
+		p := &s.Plans[i]
+		p.Burst = max(p.Rate*between(r, burst[0], burst[1]), 2*most)
+	}
+	corporate := &s.Plans[2]
+	corporate.Burst = max(corporate.Burst, 4*most)
+	times := between(r, 1.7, 2.6)
+	corporate.CeilingRate, corporate.CeilingBurst = times*corporate.Rate, times*corporate.Burst
+	corporate.CeilingSlack = max(0.1*corporate.CeilingBurst, most)
+
+	work, units := 0.0, 0.0
+	for _, c := range s.Classes {
+		work += c.Share * c.Work.Seconds()
+		units += c.Share * (c.Least + c.Most) / 2
+	}
+	capacity := 0.0
+	for i := range servers {
+		cores, speed := s.machine(i)
+		capacity += cores * speed
+	}
+	s.PerSecond = load * capacity / work
+	for i, p := range s.Plans {
+		for want := p.Share * s.PerSecond * units; want > 0; {
+			use := between(r, 0.15, 0.7)
+			if x := r.Float64(); x < 0.15 {
+				use = between(r, 0.85, 1) // uses nearly all
+			} else if x < 0.25 {
+				use = between(r, 1.3, 3) // asks for more than it has
+			}
+			want -= min(use, 1) * p.Rate
+			s.Customers = append(s.Customers, Customer{
+				Plan: i, First: r.IntN(gateways), Spread: min(gateways, 2+r.IntN(3)), Use: use,
+				ID: hex16(uint64(r.Uint32())),
+			})
+		}
+	}
+	return s
+}
+
+// machine is the size of a server: cores and their speed.
+func (s *Site) machine(i int) (cores, speed float64) {
+	if i%2 == 0 {
+		return 2, 1.3 + 0.4*float64(i%5)/4
+	}
+	return 2, 0.85 + 0.25*float64(i%5)/4
+}
+
+// settings is the object that a gateway is told at its start, for one of them.
+func (s *Site) settings(self int) map[string]any {
+	classes, plans := []any{}, []any{}
+	for _, c := range s.Classes {
+		repeat, window := "retryable", time.Duration(0)
+		if c.Keyed {
+			repeat, window = "dedup", c.Window
+		} else if c.Unsafe {
+			repeat = "fragile"
+		}
+		classes = append(classes, map[string]any{
+			"name": c.Name, "promise-us": c.Aim.Microseconds(), "hard-limit-us": c.GiveUp.Microseconds(),
+			"repeat": repeat, "group": "all", "window-us": window.Microseconds(), "worth": c.Worth,
+		})
+	}
+	for _, p := range s.Plans {
+		plan := map[string]any{
+			"name": p.Name, "rate": p.Rate, "burst": p.Burst, "value-factor": p.Price,
+			"beyond-earns": p.BeyondEarns, "beyond-costs": 1,
+		}
+		if p.CeilingRate > 0 {
+			plan["never-over-rate"], plan["ceiling-burst"], plan["hard-slack"] = p.CeilingRate, p.CeilingBurst, p.CeilingSlack
+		}
+		plans = append(plans, plan)
+	}
+	return map[string]any{
+		"self-index": self, "balancers": s.Gateways, "az": 0, "granularity-us": 4000, "localities": []string{"sala-1"},
+		"ceilings": map[string]any{
+			"peers": !s.Counter && s.Gateways > 1, "probes": false, "second-copies": true, "retry-after": true,
+			"max-attempts": s.MaxAttempts, "max-retry-after-us": 1000000, "max-open": 20000,
+			"dial-timeout-us": 250000, "idle-close-us": serverIdle.Microseconds(),
+		},
+		"family-info": map[string]any{
+			"counter": s.Counter, "settles": false, "counter-timeout-us": 50000, "max-units": 4, "mail-per-s": 60,
+		},
+		"guarantees": map[string]any{
+			"cold-from": s.ColdFrom, "cold-us": s.ColdTime.Microseconds(), "tip-after-us": s.FallSpan.Microseconds(),
+		},
+		"membership-mode": "pushed", "weights": "silent", "report": map[string]any{"names": []string{}, "via": "silent"},
+		"request-classes": classes, "tariffs": plans,
+	}
+}
--- /dev/null
+++ b/internal/lab/world.go
@@ -0,0 +1,205 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// Options say what a world is made of.
+type Options struct {
+	Seed      uint64
+	Gateways  int
+	Servers   int     // 0: as many as the load wants
+	Load      float64 // part of what the servers can do that is asked inside the quotas
+	Bin       string  // of the gateway; "": it is built
+	Operators string  // text of the operators' file, %DIR% being the gateway's folder; "": none
+	Log       io.Writer
+}
+
+// World is a site with everything running: servers, register, notes, gateways.
+type World struct {
+	Site     *Site
+	Record   *Record
+	Servers  []*Server
+	Register *Register
+	Counter  *Counter
+	Notes    *Notes
+	Gateways []*Gateway
+	Clients  *Clients
+	Dir      string
+
+	options Options
+}
+
+const readyWithin = 30 * time.Second
+
+// NewWorld builds and starts everything but the clients' requests.
+func NewWorld(ctx context.Context, o Options) (w *World, err error) {
+	if o.Log == nil {
+		o.Log = io.Discard
+	}
+	if o.Servers == 0 {
+		o.Servers = 10
+	}
+	w = &World{Site: NewSite(o.Seed, o.Gateways, o.Servers, o.Load), Record: NewRecord(), options: o}
+	if w.Dir, err = os.MkdirTemp("", "mothcleat-lab-"); err != nil {
+		return nil, err
+	}
+	defer func() {
+		if err != nil {
+			w.Close()
+			w = nil
+		}
+	}()
+	if o.Bin == "" {
+		if o.Bin, err = Build(ctx, w.Dir); err != nil {
+			return w, err
+		}
+	}
+	if w.Register, err = NewRegister(w.Record, o.Gateways, w.Site.RegisterLag, o.Seed); err != nil {
+		return w, err
+	}
+	if w.Counter, err = NewCounter(o.Seed); err != nil {
+		return w, err
+	}
+	for i := range o.Servers {
+		sv, err := NewServer(w.Site, w.Record, i, o.Seed)
+		if err != nil {
+			return w, err
+		}
+		w.Servers = append(w.Servers, sv)
+		w.Register.Set(sv, phaseReady, 0, true)
+	}
+	var peers []netip.AddrPort
+	for i := range o.Gateways {
+		var args []string
+		if o.Operators != "" {
+			args = []string{"--operators", "operators.toml"}
+		}
+		g, err := newGateway(w.Dir, o.Bin, args, w.Record, i)
+		if err != nil {
+			return w, err
+		}
+		if o.Operators != "" {
+			if err := os.WriteFile(filepath.Join(g.dir, "operators.toml"), []byte(o.Operators), 0o600); err != nil {
+				return w, err
+			}
+		}
+		g.config = w.configuration
+		w.Gateways = append(w.Gateways, g)
+		peers = append(peers, netip.MustParseAddrPort(g.Peer))
+	}
+	if w.Notes, err = NewNotes(peers, w.Site.NoteLoss, o.Seed); err != nil {
+		return w, err
+	}
+	fmt.Fprintf(o.Log, "starting %d gateways before %d quote servers, %d customers, %.0f requests/s inside the quotas\n",
+		o.Gateways, o.Servers, len(w.Site.Customers), w.Site.PerSecond)
+	errs := make(chan error, len(w.Gateways))
+	for _, g := range w.Gateways {
+		go func() { errs <- w.start(ctx, g) }()
+	}
+	for range w.Gateways {
+		err = errors.Join(err, <-errs)
+	}
+	w.Clients = NewClients(w.Site, w.Record, w.Gateways, o.Seed)
+	return w, err
+}
+
+// start starts a gateway and waits until it is ready.
+func (w *World) start(ctx context.Context, g *Gateway) error {
+	if err := g.Start(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	return g.Ready(ctx)
+}
+
+// configuration is what a gateway is told at its start.
+func (w *World) configuration(g *Gateway) map[string]any {
+	return map[string]any{
+		"name": fmt.Sprintf("n%d", g.Number), "listen": g.Address,
+		"discovery": w.Register.agents[g.Number].address, "seed": hex16(w.options.Seed*1e6 + uint64(time.Now().UnixNano())),
+		"limits":      map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": 1024},
+		"peer_listen": g.Peer, "peers": w.Notes.peers(g.Number), "peers_all": "127.0.0.1:9",
+		"counter": w.Counter.Address, "known": w.Register.agents[g.Number].known(), "settings": w.Site.settings(g.Number),
+	}
+}
+
+// Close ends everything that runs and removes the folder.
+func (w *World) Close() {
+	for _, g := range w.Gateways {
+		if g.Running() {
+			_ = g.Signal(syscall.SIGKILL)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for _, g := range w.Gateways {
+		_ = g.Gone(ctx)
+	}
+	for _, sv := range w.Servers {
+		sv.Kill()
+	}
+	if w.Register != nil {
+		w.Register.Close()
+	}
+	if w.Counter != nil {
+		w.Counter.Close()
+	}
+	if w.Notes != nil {
+		w.Notes.Close()
+	}
+	if w.Dir != "" {
+		_ = os.RemoveAll(w.Dir)
+	}
+}
+
+// Stop has all gateways stop in order and waits for their ends.
+func (w *World) Stop(ctx context.Context) error {
+	for _, g := range w.Gateways {
+		if g.Running() {
+			_ = g.Signal(syscall.SIGTERM)
+		}
+	}
+	var err error
+	for _, g := range w.Gateways {
+		err = errors.Join(err, g.Gone(ctx))
+	}
+	return err
+}
+
+// DrainServer tells the register that a server drains, and the server later.
+func (w *World) DrainServer(sv *Server) { w.Register.Set(sv, phaseStop, w.upSince(sv), false) }
+
+// KillServer ends a server's process; the register hears of it.
+func (w *World) KillServer(sv *Server) {
+	since := w.upSince(sv)
+	sv.Kill()
+	w.Register.Set(sv, phaseGone, since, false)
+}
+
+// StartServer brings a server back, cold; the register hears of it.
+func (w *World) StartServer(sv *Server) error {
+	if err := sv.Start(); err != nil {
+		return err
+	}
+	w.Register.Set(sv, phaseReady, w.upSince(sv), false)
+	return nil
+}
+
+func (w *World) upSince(sv *Server) time.Duration {
+	_, since := sv.Up()
+	return since
+}
+
+// HasGo tells whether the gateway can be built here.
+func HasGo() bool { _, err := exec.LookPath("go"); return err == nil }
