decide: give out and take in state; what is restored never holds more than what lived

Cause: a gateway that restarts has full banks, and knows no server's health or speed.

A lease is taken off each bank and ceiling for what may be taken before the next one; Urgent tells the host that a lease is nearly spent.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -105,6 +105,9 @@
 		return
 	}
 	g.born, g.swept, g.lend.at, g.awake = max(1, now), now, now, now
+	if g.lived == 0 {
+		g.lived = g.born
+	}
 	g.rouse()
 	if g.set.AskMembers {
 		g.follow()
@@ -128,13 +131,17 @@
 		first = (first%g.set.Gateways + g.set.Gateways) % g.set.Gateways
 		c = &customer{id: id, plan: plan, first: first, spread: spread, window: second,
 			store: bank{p.Burst, p.Rate, p.Burst, g.now}, grant: 1, granted: 1,
-			ceiling: bank{p.CeilingSlack / even / 2, p.CeilingRate / even, p.CeilingBurst / even, g.born}}
+			ceiling: bank{p.CeilingSlack / even / 2, p.CeilingRate / even, p.CeilingBurst / even, g.lived}}
 		if p.Rate > 0 {
 			c.window = max(Time(useWindow*p.Burst/p.Rate*float64(second)), g.mailTime(spread))
 		}
 		if !g.pooled || !g.wide(c) && g.now-g.born < min(second/2, settleIn*g.period) {
 			c.store.level /= even
 		}
+		c.ceiling.refill(g.now)
+		c.ceiling.level -= g.unsure(c, c.ceiling.rate)
+		c.store.level = math.Max(0, c.store.level-g.unsure(c, c.store.rate))
+		c.leased = leaseShare * p.Burst
 		g.idleSpill[plan] = math.Max(0, g.idleSpill[plan]-p.Rate/even)
 		g.customers[id] = c
 		g.order = append(g.order, c)
@@ -387,7 +394,8 @@
 	if !g.in(c, from) || g.member(c) {
 		return
 	}
-	h := g.heardOf(c, from)
+	h, before := g.heardOf(c, from), c.store.level
+	defer func() { g.spend(c, math.Max(0, before-c.store.level)) }()
 	taken, asked := e.taken-h.taken, e.asked-h.asked
 	switch {
 	case !h.known || h.boot != boot:
@@ -438,6 +446,7 @@
 	c.total = total
 	c.store.level = math.Max(0, c.store.level-more)
 	c.others.add(now, c.window, more)
+	g.spend(c, more)
 }
 
 func (b *backend) slowBy(now Time, x float64) {
@@ -764,6 +773,7 @@
 	if plan.CeilingRate > 0 {
 		c.ceiling.level -= q.Units
 	}
+	g.spend(c, q.Units)
 	g.again = math.Min(againMost, g.again+againShare)
 	g.requests[q.ID] = r
 	g.send(r, b)
--- /dev/null
+++ b/decide/snapshot_test.go
@@ -0,0 +1,213 @@
+package decide
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+const oldest = 60 * second
+
+// restored is a module that took in a state.
+func restored(t *testing.T, set Settings, at Time, s Snapshot) *rig {
+	t.Helper()
+	// A state is plain data: it goes through a text, as a host would keep it.
+	text, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var back Snapshot
+	if err := json.Unmarshal(text, &back); err != nil {
+		t.Fatal(err)
+	}
+	f := &fake{}
+	g, err := New(set, uint64(at), f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := g.Restore(at, oldest, &back); err != nil {
+		t.Fatal(err)
+	}
+	return &rig{Gateway: g, fake: f, t: t, at: at}
+}
+
+// Whatever happened before and whenever the process ended: what a restored module
+// holds is no more than what the one that ended would hold. The host has kept a
+// state whenever it was told that one is urgent, and now and then besides.
+func TestRestoredBanksNeverHoldMore(t *testing.T) {
+	for seed := range uint64(300) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		set := settings()
+		set.Peers, set.MailPerSecond = seed%2 == 0, 60
+		if seed%3 == 0 {
+			set.Gateways = 1
+		}
+		a := newRig(t, set)
+		other := newRig(t, set)
+		other.set.Self = set.Gateways - 1
+		kept := a.Save(a.at, false)
+		spread := min(2, set.Gateways)
+		for range 20 + r.IntN(400) {
+			a.at += Time(r.Float64() * float64(second) / 10)
+			switch x := r.IntN(10); {
+			case x == 0 && a.at > a.timerAt:
+				a.Timer(a.at, noteToken)
+			case x == 1 && set.Peers && set.Gateways > 1:
+				other.at = a.at
+				other.serve(0, r.IntN(3), 1+uint64(r.IntN(4)), 1)
+				tellAll(other, a)
+			case x == 2:
+				kept = a.Save(a.at, false)
+			default:
+				customer := 1 + uint64(r.IntN(4))
+				a.next++
+				a.Request(a.at, Request{ID: a.next, Class: r.IntN(3), Plan: int(customer % 3), Customer: customer,
+					Units: 1 + float64(r.IntN(2)), Grace: 2 * second, Spread: spread})
+				if q := a.requests[a.next]; q != nil {
+					a.end(a.next, OK, true)
+				}
+			}
+			if a.Urgent() {
+				kept = a.Save(a.at, false)
+			}
+			if r.IntN(50) == 0 {
+				break
+			}
+		}
+		down := Time(r.Float64() * 3 * float64(second))
+		b := restored(t, set, a.at+down, kept)
+		a.begin(a.at + down)
+		for customer := uint64(1); customer <= 4; customer++ {
+			plan := int(customer % 3)
+			x, y := a.customer(customer, plan, 0, spread), b.customer(customer, plan, 0, spread)
+			if y.store.level > x.store.level+1e-6 || y.ceiling.level > x.ceiling.level+1e-6 {
+				t.Fatalf("seed %d, customer %d: restored bank %g and ceiling %g, lived %g and %g", seed, customer,
+					y.store.level, y.ceiling.level, x.store.level, x.ceiling.level)
+			}
+		}
+	}
+}
+
+// An orderly end costs nobody anything: the last state holds no lease back.
+func TestOrderlyRestartKeepsLevelsAndKnowledge(t *testing.T) {
+	set := settings()
+	set.Gateways, set.Peers, set.Probes = 1, false, false
+	a := newRig(t, set)
+	a.next = 1000
+	for range 3 {
+		a.next++
+		a.Request(a.at, Request{ID: a.next, Plan: 2, Customer: 9, Units: 2, Grace: 2 * second, Spread: 1})
+		a.end(a.next, OK, true)
+	}
+	slow := a.byID[2]
+	slow.slowBy(a.at, 20)
+	broken := a.byID[3]
+	broken.down = true
+	a.leaveOut(broken, "test")
+	s := a.Save(a.at, true)
+	b := restored(t, set, a.at+second/10, s)
+	b.Members(b.at, Whole, members(4))
+	a.begin(b.at)
+	x, y := a.customer(9, 2, 0, 1), b.customer(9, 2, 0, 1)
+	near(t, "bank", y.store.level, x.store.level)
+	near(t, "ceiling", y.ceiling.level, x.ceiling.level)
+	near(t, "slowness", b.byID[2].slowness(b.at), slow.slowness(b.at))
+	if !b.byID[3].down || b.byID[3].trialAt != broken.trialAt {
+		t.Error("a backend that was left out is not")
+	}
+	near(t, "mean answer time", b.mean.v, a.mean.v)
+	if near(t, "another customer's ceiling", b.customer(10, 2, 0, 1).ceiling.level, a.customer(10, 2, 0, 1).ceiling.level); b.doubt {
+		t.Error("an orderly end leaves no doubt")
+	}
+}
+
+// A backend that has started anew since the state is another process: nothing
+// that was known of the old one holds, and it is cold.
+func TestRestartedBackendIsNotRecalled(t *testing.T) {
+	set := settings()
+	a := newRig(t, set)
+	a.byID[1].slowBy(a.at, 20)
+	a.byID[2].Started, a.byID[2].cold = a.at, bank{at: a.at} // found to have restarted by itself
+	b := restored(t, set, a.at+second/10, a.Save(a.at, true))
+	list := members(4)
+	list[0].Started = b.at - second/20
+	b.Members(b.at, Whole, list)
+	if b.byID[1].slowness(b.at) != 1 || b.share(b.byID[1]) > 0.3 {
+		t.Errorf("backend 1: slowness %g, share %g", b.byID[1].slowness(b.at), b.share(b.byID[1]))
+	}
+	if b.share(b.byID[2]) > 0.3 {
+		t.Error("what was found to be cold counts as warm")
+	}
+}
+
+// States that can't be used are refused whole, with the reason.
+func TestRestoreRefuses(t *testing.T) {
+	set := settings()
+	a := newRig(t, set)
+	a.serve(0, 2, 9, 1)
+	for reason, change := range map[string]func(*Snapshot, *Settings){
+		"version":                       func(s *Snapshot, _ *Settings) { s.Version++ },
+		"other settings":                func(_ *Snapshot, set *Settings) { set.Plans[0].Rate++ },
+		"ahead":                         func(s *Snapshot, _ *Settings) { s.At += 10 * second },
+		"old":                           func(s *Snapshot, _ *Settings) { s.At -= 2 * oldest },
+		"classes":                       func(s *Snapshot, _ *Settings) { s.Base = s.Base[:1] },
+		"row":                           func(s *Snapshot, _ *Settings) { s.Grace[1] = nil },
+		"twice":                         func(s *Snapshot, _ *Settings) { s.Customers = append(s.Customers, s.Customers[0]) },
+		"more left than the plan holds": func(s *Snapshot, _ *Settings) { s.Customers[0].Level = 1e9 },
+		"figure":                        func(s *Snapshot, _ *Settings) { s.Customers[0].Use = -1 },
+		"waits":                         func(s *Snapshot, _ *Settings) { s.Backends[0].Wait = -1 },
+	} {
+		s, other := a.Save(a.at, true), settings()
+		change(&s, &other)
+		g, err := New(other, 1, &fake{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := g.Restore(a.at+second, oldest, &s); err == nil || !strings.Contains(err.Error(), reason) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: error %v", reason, err)
+		}
+		if len(g.customers) > 0 || g.mean.n > 0 {
+			t.Errorf("%s: a part was taken in", reason)
+		}
+	}
+	s := a.Save(a.at, true)
+	if err := a.Restore(a.at, oldest, &s); err == nil {
+		t.Error("taken in after the first event")
+	}
+}
+
+// A whole fleet that restarts with its states grants no more than one that lives.
+func TestWholeFleetRestartGrantsNoBursts(t *testing.T) {
+	sent := func(restarts bool) (units float64) {
+		set := settings()
+		set.Plans[0].Burst = 20
+		rigs := make([]*rig, 2)
+		for i := range rigs {
+			set.Self = i
+			rigs[i] = newRig(t, set)
+		}
+		for i := range 200 {
+			at := start + second + Time(i)*second/20
+			if restarts && i%40 == 39 {
+				for self := range rigs {
+					set.Self = self
+					at := rigs[self].at
+					rigs[self] = restored(t, set, at, rigs[self].Save(at, false))
+					rigs[self].Members(at, Whole, members(4))
+				}
+			}
+			for self, r := range rigs {
+				r.at = max(r.at, at)
+				if r.serve(0, 0, 5, 1) {
+					units++
+				}
+				tellAll(r, rigs[1-self])
+			}
+		}
+		return units
+	}
+	if lived, again := sent(false), sent(true); again > lived*1.05 || again < lived/2 {
+		t.Errorf("%g units with restarts, %g without", again, lived)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -32,6 +32,7 @@
 	part          float64   // from the meter; 0: no reading yet
 	open          int       // attempts out
 	tell          int       // how often its use is still to be told
+	spent, leased float64   // units sent on since the last state, and those that it allows for
 }
 
 // heard is what a gateway last told of a customer.
@@ -51,6 +52,10 @@
 	awake, still  Time // the time less that during which this gateway stood still, and that
 	timerAt, woke Time // when the next timer is due; when it last woke from standing still
 	born          Time // 0: no event yet
+	lived         Time // since when ceilings have counted, over restored lives
+
+	keeps, urgent, doubt bool                    // states are kept; one is due; a former life may have taken more than its state tells
+	kept                 map[uint32]BackendState // of a former life, until the backend is listed
 
 	lend      bank      // bank 0
 	idleSpill []float64 // of each plan: rate at which dropped banks spill
@@ -167,6 +172,7 @@
 	b := g.byID[m.Backend]
 	if b == nil {
 		b = &backend{Member: m, cold: g.coldBank(), words: make([]fading, len(g.set.Classes)+len(g.set.Plans))}
+		g.recall(b)
 		g.byID[m.Backend] = b
 		g.backends = append(g.backends, b)
 	}
