Operators' file, command line, kept state and hand-over to a new process

Need: a daemon that operators start, check, reload and replace; restarts that lose nothing.

Change: internal/operators reads deploy/operators.toml strictly (go-toml v2, for its positions); internal/state keeps the module's state in one file with a checksum, replaced by rename; SIGUSR2 has a new process take the sockets over (tableflip): it signals when it could serve, the old one then stops accepting and writes its last state, which the new one takes in. A connection accepted just before the end of a drain is ended instead of being cut off at the exit.

--- a/cmd/mothcleat/main.go
+++ b/cmd/mothcleat/main.go
@@ -3,68 +3,87 @@
 package main
 
 import (
+	"errors"
+	"flag"
 	"fmt"
-	"log/slog"
+	"io"
 	"os"
-	"os/signal"
-	"runtime"
 	"runtime/debug"
-	"syscall"
-
-	"mothcleat/internal/gateway"
 )
 
+const usage = `usage: mothcleat [--operators FILE]        run a gateway
+       mothcleat check [--operators FILE]  read the files and say what is wrong with them
+       mothcleat --version | --help
+
+The configuration is the JSON file that RELAY_CONFIG names. The operators' file
+holds what the platform does not offer; without one all of that is off.
+SIGTERM stops the gateway in order, SIGHUP has both files read anew, SIGUSR2 has a new
+process take over where the operators' file says so.`
+
 func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "mothcleat:", err)
-		os.Exit(1)
-	}
+	os.Exit(command(os.Args[1:], os.Stdout, os.Stderr))
 }
 
-func run() error {
-	// Before all else: a signal that comes early must not end the program.
-	control := signals()
-	cfg, err := control.Read()
+// command runs the program and gives its exit code: 1 where it failed, 2 for misuse.
+func command(args []string, out, errs io.Writer) int {
+	what, err := parse(args)
+	if errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintln(out, usage)
+		return 0
+	}
+	if err != nil {
+		fmt.Fprintln(errs, "mothcleat:", err)
+		return 2
+	}
+	switch {
+	case what.version:
+		fmt.Fprintln(out, version())
+	case what.check:
+		err = check(what.operators, out)
+	default:
+		err = run(what.operators)
+	}
 	if err != nil {
-		return err
+		fmt.Fprintln(errs, "mothcleat:", err)
+		return 1
 	}
-	// One core, and memory well below the limit at which the platform kills.
-	// The heap is small: collecting it less often costs little and saves CPU.
-	runtime.GOMAXPROCS(1)
-	debug.SetGCPercent(400)
-	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 2 / 3)
+	return 0
+}
 
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("gateway", cfg.Name)
-	return gateway.Run(cfg, log, control)
+// options are what the command line says.
+type options struct {
+	operators      string
+	check, version bool
 }
 
-// signals has SIGTERM stop the gateway and SIGHUP reload its configuration.
-func signals() gateway.Control {
-	stopped, reload := make(chan struct{}), make(chan struct{}, 1)
-	stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
-	signal.Notify(reloads, syscall.SIGHUP)
-	go func() {
-		<-stops
-		close(stopped)
-	}()
-	go func() {
-		for range reloads {
-			reload <- struct{}{}
-		}
-	}()
-	return gateway.Control{Stop: stopped, Reload: reload, Read: configuration}
+func parse(args []string) (o options, err error) {
+	if len(args) > 0 && args[0] == "check" {
+		o.check, args = true, args[1:]
+	}
+	flags := flag.NewFlagSet("mothcleat", flag.ContinueOnError)
+	flags.SetOutput(io.Discard)
+	flags.StringVar(&o.operators, "operators", "", "")
+	flags.BoolVar(&o.version, "version", false, "")
+	if err := flags.Parse(args); err != nil {
+		return o, err
+	}
+	if flags.NArg() > 0 {
+		return o, fmt.Errorf("%q is no command; --help tells more", flags.Arg(0))
+	}
+	return o, nil
 }
 
-// configuration reads the file that RELAY_CONFIG names.
-func configuration() (gateway.Config, error) {
-	path := os.Getenv("RELAY_CONFIG")
-	if path == "" {
-		return gateway.Config{}, fmt.Errorf("configuration: RELAY_CONFIG is not set")
+// version is what the build knows of itself.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "mothcleat (unknown build)"
 	}
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return gateway.Config{}, fmt.Errorf("configuration: %w", err)
+	text := "mothcleat " + info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" || s.Key == "vcs.modified" && s.Value == "true" {
+			text += " " + s.Key[len("vcs."):] + " " + s.Value
+		}
 	}
-	return gateway.ParseConfig(raw)
+	return text + " " + info.GoVersion
 }
--- /dev/null
+++ b/cmd/mothcleat/run.go
@@ -0,0 +1,213 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/cloudflare/tableflip"
+
+	"mothcleat/internal/gateway"
+	"mothcleat/internal/operators"
+	"mothcleat/internal/state"
+)
+
+// program is one process of the gateway.
+type program struct {
+	path     string // of the operators' file
+	settings operators.Settings
+	log      *slog.Logger
+	upgrader *tableflip.Upgrader // nil: hand-over is off
+}
+
+// run serves until the gateway is told to stop.
+func run(path string) error {
+	// Before all else: a signal that comes early must not end the program.
+	control := signals()
+	handOver := make(chan os.Signal, 1)
+	signal.Notify(handOver, syscall.SIGUSR2)
+
+	p := &program{path: path}
+	cfg, err := configuration()
+	if err != nil {
+		return err
+	}
+	if p.settings, err = settings(path); err != nil {
+		return err
+	}
+	// One core, and memory well below the limit at which the platform kills.
+	// The heap is small: collecting it less often costs little and saves CPU.
+	runtime.GOMAXPROCS(1)
+	debug.SetGCPercent(400)
+	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 2 / 3)
+
+	p.log = slog.New(slog.NewTextHandler(os.Stderr, nil)).With("gateway", cfg.Name)
+	if err := p.survive(&cfg); err != nil {
+		return err
+	}
+	handed := make(chan struct{})
+	go p.handOvers(handOver, handed)
+	if p.upgrader != nil {
+		stop := control.Stop
+		go func() {
+			<-stop
+			p.upgrader.Stop() // a new process half made is ended with this one
+		}()
+	}
+	control.Handed, control.Read = handed, p.read
+	return gateway.Run(cfg, p.log, control)
+}
+
+// settings reads the operators' file; without one all is off.
+func settings(path string) (operators.Settings, error) {
+	if path == "" {
+		return operators.Defaults(), nil
+	}
+	return operators.Load(path)
+}
+
+// survive has the gateway outlive its process as far as the settings say.
+func (p *program) survive(cfg *gateway.Config) error {
+	s := &cfg.Survival
+	s.Every, s.Oldest = time.Duration(p.settings.State.Every), time.Duration(p.settings.State.Oldest)
+	if path := p.settings.State.File; path != "" {
+		keeper, err := state.Open(path)
+		if err != nil {
+			return err
+		}
+		s.Keeper = keeper
+	}
+	if !p.settings.HandOver.On {
+		return nil
+	}
+	var err error
+	p.upgrader, err = tableflip.New(tableflip.Options{
+		PIDFile: p.settings.HandOver.PIDFile, UpgradeTimeout: time.Duration(p.settings.HandOver.ReadyWithin),
+	})
+	if err != nil {
+		return fmt.Errorf("hand-over: %w", err)
+	}
+	s.Listen = func(address string) (net.Listener, error) { return p.upgrader.Listen("tcp", address) }
+	s.ListenPacket = func(address string) (net.PacketConn, error) { return p.upgrader.ListenPacket("udp", address) }
+	s.Successor, s.Ready = p.upgrader.HasParent(), p.upgrader.Ready
+	return nil
+}
+
+// handOvers has a new process take over when asked to. One that fails to get
+// ready leaves this one as it is.
+func (p *program) handOvers(asked <-chan os.Signal, handed chan<- struct{}) {
+	for range asked {
+		if p.upgrader == nil {
+			p.log.Warn("hand-over: it is off; handover.on in the operators' file switches it on")
+			continue
+		}
+		if _, err := p.read(); err != nil {
+			p.log.Error("hand-over: the new process could not start; this one serves on", "error", err)
+			continue
+		}
+		p.log.Info("hand-over: starting a new process")
+		if err := p.upgrader.Upgrade(); err != nil {
+			p.log.Error("hand-over: failed; this process serves on", "error", err)
+			continue
+		}
+		close(handed)
+		return
+	}
+}
+
+// read reads both files as they are now.
+func (p *program) read() (gateway.Config, error) {
+	cfg, err := configuration()
+	if err != nil {
+		return cfg, err
+	}
+	now, err := settings(p.path)
+	if err != nil {
+		return cfg, err
+	}
+	if fixed := p.settings.Fixed(&now); len(fixed) > 0 {
+		p.log.Warn("reload: what needs a new process stays as it was", "settings", fixed)
+	}
+	cfg.Survival.Every = time.Duration(now.State.Every)
+	return cfg, nil
+}
+
+// check reads the files and tries what they name, without serving.
+func check(path string, out io.Writer) error {
+	if path == "" && os.Getenv("RELAY_CONFIG") == "" {
+		return fmt.Errorf("check: neither RELAY_CONFIG nor --operators names a file")
+	}
+	if os.Getenv("RELAY_CONFIG") != "" {
+		cfg, err := configuration()
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "configuration: %s: good for gateway %q, %d backends known\n", os.Getenv("RELAY_CONFIG"), cfg.Name, len(cfg.Known.Members))
+	}
+	if path == "" {
+		return nil
+	}
+	s, err := settings(path)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "operators: %s: good\n", path)
+	if s.State.File == "" {
+		return nil
+	}
+	keeper, err := state.Open(s.State.File)
+	if err != nil {
+		return err
+	}
+	switch kept, err := keeper.Load(); {
+	case errors.Is(err, fs.ErrNotExist):
+		fmt.Fprintf(out, "state: %s: none yet\n", s.State.File)
+	case err != nil:
+		fmt.Fprintf(out, "state: would be refused: %v\n", err)
+	default:
+		fmt.Fprintf(out, "state: %s: %d customers, %v old\n", filepath.Base(s.State.File), len(kept.Customers),
+			time.Since(time.UnixMicro(kept.At)).Round(time.Second))
+	}
+	return nil
+}
+
+// signals has SIGTERM stop the gateway and SIGHUP reload its configuration.
+func signals() gateway.Control {
+	stopped, reload := make(chan struct{}), make(chan struct{}, 1)
+	stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
+	go func() {
+		<-stops
+		close(stopped)
+	}()
+	go func() {
+		for range reloads {
+			reload <- struct{}{}
+		}
+	}()
+	return gateway.Control{Stop: stopped, Reload: reload, Read: configuration}
+}
+
+// configuration reads the file that RELAY_CONFIG names.
+func configuration() (gateway.Config, error) {
+	path := os.Getenv("RELAY_CONFIG")
+	if path == "" {
+		return gateway.Config{}, fmt.Errorf("configuration: RELAY_CONFIG is not set")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return gateway.Config{}, fmt.Errorf("configuration: %w", err)
+	}
+	return gateway.ParseConfig(raw)
+}
--- a/decide/snapshot.go
+++ b/decide/snapshot.go
@@ -119,11 +119,11 @@
 }
 
 // Restore takes in the state of a former life, at most so old. It must come
-// before the first event. An error tells why the state can't be used; the gateway
+// before the first request and note; members may have been told. An error tells why the state can't be used; the gateway
 // then knows nothing, as if there had been none.
 func (g *Gateway) Restore(now, oldest Time, s *Snapshot) error {
 	switch age := now - s.At; {
-	case g.born != 0:
+	case len(g.customers) > 0 || len(g.requests) > 0:
 		return errors.New("state: the gateway has begun")
 	case s.Version != SnapshotVersion:
 		return fmt.Errorf("state: version %d, %d wanted", s.Version, SnapshotVersion)
@@ -138,7 +138,7 @@
 		return err
 	}
 	g.now = max(g.now, now)
-	g.awake = g.now
+	g.awake = g.now - g.still
 	g.lived, g.doubt = s.Born, !s.Last
 	g.mean, g.worth, g.late = s.Mean.mean(), s.Worth.mean(), s.Late.mean()
 	for i := range g.base {
@@ -150,7 +150,7 @@
 		}
 	}
 	// What was in the last second before is the best guess for the next one.
-	g.inTime = fading{s.InTime * fade(now-s.At, 10*second), now}
+	g.inTime = fading{s.InTime * fade(now-s.At, 10*second), g.awake}
 	g.pace = fading{s.Pace * fade(now-s.At, 10*second), now}
 	for _, k := range s.Customers {
 		g.restore(&k, now-s.At)
@@ -159,6 +159,9 @@
 	for _, b := range s.Backends {
 		g.kept[b.Backend] = b
 	}
+	for _, b := range g.backends {
+		g.recall(b)
+	}
 	return nil
 }
 
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -92,6 +92,12 @@
 		used: now,
 	}
 	cs.conns[c] = true
+	if l.drain.closing {
+		// It was accepted just before the end: what it sends is not taken.
+		go c.read(l)
+		c.end(l)
+		return
+	}
 	if len(cs.conns) > cs.most {
 		cs.evict(l, nil)
 	}
@@ -302,7 +308,7 @@
 		c.surplus = !cs.evict(l, c)
 	}
 	full = full || l.cfg.Host.MaxOpen > 0 && l.open > l.cfg.Host.MaxOpen || l.held >= l.cfg.MemoryMB<<20/4
-	if !full && !c.surplus && !l.drain.answered {
+	if !full && !c.surplus && !l.drain.answered && !l.drain.handed {
 		return nil
 	}
 	c.ending = c.ending || c.surplus
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -32,6 +32,8 @@
 
 	Settings decide.Settings
 	Host     wire.Host
+
+	Survival Survival // from the operators' file
 }
 
 // file is the configuration as it is written.
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -162,7 +162,7 @@
 	}
 	tell := func(n news) {
 		select {
-		case l.urgent <- n:
+		case l.urgents <- n:
 		case <-ctx.Done():
 		}
 	}
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -13,6 +13,7 @@
 // drain is the state of a planned shutdown.
 type drain struct {
 	begun, closing, answered, last bool
+	handed                         bool // a new process serves: nothing more is taken
 }
 
 // stop begins a planned shutdown.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,7 @@
 	l.start(ctx)
 	go control.steer(ctx, l)
 	l.run()
+	l.lastState()
 	_ = l.clients.listener.Close()
 	if l.peers.conn != nil {
 		_ = l.peers.conn.Close()
@@ -42,9 +43,9 @@
 func newLoop(cfg Config, log *slog.Logger) (*Loop, error) {
 	l := &Loop{
 		cfg: cfg, log: log, clock: newClock(),
-		events: make(chan event, queued), urgent: make(chan event, 16),
+		events: make(chan event, queued), urgents: make(chan event, 16),
 		requests: map[uint64]*request{}, names: map[uint64]*request{}, timer: time.NewTimer(time.Hour),
-		counter: newCounter(&cfg), discovery: newDiscovery(&cfg),
+		counter: newCounter(&cfg), discovery: newDiscovery(&cfg), survival: newSurvival(cfg.Survival),
 	}
 	l.timer.Stop()
 	// Two in five descriptors are for clients, as many for backends, some spare.
@@ -60,12 +61,17 @@
 	if l.peers, err = newPeers(&cfg, log); err != nil {
 		return nil, err
 	}
-	addr, err := net.ResolveTCPAddr("tcp", cfg.Listen)
+	listen := cfg.Survival.Listen
+	if listen == nil {
+		listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
+	listener, err := listen(cfg.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	if l.clients.listener, err = net.ListenTCP("tcp", addr); err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
+	l.clients.listener = listener.(*net.TCPListener)
+	if cfg.Survival.Keeper != nil && !cfg.Survival.Successor {
+		l.restore()
 	}
 	return l, nil
 }
@@ -77,7 +83,8 @@
 	l.at(l.now()+untilReady, readyAnyway{})
 	l.at(l.now()+sweepEvery, sweep{})
 	go l.discovery.run(ctx, l)
-	if l.peers.conn != nil {
+	l.keep(ctx)
+	if l.peers.conn != nil && !l.survival.Successor {
 		go l.peers.read(l)
 	}
 	if l.counter.on {
@@ -100,11 +107,21 @@
 
 // ready has clients accepted from now on: until then nothing answers PING.
 func (l *Loop) ready() {
-	if !l.accepting {
-		l.accepting = true
-		l.log.Info("ready", "listen", l.clients.listener.Addr().String(), "backends", len(l.backends.byNumber))
-		go l.clients.accept(l)
+	if l.accepting {
+		return
 	}
+	l.accepting = true
+	if l.survival.Ready == nil {
+		l.serveClients()
+		return
+	}
+	go l.takeOver()
+}
+
+// serveClients has clients and notes taken in from now on.
+func (l *Loop) serveClients() {
+	l.log.Info("ready", "listen", l.clients.listener.Addr().String(), "backends", len(l.backends.byNumber))
+	go l.clients.accept(l)
 }
 
 // readyAnyway ends the wait for discovery, which may be down for long.
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -47,12 +47,12 @@
 	last   decide.Time
 	module *decide.Gateway
 
-	events chan event
-	urgent chan event // discovery's news: ahead of all queued work
-	queue  []event    // what follows from the module's own actions
-	timers timerHeap
-	timer  *time.Timer
-	armed  decide.Time
+	events  chan event
+	urgents chan event // discovery's news: ahead of all queued work
+	queue   []event    // what follows from the module's own actions
+	timers  timerHeap
+	timer   *time.Timer
+	armed   decide.Time
 
 	requests map[uint64]*request
 	names    map[uint64]*request // those without a final answer, by the id that the client gave
@@ -66,6 +66,7 @@
 	peers     *peers
 	counter   *counter
 	discovery *discovery
+	survival  survival
 	drain     drain
 	accepting bool
 	done      bool
@@ -74,6 +75,9 @@
 // post hands an event to the loop.
 func (l *Loop) post(e event) { l.events <- e }
 
+// urgentPost hands an event to the loop ahead of all queued work.
+func (l *Loop) urgentPost(e event) { l.urgents <- e }
+
 // later has an event handled right after the one at hand. Actions use it: they
 // must not call the module while it is deciding.
 func (l *Loop) later(e event) { l.queue = append(l.queue, e) }
@@ -91,13 +95,13 @@
 		// Discovery first: work queued before a drain was told must not be sent
 		// on after its grace.
 		select {
-		case e := <-l.urgent:
+		case e := <-l.urgents:
 			l.handle(e)
 			continue
 		default:
 		}
 		select {
-		case e := <-l.urgent:
+		case e := <-l.urgents:
 			l.handle(e)
 		case e := <-l.events:
 			l.handle(e)
@@ -110,6 +114,7 @@
 func (l *Loop) handle(e event) {
 	e.handle(l)
 	l.follow()
+	l.urgent()
 }
 
 // follow handles what the actions left behind.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -23,13 +23,15 @@
 	if !cfg.Settings.Peers {
 		return p, nil
 	}
-	addr, err := net.ResolveUDPAddr("udp", cfg.PeerListen)
-	if err != nil {
-		return nil, fmt.Errorf("peer_listen: %w", err)
+	listen := cfg.Survival.ListenPacket
+	if listen == nil {
+		listen = func(address string) (net.PacketConn, error) { return net.ListenPacket("udp", address) }
 	}
-	if p.conn, err = net.ListenUDP("udp", addr); err != nil {
+	conn, err := listen(cfg.PeerListen)
+	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
+	p.conn = conn.(*net.UDPConn)
 	return p, nil
 }
 
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -8,6 +8,7 @@
 // Control is how the program round a gateway steers it.
 type Control struct {
 	Stop   <-chan struct{}        // closed for a planned shutdown
+	Handed <-chan struct{}        // closed when a new process has taken over; nil: never
 	Reload <-chan struct{}        // a value for each configuration to be taken in
 	Read   func() (Config, error) // reads the configuration as it is now
 }
@@ -15,7 +16,7 @@
 // steer passes on what the gateway is told to do. A new configuration that can't
 // be read or used leaves the old one in force: a gateway that serves goes on.
 func (c Control) steer(ctx context.Context, l *Loop) {
-	stopped := c.Stop
+	stopped, handed := c.Stop, c.Handed
 	for {
 		var e event
 		select {
@@ -23,6 +24,8 @@
 			return
 		case <-stopped:
 			stopped, e = nil, stop{}
+		case <-handed:
+			handed, e = nil, handedOver{}
 		case <-c.Reload:
 			cfg, err := c.Read()
 			if err != nil {
@@ -32,7 +35,7 @@
 			e = reloaded{cfg}
 		}
 		select {
-		case l.urgent <- e: // not behind a queue of requests
+		case l.urgents <- e: // not behind a queue of requests
 		case <-ctx.Done():
 			return
 		}
@@ -55,6 +58,7 @@
 	if e.cfg.Counter != "" {
 		l.counter.move(e.cfg.Counter)
 	}
+	l.survival.every = max(50_000, e.cfg.Survival.Every.Microseconds())
 }
 
 // fixed names what another configuration would change that only a restart can.
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -261,7 +261,7 @@
 	go func() { l.serve(control); close(r.ended) }()
 	t.Cleanup(func() {
 		select {
-		case l.urgent <- halt{}:
+		case l.urgents <- halt{}:
 		case <-r.ended:
 		case <-time.After(patience):
 		}
--- /dev/null
+++ b/internal/operators/operators_test.go
@@ -0,0 +1,84 @@
+package operators
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// The file that is shipped states the defaults, all of them.
+func TestShippedFileStatesTheDefaults(t *testing.T) {
+	path := filepath.Join("..", "..", "deploy", "operators.toml")
+	s, err := Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s != Defaults() {
+		t.Errorf("shipped %+v, defaults %+v", s, Defaults())
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, key := range []string{"file", "every", "oldest", "on", "pid_file", "ready_within"} {
+		if !strings.Contains(string(raw), "\n"+key+" = ") {
+			t.Errorf("%s is not in the shipped file", key)
+		}
+	}
+}
+
+func TestWhatIsSetIsTaken(t *testing.T) {
+	s, err := Parse([]byte("[state]\nfile = \"/x/state\"\nevery = \"250ms\"\n[handover]\non = true\npid_file = \"/x/pid\"\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Defaults()
+	want.State.File, want.State.Every = "/x/state", Duration(250*time.Millisecond)
+	want.HandOver.On, want.HandOver.PIDFile = true, "/x/pid"
+	if s != want {
+		t.Errorf("%+v", s)
+	}
+	if s, err := Parse(nil); err != nil || s != Defaults() {
+		t.Errorf("an empty file: %+v, %v", s, err)
+	}
+}
+
+// Each error is one line with the line number, the key and the reason.
+func TestBadFiles(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{"[state]\n\nfil = \"x\"\n", "3: state.fil: no such setting"},
+		{"[stat]\n", "1: stat: no such setting"},
+		{"state.every = 1\n", "1: state.every:"},
+		{"[state]\nevery = \"soon\"\n", "2: state.every:"},
+		{"[state]\nfile = \"x\"\nevery = \"1ms\"\n", "3: state.every: 1ms: from 50ms"},
+		{"[state]\nevery = \"30s\"\noldest = \"2s\"\n", "3: state.oldest: less than"},
+		{"[handover]\non = \"yes\"\n", "2: handover.on:"},
+		{"[handover]\npid_file = \"p\"\n", "2: handover.pid_file: set though"},
+		{"[handover]\nready_within = \"0s\"\n", "2: handover.ready_within: 0s"},
+		{"[state\n", "1:"},
+		{"[state]\nevery = \"1s\"\nevery = \"1s\"\n", "3:"},
+		{"\n\n= 1", "3:"},
+	} {
+		_, err := Parse([]byte(c.text))
+		if err == nil || !strings.HasPrefix(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: error %v, want %q", c.text, err, c.want)
+		}
+	}
+	if _, err := Load(filepath.Join(t.TempDir(), "none")); err == nil {
+		t.Error("no error for a file that is not there")
+	}
+}
+
+func TestFixedNamesWhatNeedsANewProcess(t *testing.T) {
+	a, b := Defaults(), Defaults()
+	b.State.Every = Duration(2 * time.Second)
+	if got := a.Fixed(&b); len(got) > 0 {
+		t.Errorf("%v", got)
+	}
+	b.State.File, b.HandOver.On = "x", true
+	if got := a.Fixed(&b); len(got) != 2 {
+		t.Errorf("%v", got)
+	}
+}
