--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -20,8 +20,10 @@
 
   try      three gateways with stand-ins and a minute of traffic
            --serve keeps them running
-  fleet    many instances, killed and restarted at random
-           --instances N, --state on|off|both, --only LIST
+  fleet    many instances, killed, stopped, replaced and reloaded at random
+           --instances N, --load X; --state on|off|both: whether they keep their
+           state, or two fleets side by side; --in-place: hand-overs and reloads
+           only; --whole: one restart of all, beside a fleet that has none
 
 Progress goes to standard error; the last line on standard output is one JSON
 object. Exit code 0: no rule broken and every promise kept; 1: not so; 2: misuse.`
@@ -54,6 +56,27 @@
 	case "try":
 		serve := flags.Bool("serve", false, "")
 		play = func() (*lab.Figures, error) { return lab.RunTry(ctx, *seed, *length, *serve, out, progress) }
+	case "fleet":
+		o := lab.FleetOptions{}
+		flags.IntVar(&o.Instances, "instances", 8, "")
+		flags.StringVar(&o.State, "state", "on", "")
+		flags.BoolVar(&o.InPlace, "in-place", false, "")
+		flags.BoolVar(&o.Whole, "whole", false, "")
+		flags.Float64Var(&o.Load, "load", 0.55, "")
+		play = func() (*lab.Figures, error) {
+			switch {
+			case o.Instances < 1 || o.Instances > 200:
+				return nil, fmt.Errorf("--instances %d: 1 to 200 wanted", o.Instances)
+			case o.State != "on" && o.State != "off" && o.State != "both":
+				return nil, fmt.Errorf("--state %s: on, off or both wanted", o.State)
+			case !(o.Load > 0 && o.Load <= 2):
+				return nil, fmt.Errorf("--load %g: above 0, 2 at most wanted", o.Load)
+			case o.InPlace && o.Whole:
+				return nil, errors.New("--in-place and --whole exclude each other")
+			}
+			o.Seed, o.For = *seed, *length
+			return lab.RunFleet(ctx, o, progress)
+		}
 	default:
 		return 2, fmt.Errorf("%q is no command: try or fleet; --help tells more", args[0])
 	}
--- /dev/null
+++ b/internal/lab/fleet.go
@@ -0,0 +1,434 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// FleetOptions say how a fleet is treated.
+type FleetOptions struct {
+	Seed      uint64
+	Instances int
+	For       time.Duration
+	State     string // "on", "off" or "both": whether gateways keep their state
+	InPlace   bool   // only hand-overs and reloads: no port may ever be closed
+	Whole     bool   // one restart of the whole fleet, against a fleet that has none
+	Quiet     bool   // nothing is killed or restarted
+	Load      float64
+	Bin       string // of the gateway; "": it is built
+}
+
+// operatorsText is the operators' file of an instance; paths are in its folder.
+func operatorsText(state bool) string {
+	text := "[handover]\non = true\npid_file = \"pid\"\nready_within = \"10s\"\n"
+	if state {
+		text += "[state]\nfile = \"state\"\nevery = \"1s\"\n"
+	}
+	return text
+}
+
+// RunFleet runs a fleet and restarts its instances in every way, at random. With
+// both, two worlds of the same seed run side by side; with Whole a third one, in
+// which nothing restarts.
+func RunFleet(ctx context.Context, o FleetOptions, progress io.Writer) (*Figures, error) {
+	if o.Load == 0 {
+		o.Load = 0.55
+	}
+	if o.Bin == "" {
+		dir, err := os.MkdirTemp("", "mothcleat-bin-")
+		if err != nil {
+			return nil, err
+		}
+		defer os.RemoveAll(dir)
+		if o.Bin, err = Build(ctx, dir); err != nil {
+			return nil, err
+		}
+	}
+	type world struct {
+		name  string
+		o     FleetOptions
+		state bool
+	}
+	worlds := []world{{"with", o, true}}
+	switch o.State {
+	case "off":
+		worlds[0] = world{"without", o, false}
+	case "both":
+		worlds = append(worlds, world{"without", o, false})
+	}
+	if o.Whole {
+		still := o
+		still.Quiet = true
+		worlds = append(worlds, world{"undisturbed", still, true})
+	}
+	figures, errs := make([]*Figures, len(worlds)), make([]error, len(worlds))
+	var wg sync.WaitGroup
+	for i, w := range worlds {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			log := progress
+			if i > 0 {
+				log = io.Discard
+			}
+			figures[i], errs[i] = runWorld(ctx, w.o, w.state, log)
+		}()
+	}
+	wg.Wait()
+	for i, err := range errs {
+		if err != nil {
+			return figures[0], fmt.Errorf("%s: %w", worlds[i].name, err)
+		}
+	}
+	f := figures[0]
+	f.Extra["state"] = worlds[0].name
+	for i, other := range figures[1:] {
+		name := worlds[i+1].name
+		f.Extra[name] = other
+		if !other.OK {
+			f.miss("the fleet " + name + " did not hold its promises")
+		}
+		if name == "undisturbed" {
+			f.compare(other)
+		}
+	}
+	return f, nil
+}
+
+// compare judges a whole-fleet restart against a fleet that had none: what is
+// handed out beyond the quotas, as a part of all that is handed out, is no more
+// but for one part in twenty.
+func (f *Figures) compare(still *Figures) {
+	sent := func(f *Figures) float64 { return f.Extra["sent_units"].(float64) }
+	mine, other := f.Over/sent(f), still.Over/sent(still)
+	f.Extra["over_quota_share"], f.Extra["over_quota_share_undisturbed"] = mine, other
+	if mine > other+0.05 {
+		f.miss(fmt.Sprintf("%.3f of the units went beyond the quotas, %.3f in the fleet that did not restart", mine, other))
+	}
+}
+
+func runWorld(ctx context.Context, o FleetOptions, state bool, progress io.Writer) (*Figures, error) {
+	w, err := NewWorld(ctx, Options{Seed: o.Seed, Gateways: o.Instances, Servers: 12, Load: o.Load, Bin: o.Bin,
+		Operators: operatorsText(state), Log: progress})
+	if err != nil {
+		return nil, err
+	}
+	defer w.Close()
+	c := &chaos{w: w, o: o, busy: make([]sync.Mutex, o.Instances)}
+	asking, cancel := context.WithTimeout(ctx, o.For)
+	defer cancel()
+	w.progress(asking, progress, o.For)
+	if !o.Quiet {
+		c.run(asking)
+	}
+	w.Clients.Run(asking)
+	c.wg.Wait()
+	stop, cancel := context.WithTimeout(context.Background(), readyWithin)
+	defer cancel()
+	if err := w.Stop(stop); err != nil {
+		c.fail(err)
+	}
+	f := Figure("fleet", o.Seed, w.Site, w.Record)
+	c.figures(f)
+	return f, nil
+}
+
+// chaos restarts a world's gateways and servers.
+type chaos struct {
+	w    *World
+	o    FleetOptions
+	wg   sync.WaitGroup
+	busy []sync.Mutex // a gateway has one thing done to it at a time
+
+	mu       sync.Mutex
+	errs     []error
+	restarts map[string]int
+	stayed   int // hand-overs that the old process refused, or that failed
+}
+
+func (c *chaos) fail(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.errs = append(c.errs, err)
+}
+
+func (c *chaos) did(what string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.restarts == nil {
+		c.restarts = map[string]int{}
+	}
+	c.restarts[what]++
+}
+
+func (c *chaos) run(ctx context.Context) {
+	r := rand.New(rand.NewPCG(c.o.Seed, 0xca05))
+	if c.o.Whole {
+		c.wg.Add(1)
+		go func() { defer c.wg.Done(); c.whole(ctx, c.o.For/2) }()
+		return
+	}
+	c.wg.Add(1)
+	go func() { defer c.wg.Done(); c.gateways(ctx, r) }()
+	if !c.o.InPlace {
+		c.wg.Add(1)
+		go func() { defer c.wg.Done(); c.servers(ctx, rand.New(rand.NewPCG(c.o.Seed, 0x5e4))) }()
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// whole kills every instance within a moment, and starts them all again.
+func (c *chaos) whole(ctx context.Context, after time.Duration) {
+	if !sleep(ctx, after) {
+		return
+	}
+	var wg sync.WaitGroup
+	for i, g := range c.w.Gateways {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c.restart(ctx, g, []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM}[i%2])
+		}()
+	}
+	wg.Wait()
+	c.did("whole")
+}
+
+// gateways does something to a gateway now and then, several at once at times; a
+// third of the way through it restarts the whole fleet, with the register silent.
+func (c *chaos) gateways(ctx context.Context, r *rand.Rand) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	// Each instance gets something about every 20 s, as far as one machine starts processes.
+	mean := max(200*time.Millisecond, 20*time.Second/time.Duration(c.o.Instances))
+	begun, together := time.Now(), c.o.InPlace
+	for sleep(ctx, time.Duration(r.ExpFloat64()*float64(mean))) {
+		if !together && time.Since(begun) > c.o.For/3 {
+			together = true
+			c.w.Register.Silence(true)
+			c.whole(ctx, 0)
+			time.AfterFunc(2*time.Second, func() { c.w.Register.Silence(false) })
+		}
+		g := c.w.Gateways[r.IntN(len(c.w.Gateways))]
+		what := r.IntN(10)
+		more := r.IntN(4)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if !c.busy[g.Number].TryLock() {
+				return
+			}
+			defer c.busy[g.Number].Unlock()
+			switch {
+			case c.o.InPlace && what < 7 || !c.o.InPlace && what < 3:
+				c.handOver(g)
+			case what < 5 && !c.o.InPlace:
+				c.cycle(ctx, g, syscall.SIGKILL, more)
+			case what < 8 && !c.o.InPlace:
+				c.cycle(ctx, g, syscall.SIGTERM, more)
+			default:
+				for range 1 + 5*(more/3) { // a storm now and then
+					_ = g.Configure()
+					_ = g.Signal(syscall.SIGHUP)
+				}
+				c.did("reload")
+			}
+		}()
+	}
+}
+
+func (c *chaos) handOver(g *Gateway) {
+	// Not bound to the run: what was begun is ended.
+	ctx, cancel := context.WithTimeout(context.Background(), 12*time.Second)
+	defer cancel()
+	if !g.Running() {
+		return
+	}
+	began := c.w.Record.Now()
+	switch ok, err := g.HandOver(ctx); {
+	case err != nil:
+		c.fail(err)
+	case !ok: // the process before may still have been draining
+		c.mu.Lock()
+		c.stayed++
+		c.mu.Unlock()
+	default:
+		c.did("in place")
+		c.w.Record.AddLife(g.Number, Ready)
+		g.mu.Lock()
+		g.readyIn = append(g.readyIn, c.w.Record.Now()-began)
+		g.mu.Unlock()
+	}
+}
+
+// restart stops a gateway in one way and starts it again.
+func (c *chaos) restart(ctx context.Context, g *Gateway, s syscall.Signal) {
+	c.busy[g.Number].Lock()
+	defer c.busy[g.Number].Unlock()
+	c.cycle(ctx, g, s, 0)
+}
+
+// cycle is the same for who holds the gateway. Further signals come amid the drain.
+func (c *chaos) cycle(ctx context.Context, g *Gateway, s syscall.Signal, more int) {
+	if g.Signal(s) != nil {
+		return
+	}
+	if s == syscall.SIGTERM && more > 0 {
+		time.Sleep(100 * time.Millisecond)
+		_ = g.Configure()
+		for _, again := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGUSR2}[:more] {
+			g.mu.Lock()
+			if g.pid != 0 {
+				_ = syscall.Kill(g.pid, again)
+			}
+			g.mu.Unlock()
+		}
+	}
+	wait, cancel := context.WithTimeout(context.Background(), readyWithin)
+	defer cancel()
+	if err := g.Gone(wait); err != nil {
+		c.fail(err)
+		return
+	}
+	sleep(ctx, 200*time.Millisecond)
+	if err := c.w.start(wait, g); err != nil {
+		c.fail(err)
+		return
+	}
+	c.did(map[syscall.Signal]string{syscall.SIGKILL: "killed", syscall.SIGTERM: "stopped"}[s])
+}
+
+// servers drains, kills and restarts one quote server after another: after each
+// start there is a cold one.
+func (c *chaos) servers(ctx context.Context, r *rand.Rand) {
+	for sleep(ctx, time.Duration(between(r, 1, 4)*float64(time.Second))) {
+		sv := c.w.Servers[r.IntN(len(c.w.Servers))]
+		if up, _ := sv.Up(); !up {
+			continue
+		}
+		if r.IntN(2) == 0 {
+			c.w.DrainServer(sv)
+			if !sleep(ctx, c.w.Site.RegisterLag+c.w.Site.DrainGrace+time.Second) {
+				return
+			}
+		}
+		c.w.KillServer(sv)
+		if !sleep(ctx, time.Duration(between(r, 1, 3)*float64(time.Second))) {
+			return
+		}
+		if err := c.w.StartServer(sv); err != nil {
+			c.fail(err)
+			return
+		}
+		if r.IntN(3) == 0 {
+			other := c.w.Servers[r.IntN(len(c.w.Servers))]
+			other.SetFault([]Fault{{Errors: 0.6}, {Slow: 4}, {Reset: 0.3}}[r.IntN(3)])
+			sleep(ctx, 3*time.Second)
+			other.SetFault(Fault{})
+		}
+	}
+}
+
+// figures adds what was done and how the gateways took it.
+func (c *chaos) figures(f *Figures) {
+	rec, s := c.w.Record, c.w.Site
+	var ready []time.Duration
+	rss := 0
+	for _, g := range c.w.Gateways {
+		g.mu.Lock()
+		ready, rss = append(ready, g.readyIn...), max(rss, g.rss)
+		g.mu.Unlock()
+	}
+	slices.Sort(ready)
+	if len(ready) > 0 {
+		f.Extra["ready_ms_p99"] = ready[min(len(ready)-1, len(ready)*99/100)].Milliseconds()
+	}
+	f.Extra["rss_mb_max"] = float64(rss) / 1024
+	total := 0
+	for _, n := range c.restarts {
+		total += n
+	}
+	f.Extra["restarts"], f.Extra["restarts_by_kind"], f.Extra["hand_overs_refused"] = total, c.restarts, c.stayed
+	refused, inPlace := refusals(rec)
+	f.Extra["refused_connections"], f.Extra["refused_connections_in_place"] = refused, inPlace
+	f.Extra["service_10s_after_restart"] = afterRestart(s, rec, 10*time.Second)
+	f.Extra["sent_units"], f.Extra["lent_units"] = sentUnits(rec), 0.0
+	if inPlace > 0 {
+		f.miss(fmt.Sprintf("%d connections refused by gateways that were never stopped", inPlace))
+	}
+	for _, err := range c.errs[:min(len(c.errs), 3)] {
+		f.miss(err.Error())
+	}
+	if n := c.w.Notes.Over.Load(); n > 0 {
+		f.miss(fmt.Sprintf("%d notes over 256 bytes", n))
+	}
+}
+
+func sentUnits(rec *Record) (units float64) {
+	whole := map[string]bool{}
+	for _, a := range rec.Attempts {
+		whole[a.ID] = true
+	}
+	for _, t := range rec.Tries {
+		if whole[t.ID] {
+			units += t.Units
+		}
+	}
+	return units
+}
+
+// refusals counts the connections that found a closed port, and those of them at
+// gateways that nobody had stopped.
+func refusals(rec *Record) (all, inPlace int) {
+	for _, t := range rec.Tries {
+		if t.NoPort == 0 {
+			continue
+		}
+		all++
+		last := Started
+		for _, l := range rec.Lives {
+			if l.Gateway == t.Gateway && l.At <= t.NoPort && l.Event != Reloaded {
+				last = l.Event
+			}
+		}
+		if last == Ready || last == Handed {
+			inPlace++
+		}
+	}
+	return all, inPlace
+}
+
+// afterRestart is the service of requests that came first to a gateway within
+// some time of its start.
+func afterRestart(s *Site, rec *Record, span time.Duration) float64 {
+	var since []Life
+	first := map[int]bool{}
+	for _, l := range rec.Lives {
+		if l.Event == Started && !first[l.Gateway] {
+			first[l.Gateway] = true // the beginning of the run is none
+		} else if l.Event == Started || l.Event == Handed {
+			since = append(since, l)
+		}
+	}
+	all := slices.DeleteFunc(outcomes(s, rec), func(o outcome) bool {
+		return !slices.ContainsFunc(since, func(l Life) bool {
+			return l.Gateway == o.try.Gateway && o.try.Asked >= l.At && o.try.Asked < l.At+span
+		})
+	})
+	return service(s, all)
+}
--- a/internal/lab/front.go
+++ b/internal/lab/front.go
@@ -145,7 +145,9 @@
 	for again := false; ; again = true {
 		conn, err := f.take(t.Gateway, again)
 		if err != nil {
-			t.NoPort = errors.Is(err, syscall.ECONNREFUSED)
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				t.NoPort = f.rec.Now()
+			}
 			f.refused(ctx, t.Gateway)
 			return // what a former connection ended with stands
 		}
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -73,9 +74,14 @@
 	return "", fmt.Errorf("no free port at %s", host)
 }
 
-func newGateway(dir, bin string, args []string, rec *Record, i int) (*Gateway, error) {
+// worlds counts those of this process: each has hosts of its own.
+var worlds atomic.Uint32
+
+const worldsMost = 5 // whose hosts are apart
+
+func newGateway(dir, bin string, args []string, rec *Record, world uint32, i int) (*Gateway, error) {
 	pid := os.Getpid()
-	host := netip.AddrFrom4([4]byte{127, byte(64 + pid%128), byte(pid / 128 % 250), byte(1 + i%250)})
+	host := netip.AddrFrom4([4]byte{127, byte(64 + pid%128), byte(pid/128%50*worldsMost + int(world%worldsMost)), byte(1 + i%250)})
 	g := &Gateway{Number: i, dir: filepath.Join(dir, fmt.Sprintf("n%d", i)), bin: bin, args: args, rec: rec}
 	if err := os.MkdirAll(g.dir, 0o700); err != nil {
 		return nil, err
--- a/internal/lab/record.go
+++ b/internal/lab/record.go
@@ -48,7 +48,7 @@
 	After    time.Duration // the advice that came with a refusal
 	Closed   time.Duration // its first connection ended without a byte of an answer, then; it was sent once more
 	Reset    bool          // a connection was reset, not closed
-	NoPort   bool          // nothing listened at the gateway's address
+	NoPort   time.Duration // when nothing listened at the gateway's address; 0: something did
 }
 
 // Attempt is one request as a quote server saw it.
--- a/internal/lab/register.go
+++ b/internal/lab/register.go
@@ -124,7 +124,15 @@
 			a.take(m)
 			continue
 		}
-		time.AfterFunc(late, func() { a.take(m) })
+		time.AfterFunc(late, func() {
+			r.mu.Lock()
+			silent, heard := r.silent, r.heard
+			r.mu.Unlock()
+			if silent {
+				<-heard // nothing reaches an agent meanwhile
+			}
+			a.take(m)
+		})
 	}
 }
 
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -79,12 +79,13 @@
 		w.Register.Set(sv, phaseReady, 0, true)
 	}
 	var peers []netip.AddrPort
+	world := worlds.Add(1)
 	for i := range o.Gateways {
 		var args []string
 		if o.Operators != "" {
 			args = []string{"--operators", "operators.toml"}
 		}
-		g, err := newGateway(w.Dir, o.Bin, args, w.Record, i)
+		g, err := newGateway(w.Dir, o.Bin, args, w.Record, world, i)
 		if err != nil {
 			return w, err
 		}
