--- a/internal/lab/audit.go
+++ b/internal/lab/audit.go
@@ -91,6 +91,27 @@
 	})
 }
 
+var kinds = [...]string{"unsent", "served", "refused", "failed", "ended", "silent"}
+
+func times(list []Attempt) (at []time.Duration) {
+	for _, a := range list {
+		at = append(at, a.First)
+	}
+	return at
+}
+
+// lately tells what had happened to a gateway shortly before a moment.
+func lately(rec *Record, gateway int, before time.Duration) string {
+	names := [...]string{"started", "ready", "told to stop", "reloaded", "handed over", "killed", "ended", "crashed"}
+	text := "gateway"
+	for _, l := range rec.Lives {
+		if l.Gateway == gateway && l.At <= before && l.At > before-10*time.Second {
+			text += fmt.Sprintf(" %s at %v,", names[l.Event], l.At.Round(time.Millisecond))
+		}
+	}
+	return text
+}
+
 // lost judges the first rule: one answer, in time, that a server made for this
 // request, and nothing sent after it.
 func (v *Verdict) lost(s *Site, rec *Record, attempts map[string][]Attempt) {
@@ -129,8 +150,8 @@
 			v.KilledUnanswered++
 			continue
 		default:
-			v.breach(Lost, t.Sent, "try %s of class %s has no answer from gateway %d (reset %t, %d attempts)", t.ID, s.Classes[t.Class].Name,
-				t.Gateway, t.Reset, len(seen))
+			v.breach(Lost, t.Sent, "try %s of class %s has no answer from gateway %d (%s, closed at %v, reset %t, no port at %v, attempts %v; %s)",
+				t.ID, s.Classes[t.Class].Name, t.Gateway, kinds[t.Kind], t.Closed, t.Reset, t.NoPort, times(seen), lately(rec, t.Gateway, end))
 			continue
 		}
 		if t.Answered > end+onSockets {
