A list that nobody confirmed is used with care: a server on it may be cold

Cause: a fleet that restarts while the register is silent knows an old list only; a server on it may have started anew and be overrun by all gateways together.

Change: where discovery is not heard by the start, the host gives the list as Stale. Each gateway then has one request out at such a server, large fleets begin over some time, and an answer in good time or news ends it.

The test's forty gateways begin with a server at most 16 in 200 ms.

--- a/decide/api.go
+++ b/decide/api.go
@@ -125,13 +125,14 @@
 // News tells what a list of members is.
 type News uint8
 
-// A list is whole, whole but perhaps stale, only what changed, or could not
-// be had.
+// A list is whole, whole but perhaps stale, only what changed, could not be had,
+// or is an old one that stands in at a start because discovery is not heard.
 const (
 	Whole News = iota
 	Cached
 	Changed
 	Unheard
+	Stale
 )
 
 // Request is a client's try.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -66,6 +66,9 @@
 	learnOne   = 0.1         // and of one backend
 	zoneWeight = 5.0         // turns the price of crossing zones into load
 	paceTime   = 4 * second  // over which the pace of sends is taken
+	fewTry     = 6           // so many gateways may try a backend at once that only an old list names;
+	tryApart   = second / 30 // of more, each further one adds so much to the time over which they begin
+	surely     = 2.0         // an answer within so many mean times shows that it is warm
 )
 
 // New makes a gateway that knows nothing but its settings.
@@ -503,6 +506,7 @@
 	b, bad := a.b, 0.0
 	if r == OK {
 		g.up(b)
+		b.unsure = b.unsure && took > surely*math.Max(g.base[class].v, aimShare*float64(g.set.Classes[class].Aim))
 	}
 	switch r {
 	case OK, TimedOut:
@@ -556,7 +560,7 @@
 		var best *backend
 		bestCost, ties := math.Inf(1), 0
 		for _, b := range g.backends {
-			if b.State != Ready || !b.listed || !g.warmEnough(b) ||
+			if b.State != Ready || !b.listed || !g.warmEnough(b) || b.unsure && (b.out > 0 || g.now < b.opens) ||
 				within != nil && !g.set.Classes[r.Class].sameGroup(within.b, b) ||
 				!anyway && (g.sick(b) || r.tried(b)) {
 				continue
@@ -603,7 +607,7 @@
 		g.follows = false
 		return
 	}
-	g.follows = g.follows || news != Cached
+	g.follows = g.follows || news != Cached && news != Stale
 	for _, b := range g.backends {
 		b.listed = b.listed && news == Changed
 	}
@@ -614,6 +618,9 @@
 		}
 		m.Started = max(m.Started, b.Started)
 		b.Member, b.listed = m, m.State != Left
+		if b.unsure = news == Stale; b.unsure {
+			b.opens = g.now + Time(g.rand.Float64()*float64(tryApart)*math.Max(0, float64(g.set.Gateways-fewTry)))
+		}
 	}
 	g.prune()
 }
--- a/decide/snapshot_test.go
+++ b/decide/snapshot_test.go
@@ -211,3 +211,56 @@
 		t.Errorf("%g units with restarts, %g without", again, lived)
 	}
 }
+
+// A backend that only an old list names may be cold: it gets one request at a time
+// from each gateway, a large fleet begins with it over some time, and news or an
+// answer in good time ends the care.
+func TestOldListIsTreatedWithCare(t *testing.T) {
+	set := settings()
+	set.Probes = false
+	newborn := func(gateways int, seed uint64) *rig {
+		set := set
+		set.Gateways = gateways
+		f := &fake{}
+		g, err := New(set, seed, f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.Members(start, Stale, members(1))
+		return &rig{Gateway: g, fake: f, t: t, at: start}
+	}
+	r := newborn(2, 1)
+	first, sent := r.ask(0, 1, 9, 1)
+	if _, again := r.ask(0, 1, 9, 1); !sent || again {
+		t.Errorf("sent %t, and a second one beside it %t", sent, again)
+	}
+	r.end(first, OK, true)
+	for range 2 {
+		if _, sent := r.ask(0, 1, 9, 1); !sent {
+			t.Error("care goes on after an answer in good time")
+		}
+	}
+	r = newborn(2, 1)
+	r.Members(r.at, Changed, members(1))
+	for range 2 {
+		if _, sent := r.ask(0, 1, 9, 1); !sent {
+			t.Error("care goes on after news")
+		}
+	}
+	// Forty gateways: a few try it within any short time.
+	at := map[Time]int{}
+	for seed := range uint64(40) {
+		r := newborn(40, seed*7919+1)
+		for _, sent := r.ask(0, 1, 9, 0.1); !sent; _, sent = r.ask(0, 1, 9, 0.1) {
+			if r.at += second / 20; r.at > start+5*second {
+				t.Fatal("never tried")
+			}
+		}
+		at[(r.at-start)/(second/5)]++
+	}
+	for span, n := range at {
+		if n > 16 {
+			t.Errorf("%d of 40 gateways begin within %d ms", n, 200*(span+1))
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -113,6 +113,8 @@
 	breaks  fading   // connections that broke of late
 	words   []fading // of trouble, by class and then by plan
 	cold    bank     // what it may still be sent while cold
+	unsure  bool     // only an old list names it: it may have started anew since
+	opens   Time     // when an unsure one may be tried
 }
 
 // told is a word and how often it is still to be told.
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -68,6 +68,7 @@
 	asks    bool          // discovery tells only who asks
 	start   chan struct{} // closed when the list is to be followed
 	once    bool
+	heard   bool     // it has told a list; the loop's
 	zones   []string // by number, this gateway's own first
 }
 
@@ -113,6 +114,7 @@
 		l.module.Members(l.now(), n.kind, nil)
 		return
 	}
+	l.discovery.heard = true
 	l.backends.members(l, n.kind, n.list.Members)
 	l.ready()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -127,4 +127,10 @@
 // readyAnyway ends the wait for discovery, which may be down for long.
 type readyAnyway struct{}
 
-func (readyAnyway) due(l *Loop) { l.ready() }
+func (readyAnyway) due(l *Loop) {
+	if !l.discovery.heard {
+		l.log.Warn("discovery is silent: the list given is used with care", "backends", len(l.cfg.Known.Members))
+		l.backends.members(l, decide.Stale, l.cfg.Known.Members)
+	}
+	l.ready()
+}
