Tests of survival and the command line; a state is there from the first request on

Cause: a test that ends a process before its first second found no state: a crash then handed out a burst. The hand-over read the loop's clock from another goroutine (race detector).

Change: a state is kept before the first request; the clock is read as such. Tests for restarts with and without an orderly end, refused states, failing keepers, hand-over on both sides, a connection accepted at the close, the command line and its exit codes.

--- a/cmd/mothcleat/main_test.go
+++ b/cmd/mothcleat/main_test.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"bytes"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -23,12 +25,23 @@
 	}
 }
 
+const head = `{"listen":"127.0.0.1:0","seed":"01","settings":{"self-index":0,"balancers":1,
+	"request-classes":[{"name":"c","promise-us":1}],"tariffs":[{"name":"t"}]},"discovery":`
+
+// write writes a file of the test's and returns its path.
+func write(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
 // Each reading takes the file as it is then; one that is broken is an error.
 func TestConfigurationIsReadAnew(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "config.json")
+	path := write(t, "config.json", "")
 	t.Setenv("RELAY_CONFIG", path)
-	const head = `{"listen":"127.0.0.1:0","seed":"01","settings":{"self-index":0,"balancers":1,
-		"request-classes":[{"name":"c","promise-us":1}],"tariffs":[{"name":"t"}]},"discovery":`
 	for _, c := range []struct{ text, discovery string }{
 		{head + `"127.0.0.1:1"}`, "127.0.0.1:1"},
 		{head + `"127.0.0.1:2"}`, "127.0.0.1:2"},
@@ -44,3 +57,76 @@
 		}
 	}
 }
+
+// A reload takes both files whole: one that can't be used leaves all as it was.
+func TestReloadReadsTheOperatorsFileToo(t *testing.T) {
+	t.Setenv("RELAY_CONFIG", write(t, "config.json", head+`"127.0.0.1:1"}`))
+	path := write(t, "operators.toml", "[state]\nevery = \"2s\"\n")
+	p := &program{path: path, log: quietLog()}
+	cfg, err := p.read()
+	if err != nil || cfg.Survival.Every != 2*time.Second {
+		t.Errorf("every %v, %v", cfg.Survival.Every, err)
+	}
+	if err := os.WriteFile(path, []byte("[state]\nevry = \"2s\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.read(); err == nil || !strings.Contains(err.Error(), path+":2: state.evry: no such setting") {
+		t.Errorf("error %v", err)
+	}
+}
+
+// The command line: what each call prints, and its exit code.
+func TestCommandLine(t *testing.T) {
+	config := write(t, "config.json", head+`"127.0.0.1:1"}`)
+	good := write(t, "good.toml", "[state]\nfile = \""+filepath.Join(t.TempDir(), "state")+"\"\n")
+	nowhere := write(t, "nowhere.toml", "[state]\nfile = \"/nowhere/at/all/state\"\n")
+	bad := write(t, "bad.toml", "[state]\nevery = 3\n")
+	for _, c := range []struct {
+		config    string
+		args      []string
+		code      int
+		out, errs string
+	}{
+		{"", []string{"--help"}, 0, "usage: mothcleat", ""},
+		{"", []string{"--version"}, 0, "mothcleat ", ""},
+		{"", []string{"--operator", "x"}, 2, "", "not defined"},
+		{"", []string{"start"}, 2, "", `"start" is no command`},
+		{"", []string{"check"}, 1, "", "neither RELAY_CONFIG nor --operators"},
+		{"", nil, 1, "", "RELAY_CONFIG is not set"},
+		{config, []string{"check", "--operators", good}, 0, "none yet", ""},
+		{config, []string{"check"}, 0, "good for gateway", ""},
+		{config, []string{"check", "--operators", nowhere}, 1, "", "state: "},
+		{config, []string{"check", "--operators", bad}, 1, "", bad + ":2: state.every:"},
+		{config, []string{"--operators", bad}, 1, "", bad + ":2: state.every:"},
+		{config, []string{"--operators", bad + "x"}, 1, "", "no such file"},
+		{bad, []string{"check"}, 1, "", "configuration: "},
+	} {
+		t.Setenv("RELAY_CONFIG", c.config)
+		var out, errs bytes.Buffer
+		code := command(c.args, &out, &errs)
+		if code != c.code || !strings.Contains(out.String(), c.out) || !strings.Contains(errs.String(), c.errs) {
+			t.Errorf("%q: code %d, printed %q and %q", c.args, code, out.String(), errs.String())
+		}
+		if c.code != 0 && strings.Count(errs.String(), "\n") != 1 {
+			t.Errorf("%q: %q is not one line", c.args, errs.String())
+		}
+	}
+}
+
+// Asked to hand over where that is off, or where the files are bad, the process serves on.
+func TestHandOverThatIsOffChangesNothing(t *testing.T) {
+	var lines bytes.Buffer
+	p := &program{log: logTo(&lines)}
+	asked, handed := make(chan os.Signal, 1), make(chan struct{})
+	asked <- syscall.SIGUSR2
+	close(asked)
+	p.handOvers(asked, handed)
+	select {
+	case <-handed:
+		t.Error("handed over")
+	default:
+	}
+	if !strings.Contains(lines.String(), "it is off") {
+		t.Errorf("log %q", lines.String())
+	}
+}
--- a/internal/gateway/survive.go
+++ b/internal/gateway/survive.go
@@ -79,9 +79,22 @@
 		return
 	}
 	go l.survival.write(ctx, l)
+	if !l.survival.Successor {
+		l.keepFrom()
+	}
+}
+
+// keepFrom keeps a state at once, before the first request, and others from then
+// on: whenever the process ends, there is one.
+func (l *Loop) keepFrom() {
+	l.keepNow()
 	l.at(l.now()+l.survival.every, keeping{})
 }
 
+func (l *Loop) keepNow() {
+	kept{l.survival.Keeper.Store(l.module.Save(l.now(), false), false)}.handle(l)
+}
+
 // keeping has the state kept now and then.
 type keeping struct{}
 
@@ -133,7 +146,7 @@
 // spent. The loop waits for it, for the time that a small file takes to be written.
 func (l *Loop) urgent() {
 	if l.survival.Keeper != nil && !l.survival.ended && l.module.Urgent() {
-		kept{l.survival.Keeper.Store(l.module.Save(l.now(), false), false)}.handle(l)
+		l.keepNow()
 	}
 }
 
@@ -148,7 +161,7 @@
 // takeOver ends the process before this one and takes its last state in, then
 // has clients accepted.
 func (l *Loop) takeOver() {
-	began := l.now()
+	began := l.clock.now()
 	if l.survival.Ready != nil {
 		if err := l.survival.Ready(); err != nil {
 			l.log.Error("hand-over", "error", err)
@@ -172,6 +185,7 @@
 func (e tookOver) handle(l *Loop) {
 	if e.restore {
 		l.restore()
+		l.keepFrom()
 	}
 	if l.peers.conn != nil && l.survival.Successor {
 		go l.peers.read(l) // the process before has had the notes until now
--- /dev/null
+++ b/internal/gateway/survive_test.go
@@ -0,0 +1,240 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"io/fs"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"mothcleat/decide"
+)
+
+// memory keeps states for a test.
+type memory struct {
+	mu     sync.Mutex
+	states []decide.Snapshot
+	err    error
+	stored chan decide.Snapshot
+}
+
+func newMemory() *memory { return &memory{stored: make(chan decide.Snapshot, 1024)} }
+
+func (m *memory) Load() (decide.Snapshot, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.states) == 0 {
+		return decide.Snapshot{}, fs.ErrNotExist
+	}
+	return m.states[len(m.states)-1], nil
+}
+
+func (m *memory) Store(s decide.Snapshot, _ bool) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.err == nil {
+		m.states = append(m.states, s)
+		m.stored <- s
+	}
+	return m.err
+}
+
+// surviving is a configuration with a keeper.
+func surviving(t testing.TB, d *fakeDiscovery, m *memory) Config {
+	cfg := configure(t, d, nil)
+	cfg.Survival = Survival{Keeper: m, Every: 50 * time.Millisecond, Oldest: time.Hour}
+	return cfg
+}
+
+// What a customer took before a restart stays taken, after an orderly stop and
+// after an end without one.
+func TestRestartKeepsWhatWasTaken(t *testing.T) {
+	for _, orderly := range []bool{true, false} {
+		m := newMemory()
+		b := newBackend(t)
+		d := newFakeDiscovery(t, b.entry("s-00000001", "Ready"))
+		r := begin(t, surviving(t, d, m))
+		c := r.client(t)
+		tiny := func(c *testClient, id string) {
+			c.send("API.READ", "0000000000000009", id, "c=lookup,t=tiny,d=60000,units=1,spread=1,first=0")
+		}
+		tiny(c, "0000000000000001") // the whole bank
+		b.next(t).serve(t, "ok")
+		c.value("ok")
+		if orderly {
+			r.stop()
+			wait(t, r.ended, "the gateway's end")
+			if s, err := m.Load(); err != nil || !s.Last {
+				t.Errorf("the last state: %+v, %v", s, err)
+			}
+		}
+		// The other process begins while the first one still runs, as it would after a crash.
+		next := begin(t, surviving(t, d, m)).client(t)
+		tiny(next, "0000000000000002")
+		if got := next.line(); !strings.HasPrefix(got, "-BUSY") {
+			t.Errorf("orderly %t: answer %q to a bank that is empty", orderly, got)
+		}
+	}
+}
+
+// A request that nearly spends a lease has a state kept at once, not only a while later.
+func TestUrgentStateIsKeptBeforeAnythingElse(t *testing.T) {
+	m := newMemory()
+	b := newBackend(t)
+	d := newFakeDiscovery(t, b.entry("s-00000001", "Ready"))
+	cfg := surviving(t, d, m)
+	cfg.Survival.Every = time.Hour
+	l, err := newLoop(cfg, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.clients.listener.Close()
+	l.backends.members(l, decide.Whole, []member{{ID: "s-00000001", HostPort: b.listener.Addr().String(), Phase: "Ready"}})
+	l.module.Save(l.now(), false)
+	l.handle(tooMuch{})
+	if len(m.states) != 1 {
+		t.Errorf("%d states kept", len(m.states))
+	}
+}
+
+// tooMuch takes more than a lease allows for.
+type tooMuch struct{}
+
+func (tooMuch) handle(l *Loop) {
+	for id := range uint64(3) {
+		l.requests[1000+id] = &request{id: 1000 + id, client: &client{}, deadline: l.now() + 1e6,
+			args: [][]byte{[]byte("API.READ"), nil, nil, []byte("d=1")}, wait: [2]int{2, 3}}
+		l.module.Request(l.now(), decide.Request{ID: 1000 + id, Customer: 7, Units: 120, Grace: 1e6, Spread: 1})
+	}
+}
+
+// A state that can't be used is told in the log, and the start is cold.
+func TestBadStateIsToldAndTheStartIsCold(t *testing.T) {
+	for want, m := range map[string]*memory{
+		"no state":       newMemory(),
+		"version 9":      {states: []decide.Snapshot{{Version: 9}}},
+		"other settings": {states: []decide.Snapshot{{Version: decide.SnapshotVersion, Settings: 1}}},
+	} {
+		var lines bytes.Buffer
+		d := newFakeDiscovery(t)
+		l, err := newLoop(surviving(t, d, m), slog.New(slog.NewTextHandler(&lines, nil)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.clients.listener.Close()
+		if !strings.Contains(lines.String(), want) || !strings.Contains(lines.String(), "starting cold") {
+			t.Errorf("%s: log %q", want, lines.String())
+		}
+	}
+}
+
+// A keeper that fails is told once, and once more when it works again.
+func TestKeeperThatFailsIsToldOnce(t *testing.T) {
+	var lines bytes.Buffer
+	d := newFakeDiscovery(t)
+	l, err := newLoop(configure(t, d, nil), slog.New(slog.NewTextHandler(&lines, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.clients.listener.Close()
+	for _, err := range []error{nil, errors.New("disk full"), errors.New("disk full"), nil} {
+		kept{err}.handle(l)
+	}
+	if got := lines.String(); strings.Count(got, "can't be kept") != 1 || strings.Count(got, "kept again") != 1 {
+		t.Errorf("log %q", got)
+	}
+}
+
+// A process that was handed over takes nothing more, answers what it has, and
+// keeps its last state at once: the new process waits for it.
+func TestHandedOverAnswersWhatItHasAndEnds(t *testing.T) {
+	m := newMemory()
+	b := newBackend(t)
+	d := newFakeDiscovery(t, b.entry("s-00000001", "Ready"))
+	r := begin(t, surviving(t, d, m))
+	c, idle := r.client(t), r.client(t)
+	c.lookup(1, "60000")
+	call := b.next(t)
+	idle.send("PING")
+	idle.want("+PONG")
+	r.loop.urgents <- handedOver{}
+	idle.closed()
+	idle.conn.Close()
+	for s := wait(t, m.stored, "a state"); !s.Last; s = wait(t, m.stored, "the last state") {
+	}
+	c.lookup(2, "60000") // told to come again, or unread, as the connection is to end
+	call.serve(t, "ok")
+	c.value("ok")
+	if rest, err := io.ReadAll(c.in); err != nil || len(rest) > 0 && !strings.HasPrefix(string(rest), "-BUSY") {
+		t.Errorf("after the answer: %q, %v", rest, err)
+	}
+	c.conn.Close()
+	wait(t, r.ended, "the gateway's end")
+	if s, _ := m.Load(); !s.Last || len(b.got) > 0 {
+		t.Errorf("a state after the last one, or a request sent on: %d", len(b.got))
+	}
+}
+
+// A successor takes the last state of the process before, and no older one, then
+// has clients in.
+func TestSuccessorWaitsForTheLastState(t *testing.T) {
+	m := newMemory()
+	b := newBackend(t)
+	d := newFakeDiscovery(t, b.entry("s-00000001", "Ready"))
+	before := begin(t, surviving(t, d, m))
+	c := before.client(t)
+	c.send("API.READ", "0000000000000009", "0000000000000001", "c=lookup,t=tiny,d=60000,units=1,spread=1,first=0")
+	b.next(t).serve(t, "ok")
+	c.value("ok")
+	cfg := surviving(t, d, m)
+	cfg.Survival.Successor = true
+	cfg.Survival.Ready = func() error {
+		before.loop.urgents <- handedOver{}
+		return nil
+	}
+	next := begin(t, cfg).client(t)
+	next.send("API.READ", "0000000000000009", "0000000000000002", "c=lookup,t=tiny,d=60000,units=1,spread=1,first=0")
+	if got := next.line(); !strings.HasPrefix(got, "-BUSY") {
+		t.Errorf("answer %q: the state before was not taken in", got)
+	}
+}
+
+// A connection that was accepted just before a drain closes is ended, not left to
+// be cut off with a request on it.
+func TestConnectionAcceptedAtTheCloseIsEnded(t *testing.T) {
+	d := newFakeDiscovery(t)
+	l := unstarted(t, d)
+	stop{}.handle(l)
+	drainStep{closing: true}.due(l)
+	here, there := pipe(t)
+	l.clients.room <- struct{}{}
+	connected{here}.handle(l)
+	c := &testClient{t: t, conn: there, in: bufio.NewReader(there)}
+	c.closed()
+}
+
+// pipe is a pair of ends of one connection.
+func pipe(t testing.TB) (here *net.TCPConn, there net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	if there, err = net.Dial("tcp", listener.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close(); there.Close() })
+	_ = there.SetDeadline(time.Now().Add(patience))
+	return conn.(*net.TCPConn), there
+}
