--- /dev/null
+++ b/cmd/lab/main_test.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"strings"
+	"testing"
+)
+
+// Misuse ends with code 2 and one line that says what was wrong.
+func TestMisuse(t *testing.T) {
+	for _, c := range []struct{ args, want string }{
+		{"", "a command is wanted"}, {"nothing", "no command"}, {"try --for 1ms", "--for 1ms"}, {"try --seed x", "seed"},
+		{"try more", "too much"}, {"fleet --instances 0", "--instances 0"}, {"fleet --state maybe", "--state maybe"},
+		{"fleet --load 0", "--load 0"}, {"fleet --in-place --whole", "exclude"}, {"fleet --nothing", "nothing"},
+	} {
+		var out bytes.Buffer
+		code, err := run(context.Background(), strings.Fields(c.args), &out, io.Discard)
+		if code != 2 || err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") || out.Len() > 0 {
+			t.Errorf("%q: code %d, %v, printed %q", c.args, code, err, out.String())
+		}
+	}
+	var out bytes.Buffer
+	if code, err := run(context.Background(), []string{"--help"}, &out, io.Discard); code != 0 || err != nil || !strings.HasPrefix(out.String(), "usage") {
+		t.Errorf("help: code %d, %v, %q", code, err, out.String())
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -54,6 +54,7 @@
 	againMost  = 10.0        // and the most saved up of them
 	unrunPrice = 0.1         // the price of one after an attempt that never ran: it has cost next to nothing
 	patience   = 10.0        // mean answer times after which a request goes elsewhere while there is time
+	leastWait  = 0.05        // and in any case that part of the aim: a moment's pause is no fault
 	wordTime   = 8 * second  // in which a word of trouble for one class or plan fades
 	wordNotes  = 8           // notes with which each is told
 	sickShare  = 0.25        // the part of answers that are errors from which a backend is left out
@@ -812,7 +813,7 @@
 		g.pace.add(g.now, paceTime, 1/float64(max(1, g.warm)))
 	}
 	class, base := &g.set.Classes[r.Class], Time(g.base[r.Class].v)
-	until := g.now + Time(patience)*base
+	until := g.now + max(Time(patience)*base, Time(leastWait*float64(class.Aim)))
 	if class.Effect == Unsafe || g.again < 1 || len(r.attempts) == g.set.MaxAttempts || g.full(lendShare) ||
 		base == 0 || until+base > r.attempts[0].at+class.Aim {
 		until = 0
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1092,3 +1092,14 @@
 func (quiet) SetTimer(Time, uint32)     {}
 func (quiet) Tell(int, []byte)          {}
 func (quiet) Log(string)                {}
+
+// A back end that answers within a moment may pause for one: a request is not
+// sent again before a part of its aim has passed.
+func TestPatienceHasALeast(t *testing.T) {
+	r := newRig(t, settings())
+	r.base[0].add(100, learn)
+	r.ask(0, 1, 9, 1)
+	if got, want := r.waits[0]-r.at, Time(leastWait*float64(r.set.Classes[0].Aim)); got != want {
+		t.Errorf("given up after %d, want %d", got, want)
+	}
+}
