lab: own figures beside the common ones; a run that can't be played is no misuse

Cause: the figures that a command is asked for stood one level down, and a failed build ended as misuse. Change: one flat JSON object; exit 1 with the reason in it. Hand-over tests with a new process that dies at its start and one that never gets ready.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -52,6 +52,7 @@
 	seed := flags.Uint64("seed", 1, "")
 	length := flags.Duration("for", time.Minute, "")
 	var play func() (*lab.Figures, error)
+	check := func() error { return nil }
 	switch args[0] {
 	case "try":
 		serve := flags.Bool("serve", false, "")
@@ -63,17 +64,20 @@
 		flags.BoolVar(&o.InPlace, "in-place", false, "")
 		flags.BoolVar(&o.Whole, "whole", false, "")
 		flags.Float64Var(&o.Load, "load", 0.55, "")
-		play = func() (*lab.Figures, error) {
+		check = func() error {
 			switch {
 			case o.Instances < 1 || o.Instances > 200:
-				return nil, fmt.Errorf("--instances %d: 1 to 200 wanted", o.Instances)
+				return fmt.Errorf("--instances %d: 1 to 200 wanted", o.Instances)
 			case o.State != "on" && o.State != "off" && o.State != "both":
-				return nil, fmt.Errorf("--state %s: on, off or both wanted", o.State)
+				return fmt.Errorf("--state %s: on, off or both wanted", o.State)
 			case !(o.Load > 0 && o.Load <= 2):
-				return nil, fmt.Errorf("--load %g: above 0, 2 at most wanted", o.Load)
+				return fmt.Errorf("--load %g: above 0, 2 at most wanted", o.Load)
 			case o.InPlace && o.Whole:
-				return nil, errors.New("--in-place and --whole exclude each other")
+				return errors.New("--in-place and --whole exclude each other")
 			}
+			return nil
+		}
+		play = func() (*lab.Figures, error) {
 			o.Seed, o.For = *seed, *length
 			return lab.RunFleet(ctx, o, progress)
 		}
@@ -89,13 +93,14 @@
 	case *length < time.Second || *length > 24*time.Hour:
 		return 2, fmt.Errorf("--for %v: from 1s to 24h wanted", *length)
 	}
-	f, err := play()
-	if f == nil {
+	if err := check(); err != nil {
 		return 2, err
 	}
-	if err != nil {
-		f.OK = false
-		f.Why = append(f.Why, err.Error())
+	f, err := play()
+	if f == nil {
+		f = lab.Broke(args[0], *seed, err)
+	} else if err != nil {
+		f.OK, f.Why = false, append(f.Why, err.Error())
 	}
 	fmt.Fprintln(out, f.Line())
 	if !f.OK {
--- a/internal/lab/figures.go
+++ b/internal/lab/figures.go
@@ -27,7 +27,7 @@
 	Killed  int            `json:"killed_unanswered"`
 	Crossed int            `json:"crossed"`
 	Over    float64        `json:"over_quota_units"`
-	Extra   map[string]any `json:"extra,omitempty"`
+	Extra   map[string]any `json:"-"` // a command's own figures; they stand beside the others
 }
 
 // Figure audits a record and sums it up.
@@ -77,6 +77,30 @@
 	f.Why = append(f.Why, why)
 }
 
+// MarshalJSON puts a command's own figures beside those that all have.
+func (f *Figures) MarshalJSON() ([]byte, error) {
+	type plain Figures
+	b, err := json.Marshal((*plain)(f))
+	if err != nil || len(f.Extra) == 0 {
+		return b, err
+	}
+	extra, err := json.Marshal(f.Extra)
+	if err != nil {
+		return nil, err
+	}
+	return append(append(b[:len(b)-1], ','), extra[1:]...), nil
+}
+
+// Broke is the figures of a run that could not be played.
+func Broke(command string, seed uint64, why error) *Figures {
+	f := &Figures{Command: command, Seed: seed, Broken: map[Rule]int{}}
+	for _, r := range Rules {
+		f.Broken[r] = 0
+	}
+	f.miss(why.Error())
+	return f
+}
+
 // Line is the figures as one line of JSON.
 func (f *Figures) Line() string {
 	b, err := json.Marshal(f)
--- a/internal/lab/fleet_test.go
+++ b/internal/lab/fleet_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"io"
+	"os"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -40,36 +43,75 @@
 	}
 }
 
-// A hand-over whose new process can't start leaves the old one serving, and the
-// next one, with the file mended, succeeds.
+// A hand-over whose new process can't start, dies at its start or never gets ready
+// leaves the old one serving; the next one, with all mended, succeeds.
 func TestFailedHandOverLeavesTheOldProcess(t *testing.T) {
 	if !HasGo() {
 		t.Skip("no Go to build the gateway with")
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 	defer cancel()
-	w, err := NewWorld(ctx, Options{Seed: 5, Gateways: 1, Servers: 2, Load: 0.1, Operators: operatorsText(true)})
+	bin, err := Build(ctx, t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer w.Close()
-	g := w.Gateways[0]
-	good := g.config
-	g.config = func(g *Gateway) map[string]any { return map[string]any{"name": "broken"} }
-	if err := g.Configure(); err != nil {
+	// A time that no process needs on a slow machine, but short beside the test.
+	text := strings.Replace(operatorsText(true), `"10s"`, `"5s"`, 1)
+	w, err := NewWorld(ctx, Options{Seed: 5, Gateways: 1, Servers: 2, Load: 0.1, Bin: bin, Operators: text})
+	if err != nil {
 		t.Fatal(err)
 	}
-	short, stop := context.WithTimeout(ctx, 2*time.Second)
-	defer stop()
-	if ok, err := g.HandOver(short); ok || err != nil {
-		t.Fatalf("handed over %t, %v", ok, err)
-	}
-	if !g.ping() {
-		t.Fatal("the old process does not serve")
+	defer w.Close()
+	g, good := w.Gateways[0], w.Gateways[0].config
+	replace := func(text string) func(t *testing.T) {
+		return func(t *testing.T) {
+			if err := os.Rename(bin, bin+".good"); err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() {
+				if err := os.Rename(bin+".good", bin); err != nil {
+					t.Error(err)
+				}
+			})
+			if err := os.WriteFile(bin, []byte("#!/bin/sh\n"+text+"\n"), 0o700); err != nil {
+				t.Fatal(err)
+			}
+		}
 	}
-	g.config = good
-	if err := g.Configure(); err != nil {
-		t.Fatal(err)
+	for i, c := range []struct {
+		name, log string
+		spoil     func(*testing.T)
+	}{
+		{"bad configuration", "could not start", func(t *testing.T) {
+			g.config = func(*Gateway) map[string]any { return map[string]any{"name": "broken"} }
+			if err := g.Configure(); err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() {
+				if g.config = good; g.Configure() != nil {
+					t.Error("not mended")
+				}
+			})
+		}},
+		{"dies at its start", "exited", replace("exit 3")},
+		{"never ready", "timed out", replace("exec sleep 60")},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			c.spoil(t)
+			before := strings.Count(g.tail(), c.log)
+			if err := g.Signal(syscall.SIGUSR2); err != nil {
+				t.Fatal(err)
+			}
+			for strings.Count(g.tail(), c.log) == before {
+				if ctx.Err() != nil {
+					t.Fatalf("nothing in the log:\n%s", g.tail())
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			if !g.ping() || g.successor(g.pid) != 0 {
+				t.Errorf("step %d: the old process does not serve alone", i)
+			}
+		})
 	}
 	if ok, err := g.HandOver(ctx); !ok || err != nil {
 		t.Fatalf("handed over %t, %v\n%s", ok, err, g.tail())
