Ask an HTTP authenticator before a request goes on: client, settings, the gateway's step

Need: partner fintechs check their users by forward authentication; the gateway is to ask first.

Change: internal/forwardauth asks as reverse proxies do and reads verdicts; Step joins it to authz on the loop. AUTH and HELLO 2 carry a credential for the connection. A request that waits is not known to the module: denied, it takes no units. [auth] in the operators' file, reread on SIGHUP; off without it, where AUTH stays an unknown command.

--- a/cmd/mothcleat/run.go
+++ b/cmd/mothcleat/run.go
@@ -51,6 +51,9 @@
 	debug.SetGCPercent(400)
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 2 / 3)
 
+	if cfg.Auth, err = auth(&p.settings.Auth, &cfg); err != nil {
+		return err
+	}
 	p.log = slog.New(slog.NewTextHandler(os.Stderr, nil)).With("gateway", cfg.Name)
 	if err := p.survive(&cfg); err != nil {
 		return err
@@ -139,17 +142,19 @@
 		p.log.Warn("reload: what needs a new process stays as it was", "settings", fixed)
 	}
 	cfg.Survival.Every = time.Duration(now.State.Every)
-	return cfg, nil
+	cfg.Auth, err = auth(&now.Auth, &cfg)
+	return cfg, err
 }
 
 // check reads the files and tries what they name, without serving.
 func check(path string, out io.Writer) error {
+	var cfg gateway.Config
 	if path == "" && os.Getenv("RELAY_CONFIG") == "" {
 		return fmt.Errorf("check: neither RELAY_CONFIG nor --operators names a file")
 	}
 	if os.Getenv("RELAY_CONFIG") != "" {
-		cfg, err := configuration()
-		if err != nil {
+		var err error
+		if cfg, err = configuration(); err != nil {
 			return err
 		}
 		fmt.Fprintf(out, "configuration: %s: good for gateway %q, %d backends known\n", os.Getenv("RELAY_CONFIG"), cfg.Name, len(cfg.Known.Members))
@@ -161,6 +166,11 @@
 	if err != nil {
 		return err
 	}
+	if len(cfg.Host.Classes) > 0 { // names can be checked against a configuration only
+		if _, err := auth(&s.Auth, &cfg); err != nil {
+			return err
+		}
+	}
 	fmt.Fprintf(out, "operators: %s: good\n", path)
 	if s.State.File == "" {
 		return nil
--- /dev/null
+++ b/internal/forwardauth/client_test.go
@@ -0,0 +1,259 @@
+package forwardauth
+
+import (
+	"bufio"
+	"context"
+	"encoding/pem"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"mothcleat/authz"
+)
+
+const patience = 30 * time.Second
+
+func client(t testing.TB, s Settings) *Client {
+	t.Helper()
+	if s.Timeout == 0 {
+		s.Timeout = patience
+	}
+	if s.MostOut == 0 {
+		s.MostOut = 4
+	}
+	c, err := NewClient(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+func question() *Question {
+	return &Question{Credential: &Credential{Secret: "t0ken"}, Customer: "0000000000000007", Plan: "team", Class: "order", Units: 2.5,
+		Write: true, From: "127.0.0.1:5"}
+}
+
+// raw is an authenticator that answers with bytes, each connection once.
+func raw(t testing.TB, answer func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					answer(c)
+				}
+			}()
+		}
+	}()
+	return "http://" + l.Addr().String() + "/verify"
+}
+
+// What comes back in whatever form is a verdict or none, and comes in time.
+func TestAnswersOfEveryKind(t *testing.T) {
+	text := func(s string) func(net.Conn) { return func(c net.Conn) { _, _ = io.WriteString(c, s) } }
+	hold := func(c net.Conn) { _, _ = io.Copy(io.Discard, c) }
+	for _, c := range []struct {
+		name   string
+		answer func(net.Conn)
+		want   authz.Verdict
+		maxAge authz.Time
+	}{
+		{"allow", text("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"), authz.Pass, -1},
+		{"allow without a body", text("HTTP/1.1 204 No Content\r\nCache-Control: private, max-age=7\r\n\r\n"), authz.Pass, 7e6},
+		{"allow, not to be kept", text("HTTP/1.1 200 OK\r\nCache-Control: max-age=9, no-store\r\nContent-Length: 0\r\n\r\n"), authz.Pass, 0},
+		{"allow, an age that is none", text("HTTP/1.1 200 OK\r\nCache-Control: max-age=soon\r\nContent-Length: 0\r\n\r\n"), authz.Pass, 0},
+		{"deny", text("HTTP/1.1 401 No\r\nContent-Length: 0\r\n\r\n"), authz.Deny, -1},
+		{"forbid", text("HTTP/1.1 403 No\r\nContent-Length: 0\r\n\r\n"), authz.Deny, -1},
+		{"later", text("HTTP/1.1 429 No\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n"), authz.Later, -1},
+		{"fault", text("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), authz.Unknown, -1},
+		{"redirect", text("HTTP/1.1 302 Found\r\nLocation: http://127.0.0.1:1/\r\nContent-Length: 0\r\n\r\n"), authz.Unknown, -1},
+		{"1xx ahead", text("HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 403 No\r\nContent-Length: 0\r\n\r\n"), authz.Deny, -1},
+		{"1xx without end", func(c net.Conn) {
+			for range 1000 {
+				_, _ = io.WriteString(c, "HTTP/1.1 102 Processing\r\n\r\n")
+			}
+		}, authz.Unknown, -1},
+		{"spoilt", text("HTTP/9 what\r\n\r\n"), authz.Unknown, -1},
+		{"not HTTP", text("-ERR what\r\n"), authz.Unknown, -1},
+		{"header too large", text("HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 64<<10) + "\r\n\r\n"), authz.Unknown, -1},
+		{"reset", func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0) }, authz.Unknown, -1},
+		{"closed", func(net.Conn) {}, authz.Unknown, -1},
+		{"hangs", hold, authz.Unknown, -1},
+		{"header drips", func(c net.Conn) {
+			for range 1000 {
+				if _, err := io.WriteString(c, "H"); err != nil {
+					return
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		}, authz.Unknown, -1},
+		{"body without end", func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+			for range 1 << 20 {
+				if _, err := io.WriteString(c, "4\r\nbody\r\n"); err != nil {
+					return
+				}
+			}
+		}, authz.Pass, -1},
+		{"half a body", func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhalf")
+		}, authz.Pass, -1},
+	} {
+		wait := patience
+		if c.name == "hangs" || c.name == "header drips" {
+			wait = 100 * time.Millisecond // it is to run out
+		}
+		cl := client(t, Settings{URL: raw(t, c.answer), Timeout: wait})
+		a := cl.Ask(context.Background(), question())
+		if a.Verdict != c.want || a.MaxAge != c.maxAge || c.want == authz.Later && a.After != 3e6 {
+			t.Errorf("%s: %+v, want verdict %d, age %d", c.name, a, c.want, c.maxAge)
+		}
+	}
+}
+
+// What is told is told in headers that proxies use, once, with the secret that a file
+// holds; environment proxies are not used.
+func TestWhatIsTold(t *testing.T) {
+	t.Setenv("HTTP_PROXY", "http://127.0.0.1:1")
+	got := make(chan *http.Request, 1)
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { got <- r }))
+	defer s.Close()
+	file := filepath.Join(t.TempDir(), "secret")
+	if err := os.WriteFile(file, []byte("s3cret\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c := client(t, Settings{URL: s.URL + "/verify?x=1", Headers: map[string]string{"X-Site": "caxias"}, SecretName: "X-Secret", SecretFile: file})
+	if a := c.Ask(context.Background(), question()); a.Verdict != authz.Pass {
+		t.Fatalf("%+v", a)
+	}
+	r := <-got
+	if r.Method != http.MethodGet || r.RequestURI != "/verify?x=1" || r.ContentLength != 0 {
+		t.Errorf("%s %s, %d bytes", r.Method, r.RequestURI, r.ContentLength)
+	}
+	for name, want := range map[string]string{
+		"X-Forwarded-Method": "POST", "X-Forwarded-Proto": "redis", "X-Forwarded-Uri": "/order", "X-Forwarded-For": "127.0.0.1",
+		"X-Mothcleat-Customer": "0000000000000007", "X-Mothcleat-Plan": "team", "X-Mothcleat-Class": "order", "X-Mothcleat-Units": "2.5",
+		"X-Site": "caxias", "X-Secret": "s3cret", "Authorization": "Bearer t0ken",
+	} {
+		if v := r.Header.Values(name); len(v) != 1 || v[0] != want {
+			t.Errorf("%s: %q, want %q", name, v, want)
+		}
+	}
+}
+
+// A connection is used again; HTTP/2 is spoken over TLS where the server has it, and a
+// certificate of an unknown authority is no verdict.
+func TestConnections(t *testing.T) {
+	var conns atomic.Int32
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Retry-After", fmt.Sprint(r.ProtoMajor))
+		w.WriteHeader(http.StatusTooManyRequests)
+	}))
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			conns.Add(1)
+		}
+	}
+	s.EnableHTTP2 = true
+	s.StartTLS()
+	defer s.Close()
+	ca := filepath.Join(t.TempDir(), "ca.pem")
+	if err := os.WriteFile(ca, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: s.Certificate().Raw}), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c := client(t, Settings{URL: s.URL, CAFile: ca})
+	for range 5 {
+		if a := c.Ask(context.Background(), question()); a.Verdict != authz.Later || a.After != 2e6 {
+			t.Errorf("%+v: HTTP/2 was wanted", a)
+		}
+	}
+	if n := conns.Load(); n != 1 {
+		t.Errorf("%d connections for 5 calls", n)
+	}
+	if a := client(t, Settings{URL: s.URL}).Ask(context.Background(), question()); a.Verdict != authz.Unknown {
+		t.Errorf("a certificate that nobody vouches for: %+v", a)
+	}
+}
+
+func TestBadSettings(t *testing.T) {
+	dir := t.TempDir()
+	bad := filepath.Join(dir, "bad")
+	if err := os.WriteFile(bad, []byte("two\nlines-of-secret\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range []Settings{
+		{URL: "127.0.0.1:1"}, {URL: "ftp://x/"}, {URL: "http://"}, {URL: "http://u:lines-of-secret@x/"}, {URL: "http://x/#f"},
+		{URL: "http://x/", Headers: map[string]string{"X-Forwarded-For": "1"}}, {URL: "http://x/", Headers: map[string]string{"A b": "1"}},
+		{URL: "http://x/", Headers: map[string]string{"A": "1\r\nB: 2"}}, {URL: "http://x/", SecretName: "S", SecretFile: bad},
+		{URL: "http://x/", SecretName: "S", SecretFile: bad + "x"}, {URL: "http://x/", CAFile: bad}, {URL: "http://x/", SecretFile: bad},
+	} {
+		_, err := NewClient(s)
+		if err == nil || strings.Contains(err.Error(), "\n") || strings.Contains(err.Error(), "lines-of-secret") {
+			t.Errorf("%+v: error %v", s, err)
+		}
+	}
+}
+
+// Questions are equal where all is equal that a verdict may depend on, and only then.
+func TestKeys(t *testing.T) {
+	a := question()
+	b := question()
+	b.From = "127.0.0.9:1"
+	if a.Key() != b.Key() {
+		t.Error("the address makes another question")
+	}
+	seen := map[authz.Key]int{a.Key(): -1}
+	for i, change := range []func(*Question){
+		func(q *Question) { q.Credential = nil }, func(q *Question) { q.Credential.Secret = "other" },
+		func(q *Question) { q.Credential = &Credential{User: "t0", Secret: "ken"} },
+		func(q *Question) { q.Credential = &Credential{Secret: "t0ken", Named: true} },
+		func(q *Question) { q.Customer = "0000000000000008" }, func(q *Question) { q.Plan = "tiny" },
+		func(q *Question) { q.Class = "lookup" }, func(q *Question) { q.Units = 3 },
+	} {
+		q := question()
+		change(q)
+		if j, there := seen[q.Key()]; there {
+			t.Errorf("questions %d and %d are taken for equal", i, j)
+		}
+		seen[q.Key()] = i
+	}
+}
+
+// Whatever an authenticator sends: there is one answer, within bounds.
+func FuzzAnswer(f *testing.F) {
+	for _, seed := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 401\r\n\r\n", "HTTP/1.1 429 x\r\nRetry-After: 99999999999999\r\n\r\n",
+		"HTTP/1.1 429 x\r\nRetry-After: Fri, 31 Dec 1999 23:59:59 GMT\r\n\r\n", "HTTP/1.1 200 OK\r\nCache-Control: max-age=-1, max-age=\"8\"\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "", "\r\n\r\n", "HTTP/1.0 200\r\n\r\nbody",
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, answer []byte) {
+		c := client(t, Settings{URL: raw(t, func(c net.Conn) { _, _ = c.Write(answer) })})
+		a := c.Ask(context.Background(), question())
+		switch {
+		case a.Verdict < authz.Pass || a.Verdict > authz.Unknown, a.MaxAge < -1, a.MaxAge > 24*3600*1e6,
+			a.After < 0, a.After > mostLater.Microseconds(), a.Verdict == authz.Later && a.After == 0:
+			t.Errorf("%q: %+v", answer, a)
+		}
+	})
+}
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"mothcleat/decide"
+	"mothcleat/internal/forwardauth"
 	"mothcleat/internal/resp"
 )
 
@@ -61,7 +62,9 @@
 	surplus bool          // over the share: refused at once, then ended
 	asked   int           // commands that were well-formed
 	errors  int           // bad ones, in a row
-	used    decide.Time   // when it last sent a command, or was opened
+
+	credential *forwardauth.Credential // of the last AUTH
+	used       decide.Time             // when it last sent a command, or was opened
 }
 
 // accept posts new connections. Over its share it waits: the rest stays in the
@@ -205,6 +208,8 @@
 	last   bool   // the connection's framing is lost
 	left   bool   // the client has gone
 	full   bool   // there is no room to keep it
+
+	credential *forwardauth.Credential // what the client gave of itself, for what follows
 }
 
 // take reads one command.
@@ -221,7 +226,7 @@
 	case err != nil:
 		e.left = true
 	default:
-		e.read(&l.cfg, args)
+		e.read(&l.cfg, args, l.authOn.Load())
 		e.size = size(e.cmd.args)
 		if l.coming.Add(int64(e.size)) > int64(l.cfg.MemoryMB)<<20/8 {
 			// What waits for the loop counts too: it must not grow with what comes.
@@ -232,7 +237,7 @@
 }
 
 // read tells the commands apart.
-func (e *taken) read(cfg *Config, args [][]byte) {
+func (e *taken) read(cfg *Config, args [][]byte, auth bool) {
 	switch {
 	case bytes.EqualFold(args[0], apiRead) || bytes.EqualFold(args[0], apiWrite):
 		cmd, err := cfg.parse(args)
@@ -243,6 +248,8 @@
 		e.cmd = cmd
 	case bytes.EqualFold(args[0], ping):
 		e.reply = pong
+	case auth && (bytes.EqualFold(args[0], authCommand) || bytes.EqualFold(args[0], helloCommand)):
+		e.identify(args)
 	default:
 		e.reply, e.bad = refusal(fmt.Errorf("unknown command %.32q", args[0])), true
 	}
@@ -257,6 +264,9 @@
 	}
 	r := &request{client: c, args: e.cmd.args, wait: e.cmd.wait, name: e.cmd.name}
 	c.line, c.used = append(c.line, r), now
+	if e.credential != nil {
+		c.credential = e.credential
+	}
 	l.open++
 	if e.reply == nil && l.names[r.name] != nil {
 		// Two open requests of one id can't be told apart behind this gateway.
@@ -298,6 +308,10 @@
 	r.deadline = at + what.Grace - spare
 	r.backstop = l.at(r.deadline+spare/2, backstop{r})
 	what.ID, what.Grace = r.id, max(0, r.deadline-now)
+	if l.auth.On() {
+		l.permit(r, what)
+		return
+	}
 	l.module.Request(now, what)
 }
 
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -34,6 +34,7 @@
 	Host     wire.Host
 
 	Survival Survival // from the operators' file
+	Auth     Auth     // the same
 }
 
 // file is the configuration as it is written.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,7 @@
 	go control.steer(ctx, l)
 	l.run()
 	l.lastState()
+	l.stopAsk()
 	_ = l.clients.listener.Close()
 	if l.peers.conn != nil {
 		_ = l.peers.conn.Close()
@@ -48,6 +49,10 @@
 		counter: newCounter(&cfg), discovery: newDiscovery(&cfg), survival: newSurvival(cfg.Survival),
 	}
 	l.timer.Stop()
+	l.asking, l.stopAsk = newAsking()
+	if err := l.setAuth(cfg.Auth); err != nil {
+		return nil, err
+	}
 	// Two in five descriptors are for clients, as many for backends, some spare.
 	share := (cfg.Sockets - otherFiles/2) * 2 / 5
 	l.backends = newBackends(&cfg, share)
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -2,12 +2,14 @@
 
 import (
 	"container/heap"
+	"context"
 	"fmt"
 	"log/slog"
 	"sync/atomic"
 	"time"
 
 	"mothcleat/decide"
+	"mothcleat/internal/forwardauth"
 )
 
 // margin is how long before the client stops waiting a request is ended: its
@@ -67,6 +69,10 @@
 	counter   *counter
 	discovery *discovery
 	survival  survival
+	auth      *forwardauth.Step // nil: nobody was ever asked
+	authOn    atomic.Bool       // for those who read commands
+	asking    context.Context   // of the calls that it makes
+	stopAsk   context.CancelFunc
 	drain     drain
 	accepting bool
 	done      bool
--- /dev/null
+++ b/internal/gateway/permit_test.go
@@ -0,0 +1,264 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"mothcleat/authz"
+	"mothcleat/internal/forwardauth"
+)
+
+// authCall is a question that has come to a fake authenticator.
+type authCall struct {
+	header http.Header
+	answer chan int // the status
+	gone   <-chan struct{}
+}
+
+// newAuthenticator answers as a test tells it to.
+func newAuthenticator(t testing.TB) (*httptest.Server, chan *authCall) {
+	calls := make(chan *authCall, 1024)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := &authCall{r.Header, make(chan int, 1), r.Context().Done()}
+		calls <- c
+		select {
+		case status := <-c.answer:
+			if status == http.StatusTooManyRequests {
+				w.Header().Set("Retry-After", "1")
+			}
+			w.WriteHeader(status)
+		case <-c.gone:
+		}
+	}))
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return s, calls
+}
+
+const us = 1_000_000
+
+// asking is a configuration that asks about lookups and orders.
+func asking(t testing.TB, d *fakeDiscovery, url string) Config {
+	cfg := configure(t, d, nil)
+	cfg.Auth = Auth{
+		Settings: forwardauth.Settings{URL: url, Timeout: patience, MostOut: 8},
+		Rules: authz.Settings{Ask: []bool{true, true, false}, PassUnknown: []bool{false, true, false}, Plans: []bool{true, true},
+			Budget: 60 * us, AllowFor: 60 * us, AllowCap: 60 * us, DenyFor: 60 * us, StaleFor: 0,
+			MostOut: 8, MostWaiting: 100, MostKept: 100, Fails: 100, OpenFor: us, OpenMost: us},
+	}
+	return cfg
+}
+
+// askingRig is a gateway with one backend and an authenticator.
+func askingRig(t *testing.T, change func(*Config)) (*rig, *fakeBackend, *fakeDiscovery, chan *authCall) {
+	t.Helper()
+	s, calls := newAuthenticator(t)
+	b := newBackend(t)
+	d := newFakeDiscovery(t, b.entry("s-00000001", "Ready"))
+	cfg := asking(t, d, s.URL)
+	if change != nil {
+		change(&cfg)
+	}
+	return begin(t, cfg), b, d, calls
+}
+
+// An allowed request goes on, a denied one reaches no backend and takes no units; the
+// backend never sees the token.
+func TestAuthenticatorDecides(t *testing.T) {
+	r, b, _, calls := askingRig(t, nil)
+	c := r.client(t)
+	c.send("AUTH", "the-token")
+	c.want("+OK")
+	c.lookup(1, "86400000")
+	ask := wait(t, calls, "a question")
+	for name, want := range map[string]string{
+		"Authorization": "Bearer the-token", "X-Mothcleat-Customer": "0000000000000007", "X-Mothcleat-Plan": "team",
+		"X-Mothcleat-Class": "lookup", "X-Mothcleat-Units": "1", "X-Forwarded-Method": "GET", "X-Forwarded-For": "127.0.0.1",
+	} {
+		if got := ask.header.Get(name); got != want {
+			t.Errorf("%s: %q, want %q", name, got, want)
+		}
+	}
+	if len(b.got) > 0 {
+		t.Error("sent on before the verdict")
+	}
+	ask.answer <- http.StatusOK
+	call := b.next(t)
+	if strings.Contains(fmt.Sprintf("%s", call.args), "the-token") {
+		t.Error("the token went to a backend")
+	}
+	call.serve(t, "ok")
+	c.value("ok")
+	c.lookup(2, "86400000") // cached
+	b.next(t).serve(t, "again")
+	c.value("again")
+
+	other := r.client(t)
+	other.send("HELLO", "2", "AUTH", "user", "wrong")
+	other.want("*14")
+	for range 25 { // its values
+		other.line()
+	}
+	other.lookup(3, "86400000")
+	ask = wait(t, calls, "a question of another user")
+	if got := ask.header.Get("Authorization"); got != "Basic dXNlcjp3cm9uZw==" {
+		t.Errorf("authorization %q", got)
+	}
+	ask.answer <- http.StatusForbidden
+	other.want("-NOPERM denied")
+	if len(b.got) > 0 {
+		t.Error("a denied request was sent on")
+	}
+}
+
+// A hung authenticator holds nobody beyond the budget; a class that passes without a
+// verdict goes on, once, though the verdict comes later.
+func TestHungAuthenticatorIsGivenUp(t *testing.T) {
+	r, b, _, calls := askingRig(t, func(c *Config) { c.Auth.Rules.Budget = 50_000 })
+	c := r.client(t)
+	c.lookup(1, "86400000")
+	wait(t, calls, "a question")
+	if got := c.line(); !strings.HasPrefix(got, "-BUSY") {
+		t.Errorf("answer %q", got)
+	}
+	c.send("API.WRITE", "0000000000000007", "0000000000000002", "c=order,t=team,d=86400000,k=k1,units=1,spread=1,first=0", "x")
+	ask := wait(t, calls, "a question")
+	call := b.next(t)
+	ask.answer <- http.StatusOK // too late to matter
+	c.send("API.WRITE", "0000000000000007", "0000000000000003", "c=order,t=team,d=86400000,k=k2,units=1,spread=1,first=0", "x")
+	second := b.next(t) // asked, or by the late answer: either way once
+	if string(second.args[2]) != "0000000000000003" {
+		t.Errorf("the order was sent twice: %q", second.args)
+	}
+	call.serve(t, "one")
+	second.serve(t, "two")
+	c.value("one")
+	c.value("two")
+}
+
+// 429 is a refusal with advice; a fault is none of the statuses that deny.
+func TestOtherAnswers(t *testing.T) {
+	r, b, _, calls := askingRig(t, nil)
+	for id, c := range []struct {
+		status int
+		want   string
+	}{{http.StatusTooManyRequests, "-BUSY 1000"}, {http.StatusInternalServerError, "-BUSY 500"}, {http.StatusFound, "-BUSY 500"}} {
+		client := r.client(t)
+		client.send("AUTH", fmt.Sprint("token", id))
+		client.want("+OK")
+		client.lookup(id, "86400000")
+		wait(t, calls, "a question").answer <- c.status
+		client.want(c.want)
+	}
+	if len(b.got) > 0 {
+		t.Error("sent on")
+	}
+}
+
+// While a request waits for its verdict, its client leaves, the gateway is drained,
+// or asking is switched off: each is closed once, and at once.
+func TestWaitingForAVerdict(t *testing.T) {
+	t.Run("the client leaves", func(t *testing.T) {
+		r, b, _, calls := askingRig(t, nil)
+		c, other := r.client(t), r.client(t)
+		c.lookup(1, "86400000")
+		ask := wait(t, calls, "a question")
+		c.conn.Close()
+		other.send("AUTH", "x")
+		other.want("+OK")
+		ask.answer <- http.StatusOK
+		other.lookup(1, "86400000") // the same id, free again
+		for {
+			select {
+			case ask := <-calls:
+				ask.answer <- http.StatusOK
+				continue
+			case call := <-b.got:
+				call.serve(t, "ok")
+				other.value("ok")
+			case <-time.After(patience):
+				t.Fatal("nothing")
+			}
+			break
+		}
+		if len(b.got) > 0 {
+			t.Error("sent on for a client that had left")
+		}
+	})
+	t.Run("switched off", func(t *testing.T) {
+		r, b, d, calls := askingRig(t, nil)
+		c := r.client(t)
+		c.lookup(1, "86400000")
+		ask := wait(t, calls, "a question")
+		r.reloads(configure(t, d, nil), nil)
+		b.next(t).serve(t, "ok")
+		c.value("ok")
+		ask.answer <- http.StatusForbidden
+		c.send("AUTH", "x")
+		if got := c.line(); !strings.HasPrefix(got, "-ERR unknown command") {
+			t.Errorf("answer %q", got)
+		}
+	})
+	t.Run("moved elsewhere", func(t *testing.T) {
+		r, b, d, calls := askingRig(t, nil)
+		c, other := r.client(t), r.client(t)
+		c.lookup(1, "86400000")
+		old := wait(t, calls, "a question")
+		s, moved := newAuthenticator(t)
+		r.reloads(asking(t, d, s.URL), nil)
+		other.send("AUTH", "x") // read after the reload, or asked of the old one: both are answered
+		other.want("+OK")
+		old.answer <- http.StatusOK
+		b.next(t).serve(t, "ok")
+		c.value("ok")
+		c.lookup(2, "86400000")
+		wait(t, moved, "a question to the new one").answer <- http.StatusUnauthorized
+		c.want("-NOPERM denied")
+	})
+	t.Run("a bad reload", func(t *testing.T) {
+		r, _, _, calls := askingRig(t, nil)
+		r.reloads(Config{}, errors.New("bad"))
+		c := r.client(t)
+		c.lookup(1, "86400000")
+		wait(t, calls, "a question").answer <- http.StatusForbidden
+		c.want("-NOPERM denied")
+	})
+	t.Run("the gateway stops", func(t *testing.T) {
+		t.Parallel()
+		r, b, _, calls := askingRig(t, nil)
+		c := r.client(t)
+		c.lookup(1, "80000000")
+		wait(t, calls, "a question")
+		r.stop()
+		c.want("-ERR failed")
+		c.closed()
+		c.conn.Close()
+		wait(t, r.ended, "the gateway's end")
+		if len(b.got) > 0 {
+			t.Error("sent on")
+		}
+	})
+}
+
+// Credentials that fit no header are refused, and tell nothing of themselves.
+func TestBadCredentials(t *testing.T) {
+	r, _, _, calls := askingRig(t, nil)
+	c := r.client(t)
+	for _, args := range [][]string{{"AUTH"}, {"AUTH", "line\r\nbreak"}, {"AUTH", strings.Repeat("x", 60<<10)}, {"AUTH", "a:b", "c"},
+		{"AUTH", ""}, {"HELLO", "2", "AUTH", "secret"}, {"HELLO", "2", "secret"}, {"HELLO", "3"}} {
+		c.send(args...)
+		got := c.line()
+		if !strings.HasPrefix(got, "-ERR ") && !strings.HasPrefix(got, "-NOPROTO ") || strings.Contains(got, "secret") || strings.Contains(got, "break") {
+			t.Errorf("%.20q: %q", args, got)
+		}
+		c.send("PING")
+		c.want("+PONG")
+	}
+	if len(calls) > 0 {
+		t.Error("asked")
+	}
+}
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -58,6 +58,9 @@
 	if e.cfg.Counter != "" {
 		l.counter.move(e.cfg.Counter)
 	}
+	if err := l.setAuth(e.cfg.Auth); err != nil {
+		l.log.Error("reload: asking an authenticator stays as it was", "error", err)
+	}
 	l.survival.every = max(50_000, e.cfg.Survival.Every.Microseconds())
 }
 
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -18,8 +18,9 @@
 	attempts int // made so far
 	out      int // of those, without an outcome
 	answered bool
-	reply    []byte // waits in the client's line for its turn
-	name     uint64 // the id that the client gave
+	reply    []byte          // waits in the client's line for its turn
+	name     uint64          // the id that the client gave
+	asks     *decide.Request // it waits for a verdict on whether it may go on; nil: not so
 	backstop *timer
 }
 
@@ -53,6 +54,7 @@
 // close takes note that a request has its final answer, or needs none any more.
 func (l *Loop) close(r *request) {
 	r.answered = true
+	l.unasked(r)
 	l.open--
 	l.cancel(r.backstop)
 	r.backstop = nil
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -19,6 +19,7 @@
 type Settings struct {
 	State    State    `toml:"state"`
 	HandOver HandOver `toml:"handover"`
+	Auth     Auth     `toml:"auth"`
 }
 
 // State is where a gateway keeps what its next process is to know.
@@ -35,6 +36,31 @@
 	ReadyWithin Duration `toml:"ready_within"`
 }
 
+// Auth is whom to ask by HTTP before a request goes on. Lists of names are of the
+// platform's configuration; a plan list that is empty means all of them.
+type Auth struct {
+	URL          string            `toml:"url"` // "": off
+	Classes      []string          `toml:"classes"`
+	Plans        []string          `toml:"plans"`
+	PassUnknown  []string          `toml:"pass_unknown"`
+	Budget       Duration          `toml:"budget"`
+	Timeout      Duration          `toml:"timeout"`
+	AllowFor     Duration          `toml:"allow_for"`
+	AllowMost    Duration          `toml:"allow_most"`
+	DenyFor      Duration          `toml:"deny_for"`
+	StaleFor     Duration          `toml:"stale_for"`
+	MostCalls    int               `toml:"most_calls"`
+	MostWaiting  int               `toml:"most_waiting"`
+	MostKept     int               `toml:"most_kept"`
+	Fails        int               `toml:"fails"`
+	OpenFor      Duration          `toml:"open_for"`
+	OpenMost     Duration          `toml:"open_most"`
+	Headers      map[string]string `toml:"headers"`
+	SecretHeader string            `toml:"secret_header"`
+	SecretFile   string            `toml:"secret_file"`
+	CAFile       string            `toml:"ca_file"`
+}
+
 // Duration is a length of time, written as 1s or 250ms.
 type Duration time.Duration
 
@@ -53,6 +79,11 @@
 	return Settings{
 		State:    State{Every: Duration(time.Second), Oldest: Duration(time.Minute)},
 		HandOver: HandOver{ReadyWithin: Duration(10 * time.Second)},
+		Auth: Auth{Classes: []string{}, Plans: []string{}, PassUnknown: []string{}, Headers: map[string]string{},
+			Budget: Duration(200 * time.Millisecond), Timeout: Duration(2 * time.Second),
+			AllowFor: Duration(10 * time.Second), AllowMost: Duration(5 * time.Minute), DenyFor: Duration(2 * time.Second),
+			StaleFor: Duration(5 * time.Second), MostCalls: 32, MostWaiting: 2000, MostKept: 10000,
+			Fails: 5, OpenFor: Duration(time.Second), OpenMost: Duration(30 * time.Second)},
 	}
 }
 
@@ -110,12 +141,28 @@
 		{"state.every", within(s.State.Every, 50*time.Millisecond, time.Minute)},
 		{"state.oldest", within(s.State.Oldest, time.Second, time.Hour)},
 		{"handover.ready_within", within(s.HandOver.ReadyWithin, 100*time.Millisecond, 10*time.Minute)},
+		{"auth.budget", within(s.Auth.Budget, time.Millisecond, 10*time.Second)},
+		{"auth.timeout", within(s.Auth.Timeout, 10*time.Millisecond, time.Minute)},
+		{"auth.allow_for", within(s.Auth.AllowFor, 0, 24*time.Hour)},
+		{"auth.allow_most", within(s.Auth.AllowMost, 0, 24*time.Hour)},
+		{"auth.deny_for", within(s.Auth.DenyFor, 0, time.Hour)},
+		{"auth.stale_for", within(s.Auth.StaleFor, 0, time.Hour)},
+		{"auth.open_for", within(s.Auth.OpenFor, 10*time.Millisecond, time.Hour)},
+		{"auth.open_most", within(s.Auth.OpenMost, time.Duration(s.Auth.OpenFor), 24*time.Hour)},
+		{"auth.most_calls", count(s.Auth.MostCalls, 1, 1000)},
+		{"auth.most_waiting", count(s.Auth.MostWaiting, 1, 1000_000)},
+		{"auth.most_kept", count(s.Auth.MostKept, 1, 10_000_000)},
+		{"auth.fails", count(s.Auth.Fails, 1, 1000_000)},
 	} {
 		if c.why != "" {
 			return c.key, c.why
 		}
 	}
 	switch {
+	case s.Auth.URL != "" && len(s.Auth.Classes) == 0:
+		return "auth.classes", "none, though auth.url is set: nothing would ever be asked"
+	case (s.Auth.SecretFile == "") != (s.Auth.SecretHeader == ""):
+		return "auth.secret_file", "goes with auth.secret_header: both or neither"
 	case s.State.File != "" && filepath.Base(s.State.File) != strings.TrimSpace(filepath.Base(s.State.File)):
 		return "state.file", "a name that ends in a space"
 	case s.State.Oldest < s.State.Every:
@@ -128,6 +175,13 @@
 	return "", ""
 }
 
+func count(n, least, most int) string {
+	if n < least || n > most {
+		return fmt.Sprintf("%d: from %d to %d wanted", n, least, most)
+	}
+	return ""
+}
+
 // lineOf finds the line on which a key stands; 1 where it is left to its default.
 func lineOf(raw []byte, key string) int {
 	table, name, _ := strings.Cut(key, ".")
--- a/internal/operators/operators_test.go
+++ b/internal/operators/operators_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -15,14 +16,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s != Defaults() {
+	if !reflect.DeepEqual(s, Defaults()) {
 		t.Errorf("shipped %+v, defaults %+v", s, Defaults())
 	}
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, key := range []string{"file", "every", "oldest", "on", "pid_file", "ready_within"} {
+	for _, key := range []string{"file", "every", "oldest", "on", "pid_file", "ready_within", "url",
+		"classes", "plans", "pass_unknown", "budget", "timeout", "allow_for", "allow_most", "deny_for", "stale_for", "most_calls", "most_waiting",
+		"most_kept", "fails", "open_for", "open_most", "headers", "secret_header", "secret_file", "ca_file"} {
 		if !strings.Contains(string(raw), "\n"+key+" = ") {
 			t.Errorf("%s is not in the shipped file", key)
 		}
@@ -37,10 +40,10 @@
 	want := Defaults()
 	want.State.File, want.State.Every = "/x/state", Duration(250*time.Millisecond)
 	want.HandOver.On, want.HandOver.PIDFile = true, "/x/pid"
-	if s != want {
+	if !reflect.DeepEqual(s, want) {
 		t.Errorf("%+v", s)
 	}
-	if s, err := Parse(nil); err != nil || s != Defaults() {
+	if s, err := Parse(nil); err != nil || !reflect.DeepEqual(s, Defaults()) {
 		t.Errorf("an empty file: %+v, %v", s, err)
 	}
 }
@@ -57,6 +60,9 @@
 		{"[handover]\non = \"yes\"\n", "2: handover.on:"},
 		{"[handover]\npid_file = \"p\"\n", "2: handover.pid_file: set though"},
 		{"[handover]\nready_within = \"0s\"\n", "2: handover.ready_within: 0s"},
+		{"[auth]\nurl = \"http://127.0.0.1:1/\"\n", "1: auth.classes: none"},
+		{"[auth]\nmost_calls = 0\n", "2: auth.most_calls: 0: from 1"},
+		{"[auth]\nsecret_file = \"x\"\n", "2: auth.secret_file: goes with"},
 		{"[state\n", "1:"},
 		{"[state]\nevery = \"1s\"\nevery = \"1s\"\n", "3:"},
 		{"\n\n= 1", "3:"},
