--- a/authz/authz_test.go
+++ b/authz/authz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"runtime"
 	"testing"
 )
 
@@ -414,3 +415,22 @@
 		}
 	}
 }
+
+// BenchmarkKept tells what an answer that is kept takes in memory.
+func BenchmarkKept(b *testing.B) {
+	const many = 100_000
+	for b.Loop() {
+		r := newRig(b, settings())
+		r.set.MostKept = many
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for i := range many {
+			r.keep(key(i), Answer{Verdict: Pass, MaxAge: -1})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/many, "bytes/answer")
+		runtime.KeepAlive(r)
+	}
+}
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -24,6 +24,8 @@
            --instances N, --load X; --state on|off|both: whether they keep their
            state, or two fleets side by side; --in-place: hand-overs and reloads
            only; --whole: one restart of all, beside a fleet that has none
+  auth     three gateways that ask a forward authenticator which stalls, flaps, errs
+           and crashes, beside three that ask nobody
 
 Progress goes to standard error; the last line on standard output is one JSON
 object. Exit code 0: no rule broken and every promise kept; 1: not so; 2: misuse.`
@@ -41,7 +43,7 @@
 // run runs one command and gives the exit code.
 func run(ctx context.Context, args []string, out, progress io.Writer) (int, error) {
 	if len(args) == 0 {
-		return 2, errors.New("a command is wanted: try or fleet; --help tells more")
+		return 2, errors.New("a command is wanted: try, fleet or auth; --help tells more")
 	}
 	if args[0] == "--help" || args[0] == "-h" || args[0] == "help" {
 		fmt.Fprintln(out, usage)
@@ -57,6 +59,8 @@
 	case "try":
 		serve := flags.Bool("serve", false, "")
 		play = func() (*lab.Figures, error) { return lab.RunTry(ctx, *seed, *length, *serve, out, progress) }
+	case "auth":
+		play = func() (*lab.Figures, error) { return lab.RunAuth(ctx, *seed, *length, progress) }
 	case "fleet":
 		o := lab.FleetOptions{}
 		flags.IntVar(&o.Instances, "instances", 8, "")
@@ -82,7 +86,7 @@
 			return lab.RunFleet(ctx, o, progress)
 		}
 	default:
-		return 2, fmt.Errorf("%q is no command: try or fleet; --help tells more", args[0])
+		return 2, fmt.Errorf("%q is no command: try, fleet or auth; --help tells more", args[0])
 	}
 	if err := flags.Parse(args[1:]); err != nil {
 		return 2, err
--- a/cmd/mothcleat/auth.go
+++ b/cmd/mothcleat/auth.go
@@ -20,7 +20,7 @@
 	us := func(d operators.Duration) authz.Time { return time.Duration(d).Microseconds() }
 	out := gateway.Auth{
 		Settings: forwardauth.Settings{URL: a.URL, Headers: a.Headers, SecretName: a.SecretHeader, SecretFile: a.SecretFile,
-			CAFile: a.CAFile, Timeout: time.Duration(a.Timeout), MostOut: a.MostCalls},
+			TokensFile: a.TokensFile, CAFile: a.CAFile, Timeout: time.Duration(a.Timeout), MostOut: a.MostCalls},
 		Rules: authz.Settings{Budget: us(a.Budget), AllowFor: us(a.AllowFor), AllowCap: us(a.AllowMost), DenyFor: us(a.DenyFor),
 			StaleFor: us(a.StaleFor), MostOut: a.MostCalls, MostWaiting: a.MostWaiting, MostKept: a.MostKept,
 			Fails: a.Fails, OpenFor: us(a.OpenFor), OpenMost: us(a.OpenMost)},
--- a/internal/forwardauth/client.go
+++ b/internal/forwardauth/client.go
@@ -40,6 +40,7 @@
 	Headers    map[string]string // sent with each call
 	SecretName string            // the header that carries what SecretFile holds
 	SecretFile string
+	TokensFile string        // lines of a customer and its token; "": none
 	CAFile     string        // PEM; "": the system's authorities
 	Timeout    time.Duration // of a call
 	MostOut    int           // connections
@@ -51,6 +52,7 @@
 	header http.Header
 	http   *http.Client
 	wait   time.Duration
+	tokens map[string]*Credential // by customer
 }
 
 // NewClient makes a client. It reads the files that the settings name; an error
@@ -81,6 +83,11 @@
 		}
 		c.header.Set(s.SecretName, secret)
 	}
+	if s.TokensFile != "" {
+		if c.tokens, err = readTokens(s.TokensFile); err != nil {
+			return nil, err
+		}
+	}
 	transport := &http.Transport{
 		Proxy: nil, DisableCompression: true, MaxResponseHeaderBytes: mostHeader,
 		MaxConnsPerHost: s.MostOut, MaxIdleConnsPerHost: s.MostOut, IdleConnTimeout: 30 * time.Second,
@@ -103,6 +110,30 @@
 	return c, nil
 }
 
+// readTokens reads the tokens of customers. An error names the line, never what it holds.
+func readTokens(path string) (map[string]*Credential, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("auth.tokens_file: %w", err)
+	}
+	tokens := map[string]*Credential{}
+	for i, line := range strings.Split(string(raw), "\n") {
+		fields := strings.Fields(line)
+		if len(fields) == 0 || strings.HasPrefix(fields[0], "#") {
+			continue
+		}
+		if len(fields) != 2 || len(fields[0]) != 16 || tokens[fields[0]] != nil {
+			return nil, fmt.Errorf("auth.tokens_file: %s:%d: a customer of 16 hex digits and its token wanted, each customer once", path, i+1)
+		}
+		c, err := NewCredential("", fields[1], false)
+		if err != nil {
+			return nil, fmt.Errorf("auth.tokens_file: %s:%d: %w", path, i+1, err)
+		}
+		tokens[fields[0]] = c
+	}
+	return tokens, nil
+}
+
 // Close ends the connections that are kept. Calls under way go on.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
--- a/internal/forwardauth/client_test.go
+++ b/internal/forwardauth/client_test.go
@@ -194,6 +194,29 @@
 	}
 }
 
+// Customers whose connection gave no credential have that of the file; a bad line
+// is named and not shown.
+func TestTokensFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "tokens")
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("# partners\n\n0000000000000007 seven\n0000000000000008\teight\n")
+	c := client(t, Settings{URL: "http://127.0.0.1:1/", TokensFile: path})
+	if len(c.tokens) != 2 || c.tokens["0000000000000008"].Secret != "eight" {
+		t.Errorf("%d tokens", len(c.tokens))
+	}
+	for _, bad := range []string{"7 hush", "0000000000000007 hush x", "0000000000000007 hush\n0000000000000007 hush", "0000000000000007 h\x01hush"} {
+		write("\n" + bad)
+		_, err := NewClient(Settings{URL: "http://127.0.0.1:1/", TokensFile: path})
+		if err == nil || strings.Contains(err.Error(), "hush") || !strings.Contains(err.Error(), path+":") {
+			t.Errorf("%q: %v", bad, err)
+		}
+	}
+}
+
 func TestBadSettings(t *testing.T) {
 	dir := t.TempDir()
 	bad := filepath.Join(dir, "bad")
--- a/internal/forwardauth/step.go
+++ b/internal/forwardauth/step.go
@@ -68,6 +68,9 @@
 
 // Request decides on a request, or has it wait for Decided.
 func (s *Step) Request(id uint64, q *Question, class, plan int, grace authz.Time) (authz.Verdict, authz.Time) {
+	if q.Credential == nil {
+		q.Credential = s.client.tokens[q.Customer]
+	}
 	s.asking = q
 	defer func() { s.asking = nil }()
 	return s.gate.Request(s.host.Now(), authz.Question{ID: id, Key: q.Key(), Class: class, Plan: plan, Grace: grace})
--- /dev/null
+++ b/internal/lab/auth.go
@@ -0,0 +1,186 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+)
+
+// How the gateways ask in the lab: an allowance is kept for 2 s, as the stand-in says,
+// and serves for 1 s more while it is asked again.
+const (
+	authKept  = 2 * time.Second
+	authStale = time.Second
+)
+
+func authText(address string) string {
+	return fmt.Sprintf(`[auth]
+url = "http://%s/verify"
+classes = ["cotacao", "alerta"]
+budget = "200ms"
+timeout = "1s"
+allow_for = "2s"
+allow_most = "10s"
+deny_for = "1s"
+stale_for = "1s"
+most_calls = 64
+tokens_file = "tokens"
+`, address)
+}
+
+// RunAuth runs three gateways that ask an authenticator which stalls, flaps, errs
+// and crashes, beside three that ask nobody.
+func RunAuth(ctx context.Context, seed uint64, length time.Duration, progress io.Writer) (*Figures, error) {
+	dir, err := os.MkdirTemp("", "mothcleat-bin-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	bin, err := Build(ctx, dir)
+	if err != nil {
+		return nil, err
+	}
+	type result struct {
+		f   *Figures
+		err error
+	}
+	without := make(chan result, 1)
+	go func() {
+		f, err := runAuthWorld(ctx, seed, length, bin, false, io.Discard)
+		without <- result{f, err}
+	}()
+	f, err := runAuthWorld(ctx, seed, length, bin, true, progress)
+	other := <-without
+	if err == nil {
+		err = other.err
+	}
+	if err != nil {
+		return f, err
+	}
+	f.Extra["without"] = other.f
+	if !other.f.OK {
+		f.miss("the fleet that asks nobody did not hold its promises")
+	}
+	return f, nil
+}
+
+func runAuthWorld(ctx context.Context, seed uint64, length time.Duration, bin string, asks bool, progress io.Writer) (*Figures, error) {
+	const gateways, servers, load = 3, 36, 0.5
+	o := Options{Seed: seed, Gateways: gateways, Servers: servers, Load: load, Bin: bin, Log: progress}
+	var a *Authenticator
+	if asks {
+		denied := map[string]bool{}
+		for i, c := range NewSite(seed, gateways, servers, load).Customers { // the same draw as the world's
+			denied[c.ID] = i%10 == 0
+		}
+		// The record is the world's; it is put in place below, before anything is asked.
+		var err error
+		if a, err = NewAuthenticator(NewRecord(), denied, seed); err != nil {
+			return nil, err
+		}
+		defer a.Close()
+		o.Operators = authText(a.Address)
+		o.Prepare = func(w *World, g *Gateway) error {
+			a.rec = w.Record
+			var b strings.Builder
+			for _, c := range w.Site.Customers {
+				fmt.Fprintf(&b, "%s %s\n", c.ID, tokenOf(c.ID))
+			}
+			return os.WriteFile(filepath.Join(g.dir, "tokens"), []byte(b.String()), 0o600)
+		}
+	}
+	w, err := NewWorld(ctx, o)
+	if err != nil {
+		return nil, err
+	}
+	defer w.Close()
+	asking, cancel := context.WithTimeout(ctx, length)
+	defer cancel()
+	w.progress(asking, progress, length)
+	moods := make(chan error, 1)
+	if asks {
+		go func() { moods <- a.moods(asking, rand.New(rand.NewPCG(seed, 0x300d)), progress) }()
+	}
+	w.Clients.Run(asking)
+	var cpu float64
+	for _, g := range w.Gateways {
+		cpu += g.cpu()
+	}
+	if asks {
+		if err := <-moods; err != nil {
+			return nil, err
+		}
+	}
+	stop, cancel := context.WithTimeout(context.Background(), readyWithin)
+	defer cancel()
+	if err := w.Stop(stop); err != nil {
+		return nil, err
+	}
+	f := Figure("auth", seed, w.Site, w.Record)
+	f.Extra["cpu_us_per_try"] = cpu * 1e6 / float64(max(1, f.Taken))
+	f.Extra["p999_ms"] = percentile(w.Site, w.Record, 0.999)
+	if asks {
+		f.Extra["calls_per_try"] = float64(a.calls) / float64(max(1, f.Taken))
+		f.asked(w, a)
+	}
+	return f, nil
+}
+
+// moods has the authenticator go through its moods until the run ends, each for a
+// while and each after a time in which it answers.
+func (a *Authenticator) moods(ctx context.Context, r *rand.Rand, progress io.Writer) error {
+	names := map[Mood]string{Stalls: "stalls", Flaps: "flaps", Errs: "errs", Down: "has crashed"}
+	for i := 0; ; i++ {
+		mood := []Mood{Stalls, Flaps, Down, Errs}[i%4]
+		for _, m := range []Mood{Answers, mood} {
+			if err := a.SetMood(m); err != nil {
+				return err
+			}
+			if m != Answers {
+				fmt.Fprintln(progress, "the authenticator", names[m])
+			}
+			if !sleep(ctx, time.Duration(between(r, 1.5, 3)*float64(time.Second))) {
+				return a.SetMood(Answers)
+			}
+		}
+	}
+}
+
+// asked judges what the authenticator saw against what went on. Units that went on for
+// a try whose customer had no allowance that could still hold are the difference.
+func (f *Figures) asked(w *World, a *Authenticator) {
+	seen := map[string]time.Duration{}
+	for _, at := range w.Record.Attempts {
+		if first, ok := seen[at.ID]; !ok || at.First < first {
+			seen[at.ID] = at.First
+		}
+	}
+	difference, denied, on := 0.0, 0, 0
+	for _, t := range w.Record.Tries {
+		at, went := seen[t.ID]
+		if went {
+			on++
+			if !a.allowed(t.Customer, t.Sent-authKept-authStale-onSockets, at) {
+				difference += t.Units
+			}
+		} else if t.Kind == Failed {
+			denied++
+		}
+	}
+	f.Extra["went_on"], f.Extra["denied"], f.Extra["quota_difference"] = on, denied, difference
+	f.Extra["calls"], f.Extra["calls_without_token"] = a.calls, a.strange
+	if difference > 0 {
+		f.miss(fmt.Sprintf("%g units went on without an allowance", difference))
+	}
+	if a.strange > 0 {
+		f.miss(fmt.Sprintf("%d calls without the customer's token", a.strange))
+	}
+	if on == 0 || denied == 0 {
+		f.miss("nothing went on, or nothing was denied: the run shows nothing")
+	}
+}
--- /dev/null
+++ b/internal/lab/auth_test.go
@@ -0,0 +1,72 @@
+package lab
+
+import (
+	"net/http"
+	"testing"
+	"time"
+)
+
+// What went on without an allowance that could hold is counted, in units.
+func TestWhatWentOnUnallowedIsCounted(t *testing.T) {
+	s := NewSite(1, 2, 4, 0.5)
+	for _, c := range []struct {
+		allowed time.Duration // when the customer was allowed; the first try is sent at 1 s
+		want    float64
+	}{{900 * ms, 0}, {-3 * time.Second, 2}, {1500 * ms, 2}} {
+		rec := good(s, 1)
+		a := &Authenticator{allows: map[string][]time.Duration{"c": {c.allowed}}}
+		f := Figure("auth", 1, s, rec)
+		f.asked(&World{Site: s, Record: rec}, a)
+		if f.Extra["quota_difference"] != c.want {
+			t.Errorf("allowed at %v: %v units", c.allowed, f.Extra["quota_difference"])
+		}
+	}
+}
+
+func TestAuthenticatorMoods(t *testing.T) {
+	a, err := NewAuthenticator(NewRecord(), map[string]bool{"no": true}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Close()
+	client := &http.Client{Timeout: within}
+	ask := func(customer string) int {
+		req, _ := http.NewRequest(http.MethodGet, "http://"+a.Address+"/verify", nil)
+		req.Header.Set("X-Mothcleat-Customer", customer)
+		req.Header.Set("Authorization", "Bearer "+tokenOf(customer))
+		res, err := client.Do(req)
+		if err != nil {
+			return 0
+		}
+		res.Body.Close()
+		return res.StatusCode
+	}
+	mood := func(m Mood) {
+		if err := a.SetMood(m); err != nil {
+			t.Error(err)
+		}
+	}
+	if yes, no := ask("yes"), ask("no"); yes != 200 || no != 403 {
+		t.Errorf("%d and %d", yes, no)
+	}
+	mood(Errs)
+	if got := ask("yes"); got != 500 {
+		t.Errorf("errs: %d", got)
+	}
+	mood(Down)
+	if got := ask("yes"); got != 0 {
+		t.Errorf("down: %d", got)
+	}
+	mood(Stalls)
+	late := make(chan int, 1)
+	go func() { late <- ask("yes") }()
+	for called := false; !called; {
+		a.mu.Lock()
+		called = a.calls == 4
+		a.mu.Unlock()
+	}
+	mood(Answers)
+	if got := <-late; got != 200 || len(a.allows["yes"]) != 2 || a.strange != 0 {
+		t.Errorf("late: %d, %d allowances, %d strange", got, len(a.allows["yes"]), a.strange)
+	}
+}
--- /dev/null
+++ b/internal/lab/authenticator.go
@@ -0,0 +1,124 @@
+package lab
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Mood is what an authenticator does.
+type Mood int
+
+// The moods.
+const (
+	Answers Mood = iota // allows and denies as it should
+	Stalls              // says nothing
+	Flaps               // allows and denies by chance
+	Errs                // answers 500
+	Down                // nothing listens
+)
+
+// Authenticator is the stand-in for an HTTP forward authenticator.
+type Authenticator struct {
+	Address string
+	rec     *Record
+
+	mu      sync.Mutex
+	rand    *rand.Rand
+	server  *http.Server
+	mood    Mood
+	changed chan struct{} // closed with a change of mood
+	denied  map[string]bool
+	allows  map[string][]time.Duration // when each customer was allowed
+	calls   int
+	strange int // calls without the token that belongs to the customer
+}
+
+// NewAuthenticator starts one that denies the customers given.
+func NewAuthenticator(rec *Record, denied map[string]bool, seed uint64) (*Authenticator, error) {
+	a := &Authenticator{rec: rec, rand: rand.New(rand.NewPCG(seed, 0xa)), denied: denied,
+		allows: map[string][]time.Duration{}, changed: make(chan struct{}), Address: "127.0.0.1:0"}
+	return a, a.listen()
+}
+
+func (a *Authenticator) listen() error {
+	l, err := net.Listen("tcp", a.Address)
+	if err != nil {
+		return fmt.Errorf("authenticator: %w", err)
+	}
+	a.Address = l.Addr().String()
+	a.server = &http.Server{Handler: a, ReadHeaderTimeout: 5 * time.Second}
+	go func(s *http.Server) { _ = s.Serve(l) }(a.server)
+	return nil
+}
+
+// SetMood changes what it does. A crash resets its connections; from one it comes
+// back at the same address.
+func (a *Authenticator) SetMood(m Mood) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	before := a.mood
+	a.mood = m
+	close(a.changed)
+	a.changed = make(chan struct{})
+	switch {
+	case m == Down && before != Down:
+		return a.server.Close()
+	case m != Down && before == Down:
+		return a.listen()
+	}
+	return nil
+}
+
+// Close ends it.
+func (a *Authenticator) Close() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	_ = a.server.Close()
+}
+
+func tokenOf(customer string) string { return "token-of-" + customer }
+
+func (a *Authenticator) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	customer := r.Header.Get("X-Mothcleat-Customer")
+	a.mu.Lock()
+	a.calls++
+	if r.Header.Get("Authorization") != "Bearer "+tokenOf(customer) || strings.Contains(r.URL.String(), "token") {
+		a.strange++
+	}
+	mood, changed := a.mood, a.changed
+	deny := a.denied[customer] || mood == Flaps && a.rand.IntN(2) == 0
+	a.mu.Unlock()
+	if mood == Stalls {
+		select {
+		case <-changed: // it comes to itself, and answers late
+		case <-r.Context().Done():
+			return
+		}
+	}
+	switch {
+	case mood == Errs:
+		w.WriteHeader(http.StatusInternalServerError)
+	case deny:
+		w.WriteHeader(http.StatusForbidden)
+	default:
+		a.mu.Lock()
+		a.allows[customer] = append(a.allows[customer], a.rec.Now())
+		a.mu.Unlock()
+		w.Header().Set("Cache-Control", "max-age=2")
+	}
+}
+
+// allowed tells whether a customer was allowed at some time in a span.
+func (a *Authenticator) allowed(customer string, from, to time.Duration) bool {
+	for _, at := range a.allows[customer] {
+		if at >= from && at <= to {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/lab/figures.go
+++ b/internal/lab/figures.go
@@ -60,15 +60,28 @@
 		}
 	}
 	f.Service = service(s, all)
-	slices.Sort(times)
-	at := func(p float64) float64 {
-		if len(times) == 0 {
-			return 0
+	f.P50, f.P99 = quantile(times, 0.5), quantile(times, 0.99)
+	return f
+}
+
+// percentile is a quantile of the time to be served, in milliseconds.
+func percentile(s *Site, rec *Record, p float64) float64 {
+	var times []time.Duration
+	for _, o := range outcomes(s, rec) {
+		if o.kind == Served {
+			times = append(times, o.took)
 		}
-		return float64(times[min(len(times)-1, int(p*float64(len(times))))].Microseconds()) / 1000
 	}
-	f.P50, f.P99 = at(0.5), at(0.99)
-	return f
+	return quantile(times, p)
+}
+
+// quantile sorts times and gives one of them, in milliseconds.
+func quantile(times []time.Duration, p float64) float64 {
+	if len(times) == 0 {
+		return 0
+	}
+	slices.Sort(times)
+	return float64(times[min(len(times)-1, int(p*float64(len(times))))].Microseconds()) / 1000
 }
 
 // miss takes note of a promise that was not kept.
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -357,3 +357,20 @@
 	}
 	return string(raw[max(0, len(raw)-2000):])
 }
+
+// cpu is the processor time that the serving process has used, in seconds.
+func (g *Gateway) cpu() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", g.pid))
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(raw[bytes.LastIndexByte(raw, ')')+1:]))
+	if len(fields) < 13 {
+		return 0
+	}
+	user, _ := strconv.ParseFloat(fields[11], 64)
+	system, _ := strconv.ParseFloat(fields[12], 64)
+	return (user + system) / 100 // clock ticks
+}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -17,10 +17,11 @@
 type Options struct {
 	Seed      uint64
 	Gateways  int
-	Servers   int     // 0: as many as the load wants
-	Load      float64 // part of what the servers can do that is asked inside the quotas
-	Bin       string  // of the gateway; "": it is built
-	Operators string  // text of the operators' file, %DIR% being the gateway's folder; "": none
+	Servers   int                              // 0: as many as the load wants
+	Load      float64                          // part of what the servers can do that is asked inside the quotas
+	Bin       string                           // of the gateway; "": it is built
+	Prepare   func(w *World, g *Gateway) error // writes further files into a gateway's folder; nil: none
+	Operators string                           // text of the operators' file, %DIR% being the gateway's folder; "": none
 	Log       io.Writer
 }
 
@@ -94,6 +95,11 @@
 				return w, err
 			}
 		}
+		if o.Prepare != nil {
+			if err := o.Prepare(w, g); err != nil {
+				return w, err
+			}
+		}
 		g.config = w.configuration
 		w.Gateways = append(w.Gateways, g)
 		peers = append(peers, netip.MustParseAddrPort(g.Peer))
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -58,6 +58,7 @@
 	Headers      map[string]string `toml:"headers"`
 	SecretHeader string            `toml:"secret_header"`
 	SecretFile   string            `toml:"secret_file"`
+	TokensFile   string            `toml:"tokens_file"`
 	CAFile       string            `toml:"ca_file"`
 }
 
--- a/internal/operators/operators_test.go
+++ b/internal/operators/operators_test.go
@@ -25,7 +25,7 @@
 	}
 	for _, key := range []string{"file", "every", "oldest", "on", "pid_file", "ready_within", "url",
 		"classes", "plans", "pass_unknown", "budget", "timeout", "allow_for", "allow_most", "deny_for", "stale_for", "most_calls", "most_waiting",
-		"most_kept", "fails", "open_for", "open_most", "headers", "secret_header", "secret_file", "ca_file"} {
+		"most_kept", "fails", "open_for", "open_most", "headers", "secret_header", "secret_file", "tokens_file", "ca_file"} {
 		if !strings.Contains(string(raw), "\n"+key+" = ") {
 			t.Errorf("%s is not in the shipped file", key)
 		}
