Forward authentication: a crash with 2,000 waiting, verdicts at the same instant

Change: tests for an authenticator that dies with 2,000 questions and comes back, and for a verdict beside the leave, the deadline, the drain's end and a hand-over; the key is built in one buffer.

--- a/internal/forwardauth/client.go
+++ b/internal/forwardauth/client.go
@@ -175,21 +175,24 @@
 
 // Key is the question in short: all that a verdict may depend on but the address.
 func (q *Question) Key() (k authz.Key) {
-	h := sha256.New()
-	part := func(s string) {
-		_, _ = io.WriteString(h, strconv.Itoa(len(s)))
-		_, _ = io.WriteString(h, ":"+s)
+	var room [512]byte
+	b := room[:0]
+	part := func(text string) { // with its length: parts can't run into one another
+		b = strconv.AppendInt(b, int64(len(text)), 10)
+		b = append(b, ':')
+		b = append(b, text...)
 	}
-	if q.Credential != nil {
-		part(q.Credential.User)
-		part(q.Credential.Secret)
-		part(strconv.FormatBool(q.Credential.Named))
+	if c := q.Credential; c != nil {
+		part(c.User)
+		part(c.Secret)
+		b = strconv.AppendBool(b, c.Named)
 	}
 	part(q.Customer)
 	part(q.Plan)
 	part(q.Class)
-	part(strconv.FormatFloat(q.Units, 'g', -1, 64))
-	copy(k[:], h.Sum(nil))
+	b = strconv.AppendFloat(b, q.Units, 'g', -1, 64)
+	sum := sha256.Sum256(b)
+	copy(k[:], sum[:])
 	return k
 }
 
--- /dev/null
+++ b/internal/forwardauth/step_test.go
@@ -0,0 +1,148 @@
+package forwardauth
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"mothcleat/authz"
+)
+
+// fakeHost is a goroutine that decides: the test's own.
+type fakeHost struct {
+	t       *testing.T
+	events  chan func()
+	timers  []*time.Timer
+	decided map[uint64]authz.Verdict
+}
+
+func (h *fakeHost) Now() authz.Time { return time.Now().UnixMicro() }
+func (h *fakeHost) Post(f func())   { h.events <- f }
+func (h *fakeHost) At(when authz.Time, f func()) {
+	h.timers = append(h.timers, time.AfterFunc(time.Duration(when-h.Now())*time.Microsecond, func() { h.Post(f) }))
+}
+
+func (h *fakeHost) Decided(id uint64, v authz.Verdict, _ authz.Time) {
+	if _, twice := h.decided[id]; twice {
+		h.t.Errorf("request %d has two verdicts", id)
+	}
+	h.decided[id] = v
+}
+
+// until runs the host until it is so.
+func (h *fakeHost) until(what string, so func() bool) {
+	h.t.Helper()
+	for late := time.After(patience); !so(); {
+		select {
+		case f := <-h.events:
+			f()
+		case <-late:
+			h.t.Fatal("timed out waiting for ", what)
+		}
+	}
+}
+
+// An authenticator that dies with two thousand questions waiting, and comes back:
+// each request has one verdict, no more calls go out than may, and the first trial
+// after its return lets questions through again.
+func TestCrashWithManyWaiting(t *testing.T) {
+	const many, calls = 2000, 16
+	var down atomic.Bool
+	var out, most atomic.Int32
+	release := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if n := out.Add(1); n > most.Load() {
+			most.Store(n)
+		}
+		defer out.Add(-1)
+		if down.Load() {
+			<-release
+			panic(http.ErrAbortHandler) // the connection is reset
+		}
+	}))
+	defer s.Close()
+	h := &fakeHost{t: t, events: make(chan func(), many), decided: map[uint64]authz.Verdict{}}
+	step := NewStep(context.Background(), h)
+	rules := authz.Settings{Ask: []bool{true}, PassUnknown: []bool{false}, Plans: []bool{true}, Budget: time.Hour.Microseconds(),
+		AllowFor: 1e6, AllowCap: 1e6, DenyFor: 1e6, MostOut: calls, MostWaiting: many, MostKept: many, Fails: 3, OpenFor: 1000, OpenMost: 2000}
+	if err := step.Set(Settings{URL: s.URL, Timeout: patience, MostOut: calls}, rules, 1); err != nil {
+		t.Fatal(err)
+	}
+	next, atOnce := uint64(0), 0
+	ask := func(customer int) authz.Verdict {
+		next++
+		v, _ := step.Request(next, &Question{Customer: string(rune('a' + customer)), From: "127.0.0.1:1"}, 0, 0, 1e12)
+		return v
+	}
+	down.Store(true)
+	for i := range many {
+		if v := ask(i % (calls + 4)); v == authz.Unknown {
+			atOnce++ // no call was left for its question
+		} else if v != authz.Wait {
+			t.Fatalf("verdict %d", v)
+		}
+	}
+	if want := many / (calls + 4) * 4; atOnce != want {
+		t.Errorf("%d were decided at once, want %d", atOnce, want)
+	}
+	close(release)
+	h.until("a verdict for each", func() bool { return len(h.decided) == many-atOnce })
+	for id, v := range h.decided {
+		if v != authz.Unknown {
+			t.Fatalf("request %d: verdict %d of an authenticator that died", id, v)
+		}
+	}
+	if !step.gate.Open() {
+		t.Error("the breaker is closed")
+	}
+	down.Store(false)
+	h.until("an allowance after its return", func() bool {
+		if v := ask(0); v == authz.Wait {
+			id := next
+			h.until("its verdict", func() bool { _, there := h.decided[id]; return there })
+			return h.decided[id] == authz.Pass
+		} else if v == authz.Pass {
+			return true
+		}
+		time.Sleep(time.Millisecond) // the breaker's time passes
+		return false
+	})
+	if n := most.Load(); n > calls {
+		t.Errorf("%d calls out at once", n)
+	}
+}
+
+// Off, on, elsewhere, off again: settings that can't be used leave all as it was.
+func TestSet(t *testing.T) {
+	h := &fakeHost{t: t, events: make(chan func(), 8), decided: map[uint64]authz.Verdict{}}
+	step := NewStep(context.Background(), h)
+	rules := authz.Settings{Ask: []bool{true}, PassUnknown: []bool{false}, Plans: []bool{true}, Budget: 1e6, MostOut: 1, MostWaiting: 1,
+		MostKept: 1, Fails: 1, OpenFor: 1, OpenMost: 1}
+	var none *Step
+	if none.On() || step.On() {
+		t.Error("on before anything was set")
+	}
+	step.Gone(1)
+	if err := step.Set(Settings{}, authz.Settings{}, 1); err != nil || step.On() {
+		t.Errorf("off: %v", err)
+	}
+	good := Settings{URL: "http://127.0.0.1:1/", Timeout: time.Second, MostOut: 1}
+	if err := step.Set(good, authz.Settings{}, 1); err == nil || step.On() {
+		t.Error("rules that can't be used were taken")
+	}
+	if err := step.Set(good, rules, 1); err != nil || !step.On() {
+		t.Errorf("on: %v", err)
+	}
+	if err := step.Set(Settings{URL: "nowhere"}, rules, 1); err == nil || !step.On() || step.settings.URL != good.URL {
+		t.Error("a bad address changed something")
+	}
+	if v, _ := step.Request(1, &Question{}, 0, 0, 4e9); v != authz.Wait {
+		t.Errorf("verdict %d", v)
+	}
+	if err := step.Set(Settings{}, authz.Settings{}, 1); err != nil || step.On() || h.decided[1] != authz.Pass {
+		t.Errorf("switched off: %v, verdict %d", err, h.decided[1])
+	}
+}
--- a/internal/gateway/permit_test.go
+++ b/internal/gateway/permit_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -10,6 +11,7 @@
 	"time"
 
 	"mothcleat/authz"
+	"mothcleat/decide"
 	"mothcleat/internal/forwardauth"
 )
 
@@ -262,3 +264,64 @@
 		t.Error("asked")
 	}
 }
+
+// A verdict in the same instant as the client's leave, the deadline or the drain's
+// end, before or after it: one answer, and nothing sent on after it.
+func TestVerdictAtTheSameInstant(t *testing.T) {
+	s, calls := newAuthenticator(t)
+	for name, end := range map[string]func(l *Loop, r *request){
+		"leave":    func(l *Loop, r *request) { left{r.client}.handle(l) },
+		"deadline": func(l *Loop, r *request) { backstop{r}.due(l) },
+		"drain":    func(l *Loop, _ *request) { l.failAll() },
+		"handed": func(l *Loop, _ *request) {
+			l.drain.handed = true // what comes now is told to come again
+		},
+	} {
+		for _, first := range []bool{true, false} {
+			b := newBackend(t)
+			d := newFakeDiscovery(t)
+			l, err := newLoop(asking(t, d, s.URL), quiet())
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { l.stopAsk(); l.clients.listener.Close() })
+			l.backends.members(l, decide.Whole, []member{{ID: "s-00000001", HostPort: b.listener.Addr().String(), Phase: "Ready"}})
+			here, there := pipe(t)
+			l.clients.room <- struct{}{}
+			c := &client{conn: here, out: newSender(here), room: make(chan struct{}, 4), done: make(chan struct{})}
+			l.clients.conns[c] = true
+			cmd, err := l.cfg.parse([][]byte{[]byte("API.READ"), []byte("0000000000000007"), []byte("0000000000000001"),
+				[]byte("c=lookup,t=team,d=80000000,units=1,spread=1,first=0")})
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.room <- struct{}{}
+			taken{client: c, cmd: cmd, at: l.now()}.handle(l)
+			r := c.line[0]
+			wait(t, calls, "a question").answer <- http.StatusOK
+			verdict := wait(t, l.events, "the verdict")
+			if first {
+				l.handle(verdict)
+			}
+			end(l, r)
+			l.follow()
+			if !first {
+				l.handle(verdict)
+				if r.attempts > 0 {
+					t.Errorf("%s, then the verdict: sent on", name)
+				}
+			}
+			if !r.answered && !(first && name == "handed") {
+				t.Errorf("%s: not closed", name)
+			}
+			if r.asks != nil || l.open < 0 || l.open > 1 {
+				t.Errorf("%s: %d open", name, l.open)
+			}
+			here.Close()
+			text, _ := io.ReadAll(there)
+			if n := strings.Count(string(text), "\r\n"); n > 1 || n == 0 && name != "leave" && !(first && name == "handed") {
+				t.Errorf("%s, verdict first %t: answers %q", name, first, text)
+			}
+		}
+	}
+}
