internal/registry: the platform's discovery behind a seam, out of the gateway

Need: Consul is to be a second source of the same news; the loop must not know which one it has.

Change: registry.Source with Run, Follow and Move; the platform's watches are its first one, as they were; internal/gateway keeps what the module is told. Tests of the source by itself found a race in a move that follows another at once: the address was read while it was replaced.

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -473,14 +473,14 @@
 	}
 	for _, m := range list {
 		b := bs.find(m.ID)
-		b.state = m.state()
+		b.state = stateOf(&m)
 		if b.address != m.HostPort || b.upSince != m.UpSince {
 			// It has moved or started anew: what stands idle leads nowhere.
 			b.address, b.upSince = m.HostPort, m.UpSince
 			bs.drop(b)
 		}
 		told = append(told, decide.Member{
-			Backend: b.number, Zone: l.discovery.zone(m.Locality), Cell: m.Cell, State: b.state,
+			Backend: b.number, Zone: l.register.zone(m.Locality), Cell: m.Cell, State: b.state,
 			Hint: m.Size, Started: m.UpSince * 1000,
 		})
 	}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -13,6 +13,7 @@
 	"strconv"
 
 	"mothcleat/decide"
+	"mothcleat/internal/registry"
 	"mothcleat/internal/wire"
 )
 
@@ -28,7 +29,7 @@
 	PeerListen string
 	Peers      []netip.AddrPort // by number, this gateway's own among them
 	Counter    string
-	Known      memberList
+	Known      registry.List
 
 	Settings decide.Settings
 	Host     wire.Host
@@ -50,7 +51,7 @@
 	PeerListen string          `json:"peer_listen"`
 	Peers      []string        `json:"peers"`
 	Counter    string          `json:"counter"`
-	Known      memberList      `json:"known"`
+	Known      registry.List   `json:"known"`
 	Settings   json.RawMessage `json:"settings"`
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mothcleat/decide"
+	"mothcleat/internal/registry"
 )
 
 const (
@@ -46,9 +47,10 @@
 		cfg: cfg, log: log, clock: newClock(),
 		events: make(chan event, queued), urgents: make(chan event, 16),
 		requests: map[uint64]*request{}, names: map[uint64]*request{}, timer: time.NewTimer(time.Hour),
-		counter: newCounter(&cfg), discovery: newDiscovery(&cfg), survival: newSurvival(cfg.Survival),
+		counter: newCounter(&cfg), survival: newSurvival(cfg.Survival),
 	}
 	l.timer.Stop()
+	l.register = register{Source: registry.NewPlatform(cfg.Discovery, cfg.Settings.AskMembers, log), zones: cfg.Host.Zones}
 	l.asking, l.stopAsk = newAsking()
 	if err := l.setAuth(cfg.Auth); err != nil {
 		return nil, err
@@ -87,7 +89,7 @@
 	l.follow()
 	l.at(l.now()+untilReady, readyAnyway{})
 	l.at(l.now()+sweepEvery, sweep{})
-	go l.discovery.run(ctx, l)
+	go l.register.run(ctx, l)
 	l.keep(ctx)
 	if l.peers.conn != nil && !l.survival.Successor {
 		go l.peers.read(l)
@@ -133,7 +135,7 @@
 type readyAnyway struct{}
 
 func (readyAnyway) due(l *Loop) {
-	if !l.discovery.heard {
+	if !l.register.heard {
 		l.log.Warn("discovery is silent: the list given is used with care", "backends", len(l.cfg.Known.Members))
 		l.backends.members(l, decide.Stale, l.cfg.Known.Members)
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -410,11 +410,11 @@
 // A member without a usable address gets nothing; one that is gone is gone.
 func TestUselessAddress(t *testing.T) {
 	for _, address := range []string{"", "nowhere", "127.0.0.1", "127.0.0.1:x", "127.0.0.1:99999"} {
-		if m := (member{HostPort: address, Phase: "Ready"}); m.state() != decide.Draining {
-			t.Errorf("%q: state %d", address, m.state())
+		if m := (member{HostPort: address, Phase: "Ready"}); stateOf(&m) != decide.Draining {
+			t.Errorf("%q: state %d", address, stateOf(&m))
 		}
 	}
-	if m := (member{Phase: "Gone"}); m.state() != decide.Left {
+	if m := (member{Phase: "Gone"}); stateOf(&m) != decide.Left {
 		t.Error("a member that is gone is kept for its address")
 	}
 }
@@ -429,7 +429,7 @@
 	hung := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Query().Has("index") && !held.Swap(true) {
 			wait, err := strconv.Atoi(r.URL.Query().Get("wait"))
-			if limit := time.Duration(wait)*time.Millisecond + watchSlack; err != nil || limit >= 6*time.Second {
+			if limit := time.Duration(wait)*time.Millisecond + time.Second; err != nil || limit >= 6*time.Second {
 				t.Errorf("a watch is waited for %v, %v", limit, err)
 			}
 			d.tell(second.entry("s-00000002", "Ready"))
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -67,7 +67,7 @@
 	backends  *backends
 	peers     *peers
 	counter   *counter
-	discovery *discovery
+	register  register
 	survival  survival
 	auth      *forwardauth.Step // nil: nobody was ever asked
 	authOn    atomic.Bool       // for those who read commands
@@ -249,7 +249,7 @@
 }
 
 // Follow asks discovery for the list and its changes from now on.
-func (l *Loop) Follow() { l.discovery.follow() }
+func (l *Loop) Follow() { l.register.Follow() }
 
 // Log writes a line for the people on call.
 func (l *Loop) Log(line string) { l.log.Info(line) }
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -54,7 +54,7 @@
 		l.log.Warn("reload: what needs a restart stays as it was", "settings", kept)
 	}
 	l.cfg.Discovery, l.cfg.Counter = e.cfg.Discovery, e.cfg.Counter
-	l.discovery.move(e.cfg.Discovery)
+	l.register.Move(e.cfg.Discovery)
 	if e.cfg.Counter != "" {
 		l.counter.move(e.cfg.Counter)
 	}
--- a/internal/gateway/discovery.go
+++ b/internal/registry/platform.go
@@ -1,50 +1,17 @@
-package gateway
+package registry
 
 import (
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/http/httptrace"
-	"net/netip"
-	"slices"
 	"sync/atomic"
 	"time"
-
-	"mothcleat/decide"
 )
 
-// memberList is the list of members, or what changed of it, in discovery's form.
-type memberList struct {
-	Revision uint64   `json:"revision"`
-	Complete bool     `json:"complete"`
-	Members  []member `json:"members"`
-}
-
-type member struct {
-	ID       string  `json:"id"`
-	HostPort string  `json:"host_port"`
-	Locality string  `json:"locality"`
-	Cell     int     `json:"cell"`
-	Phase    string  `json:"phase"`
-	Size     float64 `json:"size"`
-	UpSince  int64   `json:"up_since_ms"`
-}
-
-func (m *member) state() decide.State {
-	switch m.Phase {
-	case "Ready":
-		if _, err := netip.ParseAddrPort(m.HostPort); err != nil {
-			return decide.Draining // there is no way to it
-		}
-		return decide.Ready
-	case "Gone":
-		return decide.Left
-	}
-	return decide.Draining // a phase not known is none to send to
-}
-
 const (
 	watchWait  = 2 * time.Second        // short: a watch that hangs hides all news until it is given up
 	watchSlack = time.Second            // for an answer after the wait is over
@@ -54,73 +21,49 @@
 	mostList   = 8 << 20                // bytes
 )
 
-// stay follows no redirect: only the addresses of the configuration are called,
-// and a call to the counter must not be made twice.
-func stay(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 const mostHeader = 16 << 10 // bytes of an answer's header
 
-// discovery follows the list of members.
-type discovery struct {
+// Platform is the platform's discovery: HTTP watches at one address.
+type Platform struct {
 	address string
 	moved   chan string // addresses of new configurations: the last one only
 	client  *http.Client
 	asks    bool          // discovery tells only who asks
 	start   chan struct{} // closed when the list is to be followed
 	once    bool
-	heard   bool     // it has told a list; the loop's
-	zones   []string // by number, this gateway's own first
+	log     *slog.Logger
 }
 
-func newDiscovery(cfg *Config) *discovery {
-	d := &discovery{
-		address: cfg.Discovery, moved: make(chan string, 1),
-		client: &http.Client{CheckRedirect: stay, Transport: &http.Transport{
-			MaxConnsPerHost: 1, MaxIdleConns: 1, DisableCompression: true, MaxResponseHeaderBytes: mostHeader,
-		}},
-		asks: cfg.Settings.AskMembers, start: make(chan struct{}), zones: cfg.Host.Zones,
+// NewPlatform makes a source at an address. Asks: discovery tells only who asks,
+// so it is followed only after Follow.
+func NewPlatform(address string, asks bool, log *slog.Logger) *Platform {
+	d := &Platform{
+		address: address, moved: make(chan string, 1), log: log,
+		client: &http.Client{
+			// No redirect is followed: only the addresses of the configuration are called.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+			Transport: &http.Transport{
+				MaxConnsPerHost: 1, MaxIdleConns: 1, DisableCompression: true, MaxResponseHeaderBytes: mostHeader,
+			},
+		},
+		asks: asks, start: make(chan struct{}),
 	}
-	if !d.asks {
-		d.follow()
+	if !asks {
+		d.Follow()
 	}
 	return d
 }
 
-// follow has the list followed from now on.
-func (d *discovery) follow() {
+// Follow has the list followed from now on.
+func (d *Platform) Follow() {
 	if !d.once {
 		d.once = true
 		close(d.start)
 	}
 }
 
-// zone gives a zone's number.
-func (d *discovery) zone(name string) int {
-	if i := slices.Index(d.zones, name); i >= 0 {
-		return i
-	}
-	d.zones = append(d.zones, name)
-	return len(d.zones) - 1
-}
-
-// news is what discovery has told.
-type news struct {
-	kind decide.News
-	list memberList
-}
-
-func (n news) handle(l *Loop) {
-	if n.kind == decide.Unheard {
-		l.module.Members(l.now(), n.kind, nil)
-		return
-	}
-	l.discovery.heard = true
-	l.backends.members(l, n.kind, n.list.Members)
-	l.ready()
-}
-
-// move has the list followed at another address. Only the loop calls it.
-func (d *discovery) move(address string) {
+// Move has the list followed at another address.
+func (d *Platform) Move(address string) {
 	select {
 	case <-d.moved: // a newer configuration came before this one was acted on
 	default:
@@ -128,9 +71,9 @@
 	d.moved <- address
 }
 
-// run follows the list, at another address as soon as there is one: a watch that
+// Run follows the list, at another address as soon as there is one: a watch that
 // is under way at the old one ends, and its news come before any of the new one.
-func (d *discovery) run(ctx context.Context, l *Loop) {
+func (d *Platform) Run(ctx context.Context, tell func(News)) {
 	select {
 	case <-d.start:
 	case <-ctx.Done():
@@ -139,10 +82,10 @@
 	for address := d.address; ctx.Err() == nil; {
 		watching, cancel := context.WithCancel(ctx)
 		ended := make(chan struct{})
-		go func() {
+		go func(url string) {
 			defer close(ended)
-			d.watch(watching, l, "http://"+address+"/catalog/members")
-		}()
+			d.watch(watching, tell, url)
+		}("http://" + address + "/catalog/members")
 		select {
 		case address = <-d.moved:
 		case <-ctx.Done():
@@ -154,7 +97,7 @@
 }
 
 // watch watches for changes; at first and after a break it takes the whole list.
-func (d *discovery) watch(ctx context.Context, l *Loop, url string) {
+func (d *Platform) watch(ctx context.Context, tell func(News), url string) {
 	version := ""
 	pause := func(wait time.Duration) {
 		select {
@@ -162,12 +105,6 @@
 		case <-ctx.Done():
 		}
 	}
-	tell := func(n news) {
-		select {
-		case l.urgents <- n:
-		case <-ctx.Done():
-		}
-	}
 	for ctx.Err() == nil {
 		called := time.Now()
 		list, err := d.get(ctx, url, version)
@@ -176,9 +113,9 @@
 		}
 		if err != nil {
 			version = ""
-			l.log.Warn("discovery", "error", err)
+			d.log.Warn("discovery", "error", err)
 			if d.asks {
-				tell(news{kind: decide.Unheard})
+				tell(News{Kind: Unheard})
 			}
 			pause(retryAfter)
 			continue
@@ -187,11 +124,11 @@
 			pause(tooSoon) // a watch that does not wait must not become a busy loop
 		}
 		version = fmt.Sprint(list.Revision)
-		kind := decide.Changed
+		kind := Changed
 		if list.Complete {
-			kind = decide.Whole
+			kind = Whole
 		}
-		tell(news{kind, list})
+		tell(News{kind, list.Members})
 	}
 }
 
@@ -211,7 +148,7 @@
 }
 
 // get makes one call: a watch from a version on, or one for the whole list.
-func (d *discovery) get(ctx context.Context, url, version string) (list memberList, err error) {
+func (d *Platform) get(ctx context.Context, url, version string) (list List, err error) {
 	wait := listWait
 	if version != "" {
 		url += fmt.Sprintf("?index=%s&wait=%d", version, watchWait.Milliseconds())
--- /dev/null
+++ b/internal/registry/platform_test.go
@@ -0,0 +1,127 @@
+package registry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+const patience = 30 * time.Second
+
+func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+func next(t *testing.T, from <-chan News) News {
+	t.Helper()
+	select {
+	case n := <-from:
+		return n
+	case <-time.After(patience):
+		t.Fatal("timed out waiting for news")
+		panic("unreachable")
+	}
+}
+
+// follow runs a source for a test.
+func follow(t *testing.T, s Source) chan News {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	told, ended := make(chan News), make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.Run(ctx, func(n News) {
+			select {
+			case told <- n:
+			case <-ctx.Done():
+			}
+		})
+	}()
+	t.Cleanup(func() {
+		cancel()
+		select {
+		case <-ended:
+		case <-time.After(patience):
+			t.Error("the source did not end")
+		}
+	})
+	return told
+}
+
+// script answers calls in turn, the last answer to all that follow.
+func script(t *testing.T, answers ...string) (string, chan string) {
+	t.Helper()
+	calls := make(chan string, 1024)
+	n := 0
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls <- r.URL.RawQuery
+		answer := answers[min(n, len(answers)-1)]
+		n++ // calls come one at a time
+		if status := 0; strings.HasPrefix(answer, "!") {
+			_, _ = fmt.Sscan(answer[1:], &status)
+			w.WriteHeader(status)
+			return
+		}
+		if answer == "hang" {
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprint(w, answer)
+	}))
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return strings.TrimPrefix(s.URL, "http://"), calls
+}
+
+// At first and after any break the whole list is taken, and changes from its
+// version on; what is no list is no news.
+func TestPlatformTakesTheWholeListAfterABreak(t *testing.T) {
+	address, calls := script(t, `{"revision":4,"complete":true,"members":[{"id":"a"}]}`, `{"revision":5,"members":[{"id":"b"}]}`,
+		`!500`, `{"revision":7,"complete":true,"members":[]}`, `{"revision":8,"members":[{"id`, `{"revision":9,"complete":true,"members":[]}`, `hang`)
+	told := follow(t, NewPlatform(address, false, quiet()))
+	for _, want := range []Kind{Whole, Changed, Whole, Whole} {
+		if n := next(t, told); n.Kind != want {
+			t.Errorf("%+v, want kind %d", n, want)
+		}
+	}
+	for i, want := range []string{"", "index=4&wait=2000", "index=5&wait=2000", "", "index=7&wait=2000", "", "index=9&wait=2000"} {
+		if got := <-calls; got != want {
+			t.Errorf("call %d: %q, want %q", i, got, want)
+		}
+	}
+}
+
+// Where it tells only who asks, nothing is called before Follow, and a failure is told.
+func TestPlatformThatIsAsked(t *testing.T) {
+	address, calls := script(t, `!503`)
+	p := NewPlatform(address, true, quiet())
+	told := follow(t, p)
+	if len(calls) > 0 {
+		t.Error("called before it was to be followed")
+	}
+	p.Follow()
+	p.Follow()
+	if n := next(t, told); n.Kind != Unheard {
+		t.Errorf("%+v", n)
+	}
+}
+
+// A move ends the watch under way; the last of several counts.
+func TestPlatformMoves(t *testing.T) {
+	old, calls := script(t, `{"revision":4,"complete":true,"members":[{"id":"old"}]}`, `hang`)
+	moved, _ := script(t, `{"revision":1,"complete":true,"members":[{"id":"new"}]}`, `hang`)
+	p := NewPlatform(old, false, quiet())
+	told := follow(t, p)
+	next(t, told)
+	for range 2 {
+		<-calls // the watch is under way
+	}
+	p.Move("127.0.0.1:1")
+	p.Move(moved)
+	if n := next(t, told); n.Kind != Whole || n.Members[0].ID != "new" {
+		t.Errorf("%+v", n)
+	}
+}
