lab: the front uses no connection that its gateway has ended

Change: the front looks for the end of a kept connection before it uses it; a test. The auditor stays as strict as it was.

--- a/internal/lab/front.go
+++ b/internal/lab/front.go
@@ -46,6 +46,23 @@
 	used bool
 }
 
+// open tells whether a kept connection was not ended by the other side, as a front
+// that watches its connections knows. To write to one that was would be the front's
+// own fault, and a process that has exited since answers with a reset.
+func (c *frontConn) open() bool {
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = err == syscall.EAGAIN || err == syscall.EINTR
+	})
+	return err == nil && open
+}
+
 func newFront(rec *Record, gateways []*Gateway) *front {
 	f := &front{gateways: gateways, rec: rec}
 	for range gateways {
@@ -103,11 +120,14 @@
 	e := f.entries[g]
 	if !fresh {
 		e.mu.Lock()
-		if n := len(e.idle); n > 0 {
+		for n := len(e.idle); n > 0; n = len(e.idle) {
 			c := e.idle[n-1]
 			e.idle = e.idle[:n-1]
-			e.mu.Unlock()
-			return c, nil
+			if c.open() {
+				e.mu.Unlock()
+				return c, nil
+			}
+			c.Close() // its end was told before this request: none was taken there
 		}
 		e.mu.Unlock()
 	}
--- a/internal/lab/world_test.go
+++ b/internal/lab/world_test.go
@@ -281,3 +281,33 @@
 		}
 	}
 }
+
+// A front uses no kept connection that the gateway has ended.
+func TestFrontDropsConnectionsThatWereEnded(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	f := newFront(NewRecord(), []*Gateway{{Address: l.Addr().String()}})
+	first, err := f.take(0, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	there, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.keep(0, first)
+	if again, err := f.take(0, false); err != nil || again != first {
+		t.Fatalf("an open one was not used again: %v", err)
+	}
+	there.Close()
+	for first.open() { // until the end has arrived
+		time.Sleep(ms)
+	}
+	f.keep(0, first)
+	if again, err := f.take(0, false); err != nil || again == first {
+		t.Errorf("an ended one was used: %v", err)
+	}
+}
