[register]: Consul as the gateway's register, alone or beside the platform's

Need: quote servers kept in Consul; a migration needs both registers at once.

Change: settings, checked strictly and tried by mothcleat check; SIGHUP moves to other agents; two sources merge by address with a stated winner. Off by default: the platform's discovery as before.

--- a/cmd/mothcleat/main_test.go
+++ b/cmd/mothcleat/main_test.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"mothcleat/internal/lab"
 )
 
 // SIGHUP once ended the program, and with it all that it had taken.
@@ -81,6 +83,16 @@
 	good := write(t, "good.toml", "[state]\nfile = \""+filepath.Join(t.TempDir(), "state")+"\"\n")
 	nowhere := write(t, "nowhere.toml", "[state]\nfile = \"/nowhere/at/all/state\"\n")
 	bad := write(t, "bad.toml", "[state]\nevery = 3\n")
+	c, err := lab.NewConsul(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := c.Register("q-1", "quotes", "127.0.0.1:7000", nil, nil); err != nil {
+		t.Fatal(err)
+	}
+	consul := write(t, "consul.toml", "[register]\nsource = \"consul\"\nservice = \"quotes\"\nagents = [\"127.0.0.1:1\", \""+c.Address+"\"]\n")
+	gone := write(t, "gone.toml", "[register]\nsource = \"consul\"\nservice = \"quotes\"\nagents = [\"127.0.0.1:1\"]\n")
 	for _, c := range []struct {
 		config    string
 		args      []string
@@ -95,6 +107,8 @@
 		{"", nil, 1, "", "RELAY_CONFIG is not set"},
 		{config, []string{"check", "--operators", good}, 0, "none yet", ""},
 		{config, []string{"check"}, 0, "good for gateway", ""},
+		{config, []string{"check", "--operators", consul}, 0, "1 instances of quotes", ""},
+		{config, []string{"check", "--operators", gone}, 1, "", "register: agent 127.0.0.1:1: "},
 		{config, []string{"check", "--operators", nowhere}, 1, "", "state: "},
 		{config, []string{"check", "--operators", bad}, 1, "", bad + ":2: state.every:"},
 		{config, []string{"--operators", bad}, 1, "", bad + ":2: state.every:"},
--- /dev/null
+++ b/cmd/mothcleat/register.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"log/slog"
+	"strings"
+	"time"
+
+	"mothcleat/internal/gateway"
+	"mothcleat/internal/operators"
+	"mothcleat/internal/registry"
+	"mothcleat/internal/registry/consul"
+	"mothcleat/membership"
+)
+
+// register has the configuration say where the list of servers comes from.
+func register(r *operators.Register, cfg *gateway.Config) {
+	if r.Source == "platform" {
+		return
+	}
+	agents := strings.Join(r.Agents, ",")
+	cfg.MoveTo = []string{agents}
+	switch r.Source {
+	case "consul+platform":
+		cfg.MoveTo = []string{agents, "other=" + cfg.Discovery}
+	case "platform+consul":
+		cfg.MoveTo = []string{cfg.Discovery, "other=" + agents}
+	}
+	cfg.Register = func(cfg *gateway.Config, log *slog.Logger) (registry.Source, error) {
+		c, err := newConsul(r, log)
+		if err != nil {
+			return nil, err
+		}
+		platform := registry.NewPlatform(cfg.Discovery, cfg.Settings.AskMembers, log)
+		switch r.Source {
+		case "consul+platform":
+			return registry.Merge(c, platform), nil
+		case "platform+consul":
+			return registry.Merge(platform, c), nil
+		}
+		return c, nil
+	}
+}
+
+// newConsul makes the source that the settings describe.
+func newConsul(r *operators.Register, log *slog.Logger) (*consul.Source, error) {
+	mode := r.Mode
+	if mode == "default" {
+		mode = ""
+	}
+	us := func(d operators.Duration) membership.Time { return time.Duration(d).Microseconds() }
+	return consul.New(consul.Settings{
+		Agents: r.Agents, TLS: r.TLS, CAFile: r.CAFile, TokenFile: r.TokenFile, Service: r.Service, Datacenter: r.Datacenter,
+		Namespace: r.Namespace, Filter: r.Filter, Mode: mode, Wait: time.Duration(r.Wait), Catalogue: r.Catalogue,
+		Rules: membership.Settings{WarningServes: r.WarningServes, Hold: us(r.Hold), ResetAfter: r.ResetAfter, Skew: us(r.Skew)},
+	}, log)
+}
--- a/cmd/mothcleat/run.go
+++ b/cmd/mothcleat/run.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -51,6 +52,7 @@
 	debug.SetGCPercent(400)
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 2 / 3)
 
+	register(&p.settings.Register, &cfg)
 	if cfg.Auth, err = auth(&p.settings.Auth, &cfg); err != nil {
 		return err
 	}
@@ -142,10 +144,16 @@
 		p.log.Warn("reload: what needs a new process stays as it was", "settings", fixed)
 	}
 	cfg.Survival.Every = time.Duration(now.State.Every)
+	if now.Register.Source != p.settings.Register.Source {
+		now.Register = p.settings.Register // only a new process follows another kind of register
+	}
+	register(&now.Register, &cfg)
 	cfg.Auth, err = auth(&now.Auth, &cfg)
 	return cfg, err
 }
 
+const tryFor = 10 * time.Second // for a register to answer
+
 // check reads the files and tries what they name, without serving.
 func check(path string, out io.Writer) error {
 	var cfg gateway.Config
@@ -172,6 +180,19 @@
 		}
 	}
 	fmt.Fprintf(out, "operators: %s: good\n", path)
+	if s.Register.Source != "platform" {
+		source, err := newConsul(&s.Register, slog.New(slog.DiscardHandler))
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), tryFor)
+		defer cancel()
+		n, err := source.Try(ctx)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "register: %d instances of %s\n", n, s.Register.Service)
+	}
 	if s.State.File == "" {
 		return nil
 	}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/netip"
 	"strconv"
@@ -36,6 +37,11 @@
 
 	Survival Survival // from the operators' file
 	Auth     Auth     // the same
+
+	// Register makes the source of news of the servers; nil: the platform's discovery.
+	// MoveTo is what its Move is told on a reload; "": the discovery's address.
+	Register func(cfg *Config, log *slog.Logger) (registry.Source, error)
+	MoveTo   []string
 }
 
 // file is the configuration as it is written.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,7 +50,14 @@
 		counter: newCounter(&cfg), survival: newSurvival(cfg.Survival),
 	}
 	l.timer.Stop()
-	l.register = register{Source: registry.NewPlatform(cfg.Discovery, cfg.Settings.AskMembers, log), zones: cfg.Host.Zones}
+	source := registry.Source(registry.NewPlatform(cfg.Discovery, cfg.Settings.AskMembers, log))
+	if cfg.Register != nil {
+		var err error
+		if source, err = cfg.Register(&cfg, log); err != nil {
+			return nil, err
+		}
+	}
+	l.register = register{Source: source, zones: cfg.Host.Zones}
 	l.asking, l.stopAsk = newAsking()
 	if err := l.setAuth(cfg.Auth); err != nil {
 		return nil, err
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -54,7 +54,12 @@
 		l.log.Warn("reload: what needs a restart stays as it was", "settings", kept)
 	}
 	l.cfg.Discovery, l.cfg.Counter = e.cfg.Discovery, e.cfg.Counter
-	l.register.Move(e.cfg.Discovery)
+	if e.cfg.MoveTo == nil {
+		l.register.Move(e.cfg.Discovery)
+	}
+	for _, to := range e.cfg.MoveTo {
+		l.register.Move(to)
+	}
 	if e.cfg.Counter != "" {
 		l.counter.move(e.cfg.Counter)
 	}
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"reflect"
+	"slices"
 	"strings"
 	"time"
 
@@ -20,6 +22,7 @@
 	State    State    `toml:"state"`
 	HandOver HandOver `toml:"handover"`
 	Auth     Auth     `toml:"auth"`
+	Register Register `toml:"register"`
 }
 
 // State is where a gateway keeps what its next process is to know.
@@ -62,6 +65,29 @@
 	CAFile       string            `toml:"ca_file"`
 }
 
+// Register is where the list of servers comes from.
+type Register struct {
+	Source        string   `toml:"source"` // platform, consul, consul+platform or platform+consul: the first one wins
+	Agents        []string `toml:"agents"`
+	TLS           bool     `toml:"tls"`
+	CAFile        string   `toml:"ca_file"`
+	TokenFile     string   `toml:"token_file"`
+	Service       string   `toml:"service"`
+	Datacenter    string   `toml:"datacenter"`
+	Namespace     string   `toml:"namespace"`
+	Filter        string   `toml:"filter"`
+	Mode          string   `toml:"mode"`
+	Wait          Duration `toml:"wait"`
+	Catalogue     bool     `toml:"catalogue"`
+	WarningServes bool     `toml:"warning_serves"`
+	Hold          Duration `toml:"hold"`
+	ResetAfter    int      `toml:"reset_after"`
+	Skew          Duration `toml:"skew"`
+}
+
+// Sources are the values of Register.Source.
+var Sources = []string{"platform", "consul", "consul+platform", "platform+consul"}
+
 // Duration is a length of time, written as 1s or 250ms.
 type Duration time.Duration
 
@@ -85,6 +111,8 @@
 			AllowFor: Duration(10 * time.Second), AllowMost: Duration(5 * time.Minute), DenyFor: Duration(2 * time.Second),
 			StaleFor: Duration(5 * time.Second), MostCalls: 32, MostWaiting: 2000, MostKept: 10000,
 			Fails: 5, OpenFor: Duration(time.Second), OpenMost: Duration(30 * time.Second)},
+		Register: Register{Source: "platform", Agents: []string{"127.0.0.1:8500"}, Mode: "default", Wait: Duration(5 * time.Second),
+			Catalogue: true, Hold: Duration(5 * time.Minute), ResetAfter: 3, Skew: Duration(5 * time.Second)},
 	}
 }
 
@@ -153,13 +181,25 @@
 		{"auth.most_calls", count(s.Auth.MostCalls, 1, 1000)},
 		{"auth.most_waiting", count(s.Auth.MostWaiting, 1, 1000_000)},
 		{"auth.most_kept", count(s.Auth.MostKept, 1, 10_000_000)},
+		{"register.wait", within(s.Register.Wait, 100*time.Millisecond, 10*time.Minute)},
+		{"register.hold", within(s.Register.Hold, 0, 24*time.Hour)},
+		{"register.skew", within(s.Register.Skew, 0, time.Minute)},
+		{"register.reset_after", count(s.Register.ResetAfter, 1, 1000)},
 		{"auth.fails", count(s.Auth.Fails, 1, 1000_000)},
 	} {
 		if c.why != "" {
 			return c.key, c.why
 		}
 	}
-	switch {
+	switch r := &s.Register; {
+	case !slices.Contains(Sources, r.Source):
+		return "register.source", fmt.Sprintf("%q: one of %s wanted", r.Source, strings.Join(Sources, ", "))
+	case !slices.Contains([]string{"default", "stale", "consistent"}, r.Mode):
+		return "register.mode", fmt.Sprintf("%q: default, stale or consistent wanted", r.Mode)
+	case r.Source != "platform" && r.Service == "":
+		return "register.service", "missing, though register.source names Consul"
+	case r.Source != "platform" && len(r.Agents) == 0:
+		return "register.agents", "none, though register.source names Consul"
 	case s.Auth.URL != "" && len(s.Auth.Classes) == 0:
 		return "auth.classes", "none, though auth.url is set: nothing would ever be asked"
 	case (s.Auth.SecretFile == "") != (s.Auth.SecretHeader == ""):
@@ -176,6 +216,12 @@
 	return "", ""
 }
 
+// sameButAgents tells whether only the agents differ: those can be changed at any time.
+func (r Register) sameButAgents(other *Register) bool {
+	r.Agents = other.Agents
+	return reflect.DeepEqual(&r, other)
+}
+
 func count(n, least, most int) string {
 	if n < least || n > most {
 		return fmt.Sprintf("%d: from %d to %d wanted", n, least, most)
@@ -210,6 +256,7 @@
 		{"state.file", s.State.File != other.State.File},
 		{"state.oldest", false}, // only a start uses it
 		{"handover", s.HandOver != other.HandOver},
+		{"register", !s.Register.sameButAgents(&other.Register)},
 	} {
 		if c.changed {
 			names = append(names, c.name)
--- a/internal/operators/operators_test.go
+++ b/internal/operators/operators_test.go
@@ -25,7 +25,9 @@
 	}
 	for _, key := range []string{"file", "every", "oldest", "on", "pid_file", "ready_within", "url",
 		"classes", "plans", "pass_unknown", "budget", "timeout", "allow_for", "allow_most", "deny_for", "stale_for", "most_calls", "most_waiting",
-		"most_kept", "fails", "open_for", "open_most", "headers", "secret_header", "secret_file", "tokens_file", "ca_file"} {
+		"most_kept", "fails", "open_for", "open_most", "headers", "secret_header", "secret_file", "tokens_file", "ca_file",
+		"source", "agents", "tls", "token_file", "service", "datacenter", "namespace", "filter", "mode", "wait", "catalogue",
+		"warning_serves", "hold", "reset_after", "skew"} {
 		if !strings.Contains(string(raw), "\n"+key+" = ") {
 			t.Errorf("%s is not in the shipped file", key)
 		}
@@ -63,6 +65,10 @@
 		{"[auth]\nurl = \"http://127.0.0.1:1/\"\n", "1: auth.classes: none"},
 		{"[auth]\nmost_calls = 0\n", "2: auth.most_calls: 0: from 1"},
 		{"[auth]\nsecret_file = \"x\"\n", "2: auth.secret_file: goes with"},
+		{"[register]\nsource = \"etcd\"\n", "2: register.source: \"etcd\": one of"},
+		{"[register]\nsource = \"consul\"\n", "1: register.service: missing"},
+		{"[register]\nmode = \"fast\"\n", "2: register.mode: \"fast\""},
+		{"[register]\nwait = \"1ms\"\n", "2: register.wait: 1ms"},
 		{"[state\n", "1:"},
 		{"[state]\nevery = \"1s\"\nevery = \"1s\"\n", "3:"},
 		{"\n\n= 1", "3:"},
@@ -83,8 +89,12 @@
 	if got := a.Fixed(&b); len(got) > 0 {
 		t.Errorf("%v", got)
 	}
-	b.State.File, b.HandOver.On = "x", true
-	if got := a.Fixed(&b); len(got) != 2 {
+	b.Register.Agents = []string{"127.0.0.1:1"} // can be moved to
+	if got := a.Fixed(&b); len(got) > 0 {
+		t.Errorf("%v", got)
+	}
+	b.State.File, b.HandOver.On, b.Register.Source = "x", true, "consul"
+	if got := a.Fixed(&b); len(got) != 3 {
 		t.Errorf("%v", got)
 	}
 }
--- a/internal/registry/consul/consul.go
+++ b/internal/registry/consul/consul.go
@@ -111,6 +111,19 @@
 	return s, nil
 }
 
+// Try makes one call that does not wait, to each agent in turn until one answers, and
+// tells how many instances there are.
+func (s *Source) Try(ctx context.Context) (n int, err error) {
+	for _, agent := range s.set.Agents {
+		list, _, e := s.get(ctx, membership.HealthView, agent, 0)
+		if e == nil {
+			return len(list), nil
+		}
+		err = fmt.Errorf("register: agent %s: %w", agent, e)
+	}
+	return 0, err
+}
+
 // Follow does nothing: Consul answers whoever asks.
 func (s *Source) Follow() {}
 
