--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -26,6 +26,9 @@
            only; --whole: one restart of all, beside a fleet that has none
   auth     three gateways that ask a forward authenticator which stalls, flaps, errs
            and crashes, beside three that ask nobody
+  consul   gateways that follow Consul, whose agents lag, fall silent and contradict
+           themselves, beside gateways at the platform's register; --silent: Consul
+           says nothing any more, beside gateways whose Consul goes on
 
 Progress goes to standard error; the last line on standard output is one JSON
 object. Exit code 0: no rule broken and every promise kept; 1: not so; 2: misuse.`
@@ -43,7 +46,7 @@
 // run runs one command and gives the exit code.
 func run(ctx context.Context, args []string, out, progress io.Writer) (int, error) {
 	if len(args) == 0 {
-		return 2, errors.New("a command is wanted: try, fleet or auth; --help tells more")
+		return 2, errors.New("a command is wanted: try, fleet, auth or consul; --help tells more")
 	}
 	if args[0] == "--help" || args[0] == "-h" || args[0] == "help" {
 		fmt.Fprintln(out, usage)
@@ -61,6 +64,13 @@
 		play = func() (*lab.Figures, error) { return lab.RunTry(ctx, *seed, *length, *serve, out, progress) }
 	case "auth":
 		play = func() (*lab.Figures, error) { return lab.RunAuth(ctx, *seed, *length, progress) }
+	case "consul":
+		o := lab.ConsulOptions{}
+		flags.BoolVar(&o.Silent, "silent", false, "")
+		play = func() (*lab.Figures, error) {
+			o.Seed, o.For = *seed, *length
+			return lab.RunConsul(ctx, o, progress)
+		}
 	case "fleet":
 		o := lab.FleetOptions{}
 		flags.IntVar(&o.Instances, "instances", 8, "")
@@ -86,7 +96,7 @@
 			return lab.RunFleet(ctx, o, progress)
 		}
 	default:
-		return 2, fmt.Errorf("%q is no command: try, fleet or auth; --help tells more", args[0])
+		return 2, fmt.Errorf("%q is no command: try, fleet, auth or consul; --help tells more", args[0])
 	}
 	if err := flags.Parse(args[1:]); err != nil {
 		return 2, err
--- a/internal/lab/consul.go
+++ b/internal/lab/consul.go
@@ -39,7 +39,8 @@
 	fault   ConsulFault
 	changed chan struct{} // closed with a change of state or fault
 	calls   []time.Time
-	token   string // that queries must bring; "": none
+	answers func(services map[string]consulService) // told of each health answer that is written; nil: nobody
+	token   string                                  // that queries must bring; "": none
 }
 
 // consulState is a state of the service with the time from which it held.
@@ -324,7 +325,9 @@
 			if f.Half {
 				text = text[:len(text)/2]
 			}
-			_, _ = w.Write(text)
+			if _, err := w.Write(text); err == nil && health && !f.Half && c.answers != nil {
+				c.answers(s.services)
+			}
 		}
 		return
 	}
--- /dev/null
+++ b/internal/lab/consulregister.go
@@ -0,0 +1,131 @@
+package lab
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// ConsulRegister is Consul as a world's register: an agent for each gateway, which
+// hears of a change some time after it happened.
+type ConsulRegister struct {
+	agents []*Consul
+	rec    *Record
+	lag    time.Duration
+
+	mu      sync.Mutex
+	rand    *rand.Rand
+	changes int
+	applied []map[string]int           // by agent and server: the last change
+	changed map[string][]time.Duration // by server: when it was to stop
+	stopped []map[string]bool          // by agent and server: what its gateway was told last
+	lags    []time.Duration            // from a change to when each gateway was told
+}
+
+const consulName = "quotes"
+
+// NewConsulRegister starts the agents.
+func NewConsulRegister(rec *Record, gateways int, lag time.Duration, seed uint64) (*ConsulRegister, error) {
+	r := &ConsulRegister{rec: rec, lag: lag, rand: rand.New(rand.NewPCG(seed, 0xc0c)), changed: map[string][]time.Duration{}}
+	for g := range gateways {
+		a, err := NewConsul(seed + uint64(g))
+		if err != nil {
+			return r, err
+		}
+		a.answers = func(services map[string]consulService) { r.told(g, services) }
+		r.agents = append(r.agents, a)
+		r.applied, r.stopped = append(r.applied, map[string]int{}), append(r.stopped, map[string]bool{})
+	}
+	return r, nil
+}
+
+// Close ends all agents.
+func (r *ConsulRegister) Close() {
+	for _, a := range r.agents {
+		a.Close()
+	}
+}
+
+// Set has every agent hear of a server's state, each after some time of its own. A
+// drain is told in one of the three ways that there are.
+func (r *ConsulRegister) Set(sv *Server, phase string, now bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.changes++
+	change, way := r.changes, r.rand.IntN(3)
+	if phase == phaseStop {
+		r.changed[sv.ID] = append(r.changed[sv.ID], r.rec.Now())
+	}
+	for g, a := range r.agents {
+		late := time.Duration(r.rand.Float64() * float64(r.lag))
+		apply := func() {
+			r.mu.Lock()
+			old := r.applied[g][sv.ID] > change
+			if !old {
+				r.applied[g][sv.ID] = change
+			}
+			r.mu.Unlock()
+			if old {
+				return // a later change was heard of before
+			}
+			switch {
+			case phase == phaseGone:
+				a.Deregister(sv.ID)
+			case phase == phaseReady:
+				_ = a.Register(sv.ID, consulName, sv.addrs[g], nil, map[string]string{"locality": "sala-1"})
+			case way == 0:
+				a.SetMaintenance(sv.ID, true)
+			case way == 1:
+				a.SetCheck(sv.ID, "service:"+sv.ID, "critical")
+			default:
+				_ = a.Register(sv.ID, consulName, sv.addrs[g], []string{"draining"}, map[string]string{"locality": "sala-1"})
+			}
+		}
+		if now {
+			r.mu.Unlock()
+			apply()
+			r.mu.Lock()
+			continue
+		}
+		time.AfterFunc(late, apply)
+	}
+}
+
+// stops tells whether an instance is to get no new work.
+func (s *consulService) stops() bool {
+	for _, status := range s.checks {
+		if status != "passing" {
+			return true
+		}
+	}
+	for _, tag := range s.Tags {
+		if tag == "draining" {
+			return true
+		}
+	}
+	return false
+}
+
+// told takes note of what an answer told a gateway.
+func (r *ConsulRegister) told(g int, services map[string]consulService) {
+	now := r.rec.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id := range services {
+		if _, there := r.stopped[g][id]; !there {
+			r.stopped[g][id] = true // not known so far
+		}
+	}
+	for id, before := range r.stopped[g] {
+		s, there := services[id]
+		stop := !there || s.stops()
+		if stop == before {
+			continue
+		}
+		r.stopped[g][id] = stop
+		r.rec.AddTold(Told{Gateway: g, Server: id, Stop: stop, At: now})
+		if at := r.changed[id]; stop && there && len(at) > 0 {
+			r.lags = append(r.lags, now-at[len(at)-1])
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/consulrun.go
@@ -0,0 +1,196 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"time"
+)
+
+const consulText = `[register]
+source = "consul"
+agents = ["%AGENT%"]
+service = "quotes"
+wait = "2s"
+hold = "2m"
+`
+
+// ConsulOptions say how gateways at Consul are treated.
+type ConsulOptions struct {
+	Seed   uint64
+	For    time.Duration
+	Silent bool   // all agents fall silent early on for the rest, and no server changes
+	Bin    string // of the gateway; "": it is built
+}
+
+// RunConsul runs gateways that follow Consul, each by an agent of its own that lags,
+// falls silent and contradicts itself, beside gateways that follow the platform's
+// register. Quote servers drain and restart in both. With Silent nothing changes but that
+// Consul says nothing any more, beside gateways whose Consul goes on.
+func RunConsul(ctx context.Context, o ConsulOptions, progress io.Writer) (*Figures, error) {
+	if o.Bin == "" {
+		dir, err := os.MkdirTemp("", "mothcleat-bin-")
+		if err != nil {
+			return nil, err
+		}
+		defer os.RemoveAll(dir)
+		if o.Bin, err = Build(ctx, dir); err != nil {
+			return nil, err
+		}
+	}
+	var figures [2]*Figures
+	var errs [2]error
+	var wg sync.WaitGroup
+	for i, log := range []io.Writer{progress, io.Discard} {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			figures[i], errs[i] = runConsulWorld(ctx, o, i == 0, log)
+		}()
+	}
+	wg.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return figures[0], err
+		}
+	}
+	f := figures[0]
+	beside := map[bool]string{true: "heard", false: "platform"}[o.Silent]
+	f.Extra[beside] = figures[1]
+	if !figures[1].OK {
+		f.miss("the gateways beside did not hold their promises")
+	}
+	if lost := figures[1].Service - f.Service; o.Silent && lost > 0.02 {
+		f.miss(fmt.Sprintf("service %.3f with Consul silent, %.3f with it", f.Service, figures[1].Service))
+	}
+	return f, nil
+}
+
+// runConsulWorld runs one of the two worlds: first is the one that things happen to.
+func runConsulWorld(ctx context.Context, o ConsulOptions, first bool, progress io.Writer) (*Figures, error) {
+	seed, length, consul := o.Seed, o.For, first || o.Silent
+	wo := Options{Seed: seed, Gateways: 4, Servers: 12, Load: 0.5, Bin: o.Bin, Consul: consul, Log: progress}
+	if consul {
+		wo.Operators = consulText
+	}
+	w, err := NewWorld(ctx, wo)
+	if err != nil {
+		return nil, err
+	}
+	defer w.Close()
+	asking, cancel := context.WithTimeout(ctx, length)
+	defer cancel()
+	w.progress(asking, progress, length)
+	c := &chaos{w: w, o: FleetOptions{Seed: seed, For: length}}
+	switch {
+	case !o.Silent:
+		c.wg.Add(1)
+		go func() { defer c.wg.Done(); c.servers(asking, rand.New(rand.NewPCG(seed, 0x5e4))) }()
+	case first:
+		time.AfterFunc(2*time.Second, func() {
+			fmt.Fprintln(progress, "Consul answers nothing from now on")
+			for _, a := range w.Consul.agents {
+				a.SetFault(ConsulFault{Silent: true})
+			}
+		})
+	}
+	if consul && !o.Silent {
+		c.wg.Add(1)
+		go func() {
+			defer c.wg.Done()
+			w.Consul.faults(asking, rand.New(rand.NewPCG(seed, 0xfa)), length, progress)
+		}()
+	}
+	w.Clients.Run(asking)
+	c.wg.Wait()
+	stop, cancel := context.WithTimeout(context.Background(), readyWithin)
+	defer cancel()
+	if err := w.Stop(stop); err != nil {
+		return nil, err
+	}
+	f := Figure("consul", seed, w.Site, w.Record)
+	for _, err := range c.errs {
+		f.miss(err.Error())
+	}
+	f.Extra["drain_to_last_send_ms_max"] = lastSend(w.Record).Milliseconds()
+	if consul {
+		f.Extra["told_lag_ms_p99"] = quantile(w.Consul.lags, 0.99)
+		most := 0
+		for _, a := range w.Consul.agents {
+			most = max(most, busiest(a.Calls()))
+		}
+		f.Extra["calls_per_second_max"] = most
+		if most > mostConsulCalls {
+			f.miss(fmt.Sprintf("%d calls of one gateway in a second, %d at most wanted", most, mostConsulCalls))
+		}
+	}
+	return f, nil
+}
+
+// mostConsulCalls bounds what one gateway asks its agent in any second.
+const mostConsulCalls = 30
+
+// faults has the agents do something wrong, one thing after another, all of them or one.
+func (r *ConsulRegister) faults(ctx context.Context, rnd *rand.Rand, length time.Duration, progress io.Writer) {
+	kinds := []struct {
+		name  string
+		fault ConsulFault
+	}{
+		{"answers nothing", ConsulFault{Silent: true}}, {"answers as it was 2 s ago", ConsulFault{Lag: 2 * time.Second}},
+		{"answers out of order", ConsulFault{Reorder: 0.4}}, {"answers 500", ConsulFault{Errs: true}}, {"drops answers", ConsulFault{Drop: 0.5}},
+		{"ends its answers in the middle", ConsulFault{Half: true}}, {"answers at once", ConsulFault{AtOnce: true}},
+	}
+	for i := 0; sleep(ctx, time.Duration(between(rnd, 0.5, 2)*float64(time.Second))); i++ {
+		k := kinds[i%len(kinds)]
+		agents := r.agents
+		if rnd.IntN(2) == 0 {
+			n := rnd.IntN(len(agents))
+			agents = agents[n : n+1]
+		}
+		fmt.Fprintf(progress, "Consul %s, at %d of %d agents\n", k.name, len(agents), len(r.agents))
+		for _, a := range agents {
+			a.SetFault(k.fault)
+		}
+		sleep(ctx, min(length/8, time.Duration(between(rnd, 2, 6)*float64(time.Second))))
+		for _, a := range agents {
+			a.SetFault(ConsulFault{})
+		}
+	}
+}
+
+// lastSend is the longest time from when a gateway was told to stop sending to a
+// server until it sent to it all the same.
+func lastSend(rec *Record) (most time.Duration) {
+	for _, a := range rec.Attempts {
+		stop, since := false, time.Duration(0)
+		for _, t := range rec.Told {
+			if t.Gateway != a.Gateway || t.Server != a.Server || t.At > a.First {
+				continue
+			}
+			if t.Stop && !stop {
+				since = t.At
+			}
+			stop = t.Stop
+		}
+		if stop {
+			most = max(most, a.First-since)
+		}
+	}
+	return most
+}
+
+// busiest is the most calls in any second.
+func busiest(calls []time.Time) (most int) {
+	slices.SortFunc(calls, func(a, b time.Time) int { return a.Compare(b) })
+	for from, to := 0, 0; to < len(calls); to++ {
+		for calls[to].Sub(calls[from]) > time.Second {
+			from++
+		}
+		most = max(most, to-from+1)
+	}
+	return most
+}
--- a/internal/lab/fleet_test.go
+++ b/internal/lab/fleet_test.go
@@ -120,3 +120,37 @@
 		t.Error("the new process does not serve")
 	}
 }
+
+// Gateways at Consul in small, with servers that drain and restart and agents that fail.
+func TestConsulKeepsTheRules(t *testing.T) {
+	if !HasGo() {
+		t.Skip("no Go to build the gateway with")
+	}
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+	defer cancel()
+	f, err := RunConsul(ctx, ConsulOptions{Seed: 3, For: 10 * time.Second}, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !f.OK || f.Taken == 0 || f.InTime == 0 {
+		t.Error(f.Line())
+	}
+}
+
+// Gateways that ask an authenticator, in small.
+func TestAuthKeepsTheRules(t *testing.T) {
+	if !HasGo() {
+		t.Skip("no Go to build the gateway with")
+	}
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+	defer cancel()
+	f, err := RunAuth(ctx, 3, 8*time.Second, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !f.OK || f.Taken != f.Once {
+		t.Error(f.Line())
+	}
+}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -21,6 +22,7 @@
 	Load      float64                          // part of what the servers can do that is asked inside the quotas
 	Bin       string                           // of the gateway; "": it is built
 	Prepare   func(w *World, g *Gateway) error // writes further files into a gateway's folder; nil: none
+	Consul    bool                             // the register is Consul, with an agent for each gateway
 	Operators string                           // text of the operators' file, %DIR% being the gateway's folder; "": none
 	Log       io.Writer
 }
@@ -31,6 +33,7 @@
 	Record   *Record
 	Servers  []*Server
 	Register *Register
+	Consul   *ConsulRegister // nil: the platform's register
 	Counter  *Counter
 	Notes    *Notes
 	Gateways []*Gateway
@@ -71,13 +74,18 @@
 	if w.Counter, err = NewCounter(o.Seed); err != nil {
 		return w, err
 	}
+	if o.Consul {
+		if w.Consul, err = NewConsulRegister(w.Record, o.Gateways, w.Site.RegisterLag, o.Seed); err != nil {
+			return w, err
+		}
+	}
 	for i := range o.Servers {
 		sv, err := NewServer(w.Site, w.Record, i, o.Seed)
 		if err != nil {
 			return w, err
 		}
 		w.Servers = append(w.Servers, sv)
-		w.Register.Set(sv, phaseReady, 0, true)
+		w.tell(sv, phaseReady, 0, true)
 	}
 	var peers []netip.AddrPort
 	world := worlds.Add(1)
@@ -91,7 +99,11 @@
 			return w, err
 		}
 		if o.Operators != "" {
-			if err := os.WriteFile(filepath.Join(g.dir, "operators.toml"), []byte(o.Operators), 0o600); err != nil {
+			text := o.Operators
+			if w.Consul != nil {
+				text = strings.ReplaceAll(text, "%AGENT%", w.Consul.agents[i].Address)
+			}
+			if err := os.WriteFile(filepath.Join(g.dir, "operators.toml"), []byte(text), 0o600); err != nil {
 				return w, err
 			}
 		}
@@ -132,12 +144,16 @@
 
 // configuration is what a gateway is told at its start.
 func (w *World) configuration(g *Gateway) map[string]any {
+	known := w.Register.agents[g.Number].known()
+	if w.Consul != nil {
+		known = memberList{Members: []member{}} // it names servers otherwise
+	}
 	return map[string]any{
 		"name": fmt.Sprintf("n%d", g.Number), "listen": g.Address,
 		"discovery": w.Register.agents[g.Number].address, "seed": hex16(w.options.Seed*1e6 + uint64(time.Now().UnixNano())),
 		"limits":      map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": 1024},
 		"peer_listen": g.Peer, "peers": w.Notes.peers(g.Number), "peers_all": "127.0.0.1:9",
-		"counter": w.Counter.Address, "known": w.Register.agents[g.Number].known(), "settings": w.Site.settings(g.Number),
+		"counter": w.Counter.Address, "known": known, "settings": w.Site.settings(g.Number),
 	}
 }
 
@@ -159,6 +175,9 @@
 	if w.Register != nil {
 		w.Register.Close()
 	}
+	if w.Consul != nil {
+		w.Consul.Close()
+	}
 	if w.Counter != nil {
 		w.Counter.Close()
 	}
@@ -185,13 +204,13 @@
 }
 
 // DrainServer tells the register that a server drains, and the server later.
-func (w *World) DrainServer(sv *Server) { w.Register.Set(sv, phaseStop, w.upSince(sv), false) }
+func (w *World) DrainServer(sv *Server) { w.tell(sv, phaseStop, w.upSince(sv), false) }
 
 // KillServer ends a server's process; the register hears of it.
 func (w *World) KillServer(sv *Server) {
 	since := w.upSince(sv)
 	sv.Kill()
-	w.Register.Set(sv, phaseGone, since, false)
+	w.tell(sv, phaseGone, since, false)
 }
 
 // StartServer brings a server back, cold; the register hears of it.
@@ -199,10 +218,19 @@
 	if err := sv.Start(); err != nil {
 		return err
 	}
-	w.Register.Set(sv, phaseReady, w.upSince(sv), false)
+	w.tell(sv, phaseReady, w.upSince(sv), false)
 	return nil
 }
 
+// tell has the register hear of a server's state.
+func (w *World) tell(sv *Server, phase string, since time.Duration, now bool) {
+	if w.Consul != nil {
+		w.Consul.Set(sv, phase, now)
+		return
+	}
+	w.Register.Set(sv, phase, since, now)
+}
+
 func (w *World) upSince(sv *Server) time.Duration {
 	_, since := sv.Up()
 	return since
