Leases move only when a state is known to be kept

Cause: a state is written beside the loop, and the leases counted from when it was given out: a crash before it was on disk found the one before, whose leases had been spent and reset.

Change: the host tells Kept when a state is stored; until then the one before counts. The property test has several states under way at once, some never written.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -145,7 +145,8 @@
 		c.ceiling.refill(g.now)
 		c.ceiling.level -= g.unsure(c, c.ceiling.rate)
 		c.store.level = math.Max(0, c.store.level-g.unsure(c, c.store.rate))
-		c.leased = leaseShare * p.Burst
+		c.leased = leaseShare * p.Burst // what a state that does not name it allows for
+		c.leasing = c.leased
 		g.idleSpill[plan] = math.Max(0, g.idleSpill[plan]-p.Rate/even)
 		g.customers[id] = c
 		g.order = append(g.order, c)
--- a/decide/snapshot.go
+++ b/decide/snapshot.go
@@ -76,11 +76,25 @@
 	}
 }
 
-// Urgent tells whether more was taken than the last Snapshot allows for. A host that
-// keeps states asks after each event, and where it is so has a new one kept
-// before it carries out anything further: only then no crash can grant quota.
+// Urgent tells whether nearly all was taken that the last Snapshot known to be kept
+// allows for. A host that keeps states asks after each event, and where it is so
+// has a new one kept before it carries out anything further: only then no crash can
+// grant quota.
 func (g *Gateway) Urgent() bool { return g.urgent }
 
+// Kept takes in that the Snapshot given out at a time is kept: it is what would be
+// restored now. Until then the one before counts. One that is not the last that was
+// given out is passed over.
+func (g *Gateway) Kept(at Time) {
+	if at != g.saved {
+		return
+	}
+	g.keeps, g.urgent = true, false
+	for _, c := range g.order {
+		c.leased = c.leasing
+	}
+}
+
 // Save gives out the state. The last one of an orderly end reserves no lease:
 // the caller promises that no request is put to the module after it.
 func (g *Gateway) Save(now Time, last bool) Snapshot {
@@ -100,11 +114,11 @@
 	}
 	for _, c := range g.order {
 		g.refill(c)
-		c.spent, c.leased = 0, g.lease(c)
-		off := c.leased
-		if last {
-			off = 0
+		off := 0.0
+		if !last {
+			off = g.lease(c)
 		}
+		c.leasing = c.spent + off
 		s.Customers = append(s.Customers, CustomerState{ID: c.id, Plan: c.plan, First: c.first, Spread: c.spread,
 			Level: c.store.level - off, Ceiling: c.ceiling.level - off,
 			Use: c.use.get(g.now, c.window), Others: c.others.get(g.now, c.window),
@@ -114,7 +128,7 @@
 		s.Backends = append(s.Backends, BackendState{Backend: b.Backend, Started: b.Started, Slow: b.slow, SlowAt: b.slowAt,
 			Errs: b.errs, Down: b.down, Silent: b.silent, Left: b.left, Wait: b.wait, TryNow: b.trialAt})
 	}
-	g.keeps, g.urgent = !last, false
+	g.saved = g.now
 	return s
 }
 
--- a/decide/snapshot_test.go
+++ b/decide/snapshot_test.go
@@ -34,7 +34,8 @@
 
 // Whatever happened before and whenever the process ended: what a restored module
 // holds is no more than what the one that ended would hold. The host has kept a
-// state whenever it was told that one is urgent, and now and then besides.
+// state whenever it was told that one is urgent, and now and then besides; those are
+// written beside the loop, and may be written long after they were given out, or never.
 func TestRestoredBanksNeverHoldMore(t *testing.T) {
 	for seed := range uint64(300) {
 		r := rand.New(rand.NewPCG(seed, 1))
@@ -47,6 +48,8 @@
 		other := newRig(t, set)
 		other.set.Self = set.Gateways - 1
 		kept := a.Save(a.at, false)
+		a.Kept(kept.At)
+		var writing []Snapshot
 		spread := min(2, set.Gateways)
 		for range 20 + r.IntN(400) {
 			a.at += Time(r.Float64() * float64(second) / 10)
@@ -57,8 +60,14 @@
 				other.at = a.at
 				other.serve(0, r.IntN(3), 1+uint64(r.IntN(4)), 1)
 				tellAll(other, a)
-			case x == 2:
-				kept = a.Save(a.at, false)
+			case x == 2 && len(writing) < 3:
+				writing = append(writing, a.Save(a.at, false))
+			case x == 3 && len(writing) > 0:
+				if writing[0].At >= kept.At {
+					kept = writing[0]
+				}
+				a.Kept(writing[0].At)
+				writing = writing[1:]
 			default:
 				customer := 1 + uint64(r.IntN(4))
 				a.next++
@@ -70,6 +79,7 @@
 			}
 			if a.Urgent() {
 				kept = a.Save(a.at, false)
+				a.Kept(kept.At)
 			}
 			if r.IntN(50) == 0 {
 				break
--- a/decide/state.go
+++ b/decide/state.go
@@ -32,7 +32,9 @@
 	part          float64   // from the meter; 0: no reading yet
 	open          int       // attempts out
 	tell          int       // how often its use is still to be told
-	spent, leased float64   // units sent on since the last state, and those that it allows for
+	spent         float64   // units that have gone from its banks, in all
+	leased        float64   // up to how many the state kept last allows for,
+	leasing       float64   // and the one given out last
 }
 
 // heard is what a gateway last told of a customer.
@@ -54,6 +56,7 @@
 	born          Time // 0: no event yet
 	lived         Time // since when ceilings have counted, over restored lives
 
+	saved                Time                    // when the last state was given out
 	keeps, urgent, doubt bool                    // states are kept; one is due; a former life may have taken more than its state tells
 	kept                 map[uint32]BackendState // of a former life, until the backend is listed
 
--- a/internal/gateway/survive.go
+++ b/internal/gateway/survive.go
@@ -92,7 +92,8 @@
 }
 
 func (l *Loop) keepNow() {
-	kept{l.survival.Keeper.Store(l.module.Save(l.now(), false), false)}.handle(l)
+	s := l.module.Save(l.now(), false)
+	kept{l.survival.Keeper.Store(s, false), s.At}.handle(l)
 }
 
 // keeping has the state kept now and then.
@@ -120,7 +121,7 @@
 		case s := <-v.next:
 			err := v.Keeper.Store(s, false)
 			select {
-			case l.events <- kept{err}:
+			case l.events <- kept{err, s.At}:
 			case <-ctx.Done():
 				return
 			}
@@ -128,10 +129,16 @@
 	}
 }
 
-// kept tells how a write ended.
-type kept struct{ err error }
+// kept tells how the write of the state given out at a time ended.
+type kept struct {
+	err error
+	at  decide.Time
+}
 
 func (k kept) handle(l *Loop) {
+	if k.err == nil {
+		l.module.Kept(k.at)
+	}
 	if bad := k.err != nil; bad != l.survival.bad {
 		l.survival.bad = bad
 		if bad {
@@ -154,7 +161,8 @@
 func (l *Loop) lastState() {
 	if v := &l.survival; v.Keeper != nil && !v.ended {
 		v.ended = true
-		kept{v.Keeper.Store(l.module.Save(l.now(), true), true)}.handle(l)
+		s := l.module.Save(l.now(), true)
+		kept{v.Keeper.Store(s, true), s.At}.handle(l)
 	}
 }
 
--- a/internal/gateway/survive_test.go
+++ b/internal/gateway/survive_test.go
@@ -96,7 +96,7 @@
 	}
 	defer l.clients.listener.Close()
 	l.backends.members(l, decide.Whole, []member{{ID: "s-00000001", HostPort: b.listener.Addr().String(), Phase: "Ready"}})
-	l.module.Save(l.now(), false)
+	l.module.Kept(l.module.Save(l.now(), false).At)
 	l.handle(tooMuch{})
 	if len(m.states) != 1 {
 		t.Errorf("%d states kept", len(m.states))
@@ -144,7 +144,7 @@
 	}
 	defer l.clients.listener.Close()
 	for _, err := range []error{nil, errors.New("disk full"), errors.New("disk full"), nil} {
-		kept{err}.handle(l)
+		kept{err, 0}.handle(l)
 	}
 	if got := lines.String(); strings.Count(got, "can't be kept") != 1 || strings.Count(got, "kept again") != 1 {
 		t.Errorf("log %q", got)
