--- a/decide/snapshot_test.go
+++ b/decide/snapshot_test.go
@@ -37,7 +37,7 @@
 // state whenever it was told that one is urgent, and now and then besides; those are
 // written beside the loop, and may be written long after they were given out, or never.
 func TestRestoredBanksNeverHoldMore(t *testing.T) {
-	for seed := range uint64(300) {
+	for seed := range uint64(1000) {
 		r := rand.New(rand.NewPCG(seed, 1))
 		set := settings()
 		set.Peers, set.MailPerSecond = seed%2 == 0, 60
@@ -58,7 +58,8 @@
 				a.Timer(a.at, noteToken)
 			case x == 1 && set.Peers && set.Gateways > 1:
 				other.at = a.at
-				other.serve(0, r.IntN(3), 1+uint64(r.IntN(4)), 1)
+				customer := 1 + uint64(r.IntN(4))
+				other.serve(0, int(customer%3), customer, 1)
 				tellAll(other, a)
 			case x == 2 && len(writing) < 3:
 				writing = append(writing, a.Save(a.at, false))
@@ -274,3 +275,33 @@
 		}
 	}
 }
+
+// Only the state given out last can be taken for kept: an older one that is written
+// late allows for less.
+func TestKeptOfAnOlderStateIsPassedOver(t *testing.T) {
+	set := settings()
+	set.Gateways, set.Peers = 1, false
+	r := newRig(t, set)
+	take := func(units float64) {
+		r.next++
+		r.Request(r.at, Request{ID: r.next, Plan: 1, Customer: 5, Units: units, Grace: 2 * second, Spread: 1})
+		r.end(r.next, OK, true)
+	}
+	take(1)
+	first := r.Save(r.at, false)
+	r.Kept(first.At)
+	take(1)
+	r.at += second / 1000
+	older := r.Save(r.at, false)
+	take(2)
+	r.at += second / 1000
+	newer := r.Save(r.at, false)
+	c := r.customers[5]
+	before := c.leased
+	if r.Kept(older.At); c.leased != before {
+		t.Errorf("allows for %g after an older one, %g before", c.leased, before)
+	}
+	if r.Kept(newer.At); c.leased <= before {
+		t.Errorf("allows for %g after the newest, %g before", c.leased, before)
+	}
+}
