Test that a reload moves the register that there is

Need: SIGHUP moves to other agents, and a register that can't be made must end the start. Change: a test with a register of its own. Measured: it passes with -race.

--- a/internal/gateway/members_test.go
+++ b/internal/gateway/members_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
+	"log/slog"
 	"testing"
 
 	"mothcleat/decide"
@@ -48,3 +50,34 @@
 		l.handle(news{Kind: registry.Changed, Members: []member{m}})
 	}
 }
+
+// moves is a source that takes note of where it is moved.
+type moves struct {
+	registry.Source
+	to []string
+}
+
+func (m *moves) Move(address string) { m.to = append(m.to, address) }
+
+// A reload moves whatever register there is, and nothing else about it.
+func TestReloadMovesTheRegisterThatThereIs(t *testing.T) {
+	d := newFakeDiscovery(t)
+	m := &moves{}
+	cfg := configure(t, d, nil)
+	cfg.Register = func(cfg *Config, _ *slog.Logger) (registry.Source, error) { return m, nil }
+	l, err := newLoop(cfg, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.clients.listener.Close()
+	next := configure(t, d, nil)
+	next.MoveTo = []string{"127.0.0.1:8501", "other=127.0.0.1:8502"}
+	reloaded{next}.handle(l)
+	if len(m.to) != 2 || m.to[0] != "127.0.0.1:8501" || m.to[1] != "other=127.0.0.1:8502" {
+		t.Errorf("moved to %q", m.to)
+	}
+	cfg.Register = func(*Config, *slog.Logger) (registry.Source, error) { return nil, errors.New("no such agent") }
+	if _, err := newLoop(cfg, quiet()); err == nil {
+		t.Error("a register that can't be made was passed over")
+	}
+}
