--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -77,11 +77,15 @@
 // worlds counts those of this process: each has hosts of its own.
 var worlds atomic.Uint32
 
-const worldsMost = 5 // whose hosts are apart
+// hostOf is an address of a world's own. What restarts must not listen on a port
+// that is dealt out to others: while it is down, another rig's server might get it.
+func hostOf(world uint32, i int) netip.Addr {
+	pid := os.Getpid()
+	return netip.AddrFrom4([4]byte{127, byte(64 + pid%128), byte((int(world)*16 + pid/128%16) % 250), byte(1 + i%250)})
+}
 
 func newGateway(dir, bin string, args []string, rec *Record, world uint32, i int) (*Gateway, error) {
-	pid := os.Getpid()
-	host := netip.AddrFrom4([4]byte{127, byte(64 + pid%128), byte(pid/128%50*worldsMost + int(world%worldsMost)), byte(1 + i%250)})
+	host := hostOf(world, i)
 	g := &Gateway{Number: i, dir: filepath.Join(dir, fmt.Sprintf("n%d", i)), bin: bin, args: args, rec: rec}
 	if err := os.MkdirAll(g.dir, 0o700); err != nil {
 		return nil, err
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -16,6 +16,7 @@
 )
 
 const (
+	serverPort   = 8000             // of the first gateway's address, and on
 	serverIdle   = 10 * time.Second // a server closes a connection that stood idle for so long
 	queuePerCore = 8
 	slotsPerCore = 2
@@ -56,12 +57,18 @@
 }
 
 // NewServer makes a server that is up and warm.
-func NewServer(s *Site, rec *Record, i int, seed uint64) (*Server, error) {
+func NewServer(s *Site, rec *Record, world uint32, i int, seed uint64) (*Server, error) {
 	cores, speed := s.machine(i)
 	sv := &Server{
 		ID: fmt.Sprintf("s-%08x", 0x1000+i*0x101), site: s, rec: rec, cores: int(cores), speed: speed,
 		rand: rand.New(rand.NewPCG(seed, uint64(i))), conns: map[net.Conn]bool{}, addrs: make([]string, s.Gateways),
 	}
+	for g := range sv.addrs {
+		var err error
+		if sv.addrs[g], err = freeAddress("tcp", hostOf(world, i), serverPort+64*g); err != nil {
+			return nil, err
+		}
+	}
 	return sv, sv.start(false)
 }
 
@@ -73,11 +80,7 @@
 		return errors.New("server: is up")
 	}
 	sv.lists = nil
-	for g := range sv.addrs {
-		address := sv.addrs[g]
-		if address == "" {
-			address = "127.0.0.1:0"
-		}
+	for _, address := range sv.addrs {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			for _, l := range sv.lists {
@@ -85,7 +88,6 @@
 			}
 			return fmt.Errorf("server %s: %w", sv.ID, err)
 		}
-		sv.addrs[g] = l.Addr().String()
 		sv.lists = append(sv.lists, l)
 	}
 	sv.up, sv.drain, sv.fault, sv.recent, sv.waiting = true, false, Fault{}, nil, 0
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -74,13 +74,14 @@
 	if w.Counter, err = NewCounter(o.Seed); err != nil {
 		return w, err
 	}
+	world := worlds.Add(1)
 	if o.Consul {
 		if w.Consul, err = NewConsulRegister(w.Record, o.Gateways, w.Site.RegisterLag, o.Seed); err != nil {
 			return w, err
 		}
 	}
 	for i := range o.Servers {
-		sv, err := NewServer(w.Site, w.Record, i, o.Seed)
+		sv, err := NewServer(w.Site, w.Record, world, i, o.Seed)
 		if err != nil {
 			return w, err
 		}
@@ -88,7 +89,6 @@
 		w.tell(sv, phaseReady, 0, true)
 	}
 	var peers []netip.AddrPort
-	world := worlds.Add(1)
 	for i := range o.Gateways {
 		var args []string
 		if o.Operators != "" {
--- a/internal/lab/world_test.go
+++ b/internal/lab/world_test.go
@@ -49,7 +49,7 @@
 	for i := range s.Classes {
 		s.Classes[i].Work = ms
 	}
-	sv, err := NewServer(s, rec, 0, 1)
+	sv, err := NewServer(s, rec, worlds.Add(1), 0, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
