--- a/decide/decide.go
+++ b/decide/decide.go
@@ -508,7 +508,8 @@
 	b, bad := a.b, 0.0
 	if r == OK {
 		g.up(b)
-		b.unsure = b.unsure && took > surely*math.Max(g.base[class].v, aimShare*float64(g.set.Classes[class].Aim))
+		usual := math.Max(g.base[class].v, aimShare*float64(g.set.Classes[class].Aim))
+		b.unsure = b.unsure && took > surely*usual
 	}
 	switch r {
 	case OK, TimedOut:
@@ -562,7 +563,8 @@
 		var best *backend
 		bestCost, ties := math.Inf(1), 0
 		for _, b := range g.backends {
-			if b.State != Ready || !b.listed || !g.warmEnough(b) || b.unsure && (b.out > 0 || g.now < b.opens) ||
+			if b.State != Ready || !b.listed || !g.warmEnough(b) ||
+				b.unsure && (b.out > 0 || g.now < b.opens) ||
 				within != nil && !g.set.Classes[r.Class].sameGroup(within.b, b) ||
 				!anyway && (g.sick(b) || r.tried(b)) {
 				continue
@@ -621,7 +623,8 @@
 		m.Started = max(m.Started, b.Started)
 		b.Member, b.listed = m, m.State != Left
 		if b.unsure = news == Stale; b.unsure {
-			b.opens = g.now + Time(g.rand.Float64()*float64(tryApart)*math.Max(0, float64(g.set.Gateways-fewTry)))
+			apart := float64(tryApart * Time(max(0, g.set.Gateways-fewTry)))
+			b.opens = g.now + Time(g.rand.Float64()*apart)
 		}
 	}
 	g.prune()
