--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -64,14 +65,23 @@
 		rand: rand.New(rand.NewPCG(seed, uint64(i))), conns: map[net.Conn]bool{}, addrs: make([]string, s.Gateways),
 	}
 	for g := range sv.addrs {
-		var err error
-		if sv.addrs[g], err = freeAddress("tcp", hostOf(world, i), serverPort+64*g); err != nil {
-			return nil, err
-		}
+		sv.addrs[g] = netip.AddrPortFrom(hostOf(world, i), uint16(serverPort+64*g)).String()
 	}
 	return sv, sv.start(false)
 }
 
+// listen listens at an address of a server's own. Another rig may be at it for a
+// moment, looking for a free one: it is tried again for a while.
+func listen(address string) (l net.Listener, err error) {
+	for range 200 {
+		if l, err = net.Listen("tcp", address); err == nil {
+			return l, nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return nil, err
+}
+
 // start brings the process up at the addresses that it had before.
 func (sv *Server) start(cold bool) error {
 	sv.mu.Lock()
@@ -81,7 +91,7 @@
 	}
 	sv.lists = nil
 	for _, address := range sv.addrs {
-		l, err := net.Listen("tcp", address)
+		l, err := listen(address)
 		if err != nil {
 			for _, l := range sv.lists {
 				l.Close()
