lab: drop a figure that was no measurement, dead code, and a thrice written build

Cause: fleet printed lent_units, which was always 0 and measured nothing. A hook, two methods of the record and a parameter were used by nobody, and three commands built the binary aside by the same lines. Change: they are gone; buildAside serves all three. Measured: internal/lab and cmd/lab pass with -race.

--- a/internal/lab/auth.go
+++ b/internal/lab/auth.go
@@ -36,15 +36,11 @@
 // RunAuth runs three gateways that ask an authenticator which stalls, flaps, errs
 // and crashes, beside three that ask nobody.
 func RunAuth(ctx context.Context, seed uint64, length time.Duration, progress io.Writer) (*Figures, error) {
-	dir, err := os.MkdirTemp("", "mothcleat-bin-")
-	if err != nil {
-		return nil, err
-	}
-	defer os.RemoveAll(dir)
-	bin, err := Build(ctx, dir)
+	bin, remove, err := buildAside(ctx)
 	if err != nil {
 		return nil, err
 	}
+	defer remove()
 	type result struct {
 		f   *Figures
 		err error
--- a/internal/lab/consulrun.go
+++ b/internal/lab/consulrun.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"sync"
 	"time"
@@ -33,14 +32,12 @@
 // Consul says nothing any more, beside gateways whose Consul goes on.
 func RunConsul(ctx context.Context, o ConsulOptions, progress io.Writer) (*Figures, error) {
 	if o.Bin == "" {
-		dir, err := os.MkdirTemp("", "mothcleat-bin-")
+		bin, remove, err := buildAside(ctx)
 		if err != nil {
 			return nil, err
 		}
-		defer os.RemoveAll(dir)
-		if o.Bin, err = Build(ctx, dir); err != nil {
-			return nil, err
-		}
+		defer remove()
+		o.Bin = bin
 	}
 	var figures [2]*Figures
 	var errs [2]error
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"sync"
 	"syscall"
@@ -42,14 +41,12 @@
 		o.Load = 0.55
 	}
 	if o.Bin == "" {
-		dir, err := os.MkdirTemp("", "mothcleat-bin-")
+		bin, remove, err := buildAside(ctx)
 		if err != nil {
 			return nil, err
 		}
-		defer os.RemoveAll(dir)
-		if o.Bin, err = Build(ctx, dir); err != nil {
-			return nil, err
-		}
+		defer remove()
+		o.Bin = bin
 	}
 	type world struct {
 		name  string
@@ -367,7 +364,7 @@
 	refused, inPlace := refusals(rec)
 	f.Extra["refused_connections"], f.Extra["refused_connections_in_place"] = refused, inPlace
 	f.Extra["service_10s_after_restart"] = afterRestart(s, rec, 10*time.Second)
-	f.Extra["sent_units"], f.Extra["lent_units"] = sentUnits(rec), 0.0
+	f.Extra["sent_units"] = sentUnits(rec)
 	if inPlace > 0 {
 		f.miss(fmt.Sprintf("%d connections refused by gateways that were never stopped", inPlace))
 	}
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -30,6 +30,21 @@
 	return bin, nil
 }
 
+// buildAside is Build into a folder of its own, for several worlds of one run;
+// remove takes it away.
+func buildAside(ctx context.Context) (bin string, remove func(), err error) {
+	dir, err := os.MkdirTemp("", "mothcleat-bin-")
+	if err != nil {
+		return "", nil, err
+	}
+	remove = func() { _ = os.RemoveAll(dir) }
+	if bin, err = Build(ctx, dir); err != nil {
+		remove()
+		return "", nil, err
+	}
+	return bin, remove, nil
+}
+
 // Gateway is one instance: the real program, started as a process, and started
 // again under its name and address as often as a scenario wants.
 type Gateway struct {
@@ -140,8 +155,8 @@
 	g.pid, g.wanted, g.began = cmd.Process.Pid, true, g.rec.Now()
 	g.rec.AddLife(g.Number, Started)
 	go func() {
-		err := cmd.Wait()
-		g.ended(cmd.Process.Pid, err)
+		_ = cmd.Wait() // how it ended is in its log
+		g.ended(cmd.Process.Pid)
 	}()
 	return nil
 }
@@ -165,7 +180,7 @@
 
 // ended takes note of a process's end. The one that has handed over is not the
 // one that serves.
-func (g *Gateway) ended(pid int, err error) {
+func (g *Gateway) ended(pid int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if pid != g.pid {
@@ -182,7 +197,6 @@
 		return
 	}
 	g.rec.AddLife(g.Number, Exited)
-	_ = err
 }
 
 func (g *Gateway) pidFile() string { return filepath.Join(g.dir, "pid") }
@@ -205,7 +219,7 @@
 	for alive(pid) {
 		time.Sleep(10 * time.Millisecond)
 	}
-	g.ended(pid, nil)
+	g.ended(pid)
 }
 
 // alive tells whether a process runs.
--- a/internal/lab/record.go
+++ b/internal/lab/record.go
@@ -124,9 +124,6 @@
 // Now is the time since the record began.
 func (r *Record) Now() time.Duration { return time.Since(r.began) }
 
-// At is the same for a moment.
-func (r *Record) At(t time.Time) time.Duration { return t.Sub(r.began) }
-
 // AddTry adds a try that has ended.
 func (r *Record) AddTry(t Try) { r.add(func() { r.Tries = append(r.Tries, t) }) }
 
@@ -166,15 +163,3 @@
 	defer r.mu.Unlock()
 	f()
 }
-
-// count tells how often something happened so far.
-func (r *Record) count(e Event) (n int) {
-	r.add(func() {
-		for _, l := range r.Lives {
-			if l.Event == e {
-				n++
-			}
-		}
-	})
-	return n
-}
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -54,7 +54,6 @@
 	waiting int
 	slots   chan struct{}
 	ended   chan struct{} // closed with this life
-	fell    func(*Server)
 }
 
 // NewServer makes a server that is up and warm.
@@ -268,11 +267,7 @@
 	if sv.overrun(a) {
 		sv.rec.Fell(sv.boot)
 		sv.kill()
-		fell := sv.fell
 		sv.mu.Unlock()
-		if fell != nil {
-			fell(sv)
-		}
 		return nil, false
 	}
 	roll, late := sv.rand.Float64(), sv.rand.Float64()
