--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"mothcleat/internal/lab"
+	"mothcleat/internal/trial"
 )
 
 const usage = `usage: lab NAME [--seed N] [--for D] ...
@@ -56,18 +57,18 @@
 	flags.SetOutput(io.Discard)
 	seed := flags.Uint64("seed", 1, "")
 	length := flags.Duration("for", time.Minute, "")
-	var play func() (*lab.Figures, error)
+	var play func() (*trial.Figures, error)
 	check := func() error { return nil }
 	switch args[0] {
 	case "try":
 		serve := flags.Bool("serve", false, "")
-		play = func() (*lab.Figures, error) { return lab.RunTry(ctx, *seed, *length, *serve, out, progress) }
+		play = func() (*trial.Figures, error) { return lab.RunTry(ctx, *seed, *length, *serve, out, progress) }
 	case "auth":
-		play = func() (*lab.Figures, error) { return lab.RunAuth(ctx, *seed, *length, progress) }
+		play = func() (*trial.Figures, error) { return lab.RunAuth(ctx, *seed, *length, progress) }
 	case "consul":
 		o := lab.ConsulOptions{}
 		flags.BoolVar(&o.Silent, "silent", false, "")
-		play = func() (*lab.Figures, error) {
+		play = func() (*trial.Figures, error) {
 			o.Seed, o.For = *seed, *length
 			return lab.RunConsul(ctx, o, progress)
 		}
@@ -91,7 +92,7 @@
 			}
 			return nil
 		}
-		play = func() (*lab.Figures, error) {
+		play = func() (*trial.Figures, error) {
 			o.Seed, o.For = *seed, *length
 			return lab.RunFleet(ctx, o, progress)
 		}
@@ -112,7 +113,7 @@
 	}
 	f, err := play()
 	if f == nil {
-		f = lab.Broke(args[0], *seed, err)
+		f = trial.Broke(args[0], *seed, err)
 	} else if err != nil {
 		f.OK, f.Why = false, append(f.Why, err.Error())
 	}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,7 +33,14 @@
 	askRate    = 0.4         // the part of the notes a receiver takes in that asks for one customer may be
 	askWait    = 0.1         // how long a home's answer is waited for, in shortest aims
 	sliceMost  = 2.0         // how many requests' worth a slice under a grant saves up
-	hearIn     = 2           // note periods until what a peer takes now is heard
+	hearIn     = 2           // counter periods until what another takes now is heard
+	flight     = second / 20 // and until a note sent at once is, with room for chance
+	leadUp     = second / 50 // what is added to that when notes prove later, or lost,
+	leadDown   = 500         // and goes again with each that is in time;
+	leadMost   = second / 2  // at most so much
+	calm       = 4           // note periods for which a store far from empty need not be told of
+	urgentMail = 0.8         // the part of a receiver's message limit for notes sent at once,
+	urgentMost = 8.0         // and how many of them may follow one another to one peer
 	settleIn   = 4           // note periods until a new gateway has been told of all banks
 	stillTicks = 8           // a timer late by so many ticks: this gateway stood still
 	notePeriod = second / 30 // the least time between notes
@@ -123,8 +130,8 @@
 func (p *Plan) soft() bool { return p.BeyondEarns > p.BeyondCosts }
 
 // customer finds or makes the record of a customer, refilled up to now. A new
-// one is full: peers tell of those that are not; until they can have been heard it is
-// an even slice, so that a restart hands out no second burst. Its part of the ceiling
+// one is full: peers tell of those that are not (level has what holds until they can
+// have been heard, so that a restart hands out no second burst). Its part of the ceiling
 // counts from this gateway's start, with half the slack: a former life may have the rest.
 func (g *Gateway) customer(id uint64, plan, first, spread int) *customer {
 	c := g.customers[id]
@@ -139,7 +146,7 @@
 		if p.Rate > 0 {
 			c.window = max(Time(useWindow*p.Burst/p.Rate*float64(second)), g.mailTime(spread))
 		}
-		if !g.pooled || !g.wide(c) && g.now-g.born < min(second/2, settleIn*g.period) {
+		if !g.pooled {
 			c.store.level /= even
 		}
 		c.ceiling.refill(g.now)
@@ -207,6 +214,7 @@
 // level is what this gateway's bank holds: its slice of the customer's whole store as
 // of the last note, less what it has taken since, or, if more, what the others will not
 // ask before they are heard again: a slice of a small burst may be less than a request.
+// A gateway that has just started holds no more than an even slice.
 func (g *Gateway) level(c *customer) float64 {
 	switch {
 	case g.member(c) && c.grant < 1:
@@ -214,11 +222,81 @@
 	case !g.pooled || g.wide(c):
 		return c.store.level
 	}
+	if g.lived == g.born && !g.settled() {
+		return math.Min(c.store.level, c.store.cap/float64(c.spread)-c.taken)
+	}
 	untold := c.taken - c.told
-	soon := c.others.get(g.now, c.window) * float64(hearIn*g.period) / float64(c.window)
+	soon := c.others.get(g.now, c.window) * float64(g.hears(c)) / float64(c.window)
 	return math.Max(g.part(c)*(c.store.level+untold)-untold, c.store.level-soon)
 }
 
+// settled tells whether peers have had the time to tell of all banks that are not full.
+func (g *Gateway) settled() bool { return g.now-g.born >= min(second/2, settleIn*g.period) }
+
+// hears is how long it takes until what the others take of a customer is heard here: where
+// all tell at once, the way of a note and its wait for room, which is taken to be as here.
+func (g *Gateway) hears(c *customer) Time {
+	switch {
+	case !g.set.Peers:
+		return hearIn * g.period
+	case g.tight(c):
+		return flight + g.lead + Time(g.wait.v)
+	}
+	return calm * g.period
+}
+
+// learnLead has more left to the others where they prove to have taken what this gateway
+// had given away as well: notes are lost, or later than thought.
+func (g *Gateway) learnLead(c *customer, taken float64) {
+	switch {
+	case taken == 0 || c.store.level >= taken+2*c.lastAsk || !g.set.Peers:
+	case c.store.level < taken:
+		g.lead = min(g.lead+leadUp, leadMost)
+	default:
+		g.lead = max(0, g.lead-leadDown)
+	}
+}
+
+// tight tells whether so little of a customer's store is left that it may be empty before
+// all have heard: its set then tells at once what it takes. All judge by the same store.
+func (g *Gateway) tight(c *customer) bool {
+	all := c.use.get(g.now, c.window) + c.others.get(g.now, c.window)
+	return c.store.level < 2*c.lastAsk+all*float64(2*calm*g.period)/float64(c.window)
+}
+
+// tellNow tells a customer's set at once, if there is room for notes to all of it; else
+// the next notes will.
+func (g *Gateway) tellNow(c *customer) {
+	if !g.set.Peers || c.spread == 1 || g.wide(c) || !g.tight(c) {
+		return
+	}
+	set := make([]int, 0, fewPeers)
+	for i := range c.spread {
+		if peer := (c.first + i) % g.set.Gateways; peer != g.set.Self {
+			set = append(set, peer)
+		}
+	}
+	if slices.ContainsFunc(set, func(peer int) bool { return g.room(peer).level < 1 }) || !g.note(c) {
+		c.waits = g.now
+		return
+	}
+	g.wait.add(0, learnOne)
+	c.told, c.askedTold, c.tellAt, c.tell = c.taken, c.asked, g.now+g.period, repeats-1
+	for _, peer := range set {
+		g.sendNote(peer)
+	}
+}
+
+// room is how many notes a peer may be sent at once: its limit is shared by those that
+// this gateway hears of, who are taken to be as many as that peer hears of.
+func (g *Gateway) room(peer int) *bank {
+	b := &g.rooms[peer]
+	senders := math.Min(float64(g.set.Gateways-1), math.Max(1, g.peers.get(g.awake, second)))
+	b.rate, b.cap = urgentMail*math.Max(g.set.MailPerSecond, 1)/senders, urgentMost
+	b.refill(g.now)
+	return b
+}
+
 // inside tells whether the customer's own bank and its part of the open limit have room.
 func (g *Gateway) inside(c *customer, units float64) bool {
 	p := &g.set.Plans[c.plan]
@@ -233,6 +311,7 @@
 	c.slice = math.Max(0, c.slice-units)
 	c.taken += units
 	g.mark(c)
+	g.tellNow(c)
 }
 
 // consults tells whether a wide set asks its home before it decides: its quota is so small
@@ -334,7 +413,7 @@
 		g.refill(c)
 		g.settleGrant(c)
 		switch {
-		case g.member(c) && c.grant < 1 && g.now < c.tellAt:
+		case g.now < c.tellAt && (g.member(c) && c.grant < 1 || g.set.Peers && !g.wide(c) && !g.tight(c)):
 		case !g.set.Peers:
 			if c.taken > c.told {
 				g.do.Count(c.id, c.taken-c.told, countLife)
@@ -342,9 +421,13 @@
 			}
 			c.told, c.tell = c.taken, 0
 		case g.note(c):
-			c.told, c.askedTold, c.tellAt = c.taken, c.asked, g.now+g.mailTime(c.spread)
+			c.told, c.askedTold, c.tellAt = c.taken, c.asked, g.now+calm*g.period
 			if c.tell--; g.wide(c) {
-				c.tell = 0
+				c.tell, c.tellAt = 0, g.now+g.mailTime(c.spread)
+			}
+			if c.waits != 0 {
+				g.wait.add(float64(g.now-c.waits), learnOne)
+				c.waits = 0
 			}
 		}
 		if c.tell > 0 {
@@ -369,6 +452,7 @@
 		for _, c := range g.order {
 			if g.refill(c); c.store.level < c.store.cap && !g.wide(c) && g.in(c, from) {
 				g.mark(c)
+				c.tellAt = 0
 			}
 		}
 	}
@@ -404,10 +488,11 @@
 	taken, asked := e.taken-h.taken, e.asked-h.asked
 	switch {
 	case !h.known || h.boot != boot:
-		// No earlier figure to take off: what the peer thinks is left bounds it.
-		left := e.left*c.store.cap - (c.taken - c.told)
-		if g.wide(c) && e.left == 1 {
-			left = c.store.level - units(min(e.taken, e.fresh))
+		// No earlier figure to take off: what the peer thinks is left bounds it, and what
+		// it took since it last told anybody is not yet known here.
+		left, fresh := e.left*c.store.cap-(c.taken-c.told), c.store.level-units(min(e.taken, e.fresh))
+		if left = math.Min(left, fresh); g.wide(c) && e.left == 1 {
+			left = fresh
 		}
 		c.store.level = math.Max(0, math.Min(c.store.level, left))
 		c.others.add(g.now, c.window, units(e.fresh))
@@ -417,6 +502,7 @@
 		if taken > math.MaxUint16/2 {
 			taken, e.taken = 0, h.taken // it did not take what it was granted
 		}
+		g.learnLead(c, units(taken))
 		c.store.level = math.Max(0, c.store.level-units(taken))
 		c.others.add(g.now, c.window, units(asked))
 	}
@@ -742,7 +828,7 @@
 	if g.now > g.woke {
 		grace.add(float64(q.Grace), learnOne)
 	} else if grace.v-float64(q.Grace)+g.base[q.Class].v > float64(g.set.Classes[q.Class].Aim) {
-		g.refuse(q.ID, 0) // it came while this gateway stood still, and no answer is in time any more
+		g.refuse(q.ID, 0, WhyLate) // it came while this gateway stood still, and no answer is in time any more
 		return
 	}
 	plan := &g.set.Plans[q.Plan]
@@ -750,7 +836,7 @@
 	g.ask(c, q.Units)
 	r := &request{Request: q, until: now + q.Grace, c: c}
 	if g.full(g.open(&q, plan)) {
-		g.refuse(q.ID, g.shortAim/2)
+		g.refuse(q.ID, g.shortAim/2, WhyLoad)
 	} else if g.member(c) && g.consults(c) {
 		g.consult(r)
 	} else {
@@ -764,17 +850,17 @@
 	if !inside {
 		g.lend.refill(g.now)
 		if !plan.soft() || g.lend.level < q.Units || g.full(lendShare) {
-			g.refuse(q.ID, until(g.level(c), g.part(c)*plan.Rate, q.Units))
+			g.refuse(q.ID, g.filledIn(c, q.Units), g.whyEmpty(c, q.Units))
 			return
 		}
 	}
 	if plan.CeilingRate > 0 && c.ceiling.level < q.Units {
-		g.refuse(q.ID, until(c.ceiling.level, c.ceiling.rate, q.Units))
+		g.refuse(q.ID, until(c.ceiling.level, c.ceiling.rate, q.Units), WhyCeiling)
 		return
 	}
 	b := g.choose(r, nil)
 	if b == nil {
-		g.refuse(q.ID, g.shortAim/2)
+		g.refuse(q.ID, g.shortAim/2, WhyNoBackend)
 		return
 	}
 	if inside {
@@ -791,6 +877,16 @@
 	g.send(r, b)
 }
 
+// filledIn is how long it takes until a customer's own bank holds the units: where its
+// set shares one store, that fills for all of them at once.
+func (g *Gateway) filledIn(c *customer, units float64) Time {
+	rate := g.set.Plans[c.plan].Rate
+	if !g.pooled || g.wide(c) {
+		rate *= g.part(c)
+	}
+	return until(g.level(c), rate, units)
+}
+
 // open is the part of the room open to a request: more for more worth for work.
 func (g *Gateway) open(q *Request, plan *Plan) float64 {
 	base := g.base[q.Class].v
@@ -859,7 +955,7 @@
 	}
 	delete(g.requests, o.ID)
 	if refuse {
-		g.refuse(o.ID, g.shortAim/2)
+		g.refuse(o.ID, g.shortAim/2, WhyAttempts)
 	} else {
 		g.do.Fail(o.ID)
 	}
--- a/decide/note.go
+++ b/decide/note.go
@@ -97,8 +97,9 @@
 	return append(putID(n, grantItem, r.id), packPart(r.part), r.ask, yes)
 }
 
-// packPart packs a part of one, finer near nothing.
-func packPart(x float64) byte { return byte(math.Round(255 * math.Sqrt(math.Min(1, math.Max(0, x))))) }
+// packPart packs a part of one, finer near nothing, and never as more than it is: by what
+// is told as left another gateway may send on.
+func packPart(x float64) byte { return byte(255 * math.Sqrt(math.Min(1, math.Max(0, x)))) }
 
 func unpackPart(b byte) float64 { return float64(b) / 255 * float64(b) / 255 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -25,7 +25,8 @@
 	granted       float64   // at home: the grant last told to the whole set
 	grantAt       Time      // and when it may be told again
 	asks          byte      // how often the home was asked, counted round
-	tellAt        Time      // when a member under a grant tells again
+	tellAt        Time      // when it is told again at the latest: a member under a grant, a calm store
+	waits         Time      // since when an urgent note waits for room; 0: none does
 	calls         []float64 // counter calls without an answer
 	total         float64   // the counter's last total
 	metered       fading    // units asked here over the meter's period
@@ -49,6 +50,7 @@
 type Gateway struct {
 	set           Settings
 	do            Actions
+	explain       func(id uint64, why Why) // nil: nobody asks why
 	rand          *rand.Rand
 	now           Time
 	awake, still  Time // the time less that during which this gateway stood still, and that
@@ -73,6 +75,9 @@
 	heardAt []Time
 	telling []*customer
 	notes   [][]byte
+	rooms   []bank // for notes to each peer that are sent at once
+	wait    mean   // for that room
+	lead    Time   // how much later than thought they are heard
 
 	backends []*backend
 	byID     map[uint32]*backend
@@ -201,7 +206,7 @@
 		set: set, do: do, rand: rand.New(rand.NewPCG(seed, seed>>32)), boot: uint32(seed>>32) ^ uint32(seed),
 		idleSpill: make([]float64, len(set.Plans)), customers: map[uint64]*customer{},
 		boots: make([]uint32, set.Gateways), heardAt: make([]Time, set.Gateways),
-		notes: make([][]byte, set.Gateways), pooled: set.Gateways > 1 && (set.Peers || set.Counter),
+		notes: make([][]byte, set.Gateways), rooms: make([]bank, set.Gateways), pooled: set.Gateways > 1 && (set.Peers || set.Counter),
 		byID: map[uint32]*backend{}, requests: map[uint64]*request{},
 		base: make([]mean, len(set.Classes)), due: make([][]*attempt, len(set.Classes)),
 	}
@@ -377,7 +382,10 @@
 }
 
 // refuse refuses with advice within what is allowed.
-func (g *Gateway) refuse(id uint64, after Time) {
+func (g *Gateway) refuse(id uint64, after Time, why Why) {
+	if g.explain != nil {
+		g.explain(id, why)
+	}
 	if !g.set.RetryAfter {
 		after = 0
 	}
@@ -388,12 +396,18 @@
 func (g *Gateway) flush() {
 	for peer, note := range g.notes {
 		if len(note) > 0 {
-			g.do.Tell(peer, note)
+			g.sendNote(peer)
 		}
-		g.notes[peer] = note[:0]
 	}
 }
 
+// sendNote sends the note begun to a peer. It takes from the room for those sent at once.
+func (g *Gateway) sendNote(peer int) {
+	g.room(peer).level--
+	g.do.Tell(peer, g.notes[peer])
+	g.notes[peer] = g.notes[peer][:0]
+}
+
 // pool adds a peer's view of the back end to what is known of all. However often a
 // peer tells of it, it counts as one.
 func (g *Gateway) pool(from int, n note) {
--- a/internal/lab/auth.go
+++ b/internal/lab/auth.go
@@ -9,6 +9,8 @@
 	"path/filepath"
 	"strings"
 	"time"
+
+	"mothcleat/internal/trial"
 )
 
 // How the gateways ask in the lab: an allowance is kept for 2 s, as the stand-in says,
@@ -35,14 +37,14 @@
 
 // RunAuth runs three gateways that ask an authenticator which stalls, flaps, errs
 // and crashes, beside three that ask nobody.
-func RunAuth(ctx context.Context, seed uint64, length time.Duration, progress io.Writer) (*Figures, error) {
+func RunAuth(ctx context.Context, seed uint64, length time.Duration, progress io.Writer) (*trial.Figures, error) {
 	bin, remove, err := buildAside(ctx)
 	if err != nil {
 		return nil, err
 	}
 	defer remove()
 	type result struct {
-		f   *Figures
+		f   *trial.Figures
 		err error
 	}
 	without := make(chan result, 1)
@@ -60,23 +62,23 @@
 	}
 	f.Extra["without"] = other.f
 	if !other.f.OK {
-		f.miss("the fleet that asks nobody did not hold its promises")
+		f.Miss("the fleet that asks nobody did not hold its promises")
 	}
 	return f, nil
 }
 
-func runAuthWorld(ctx context.Context, seed uint64, length time.Duration, bin string, asks bool, progress io.Writer) (*Figures, error) {
+func runAuthWorld(ctx context.Context, seed uint64, length time.Duration, bin string, asks bool, progress io.Writer) (*trial.Figures, error) {
 	const gateways, servers, load = 3, 36, 0.5
 	o := Options{Seed: seed, Gateways: gateways, Servers: servers, Load: load, Bin: bin, Log: progress}
 	var a *Authenticator
 	if asks {
 		denied := map[string]bool{}
-		for i, c := range NewSite(seed, gateways, servers, load).Customers { // the same draw as the world's
+		for i, c := range trial.NewSite(seed, gateways, servers, load).Customers { // the same draw as the world's
 			denied[c.ID] = i%10 == 0
 		}
 		// The record is the world's; it is put in place below, before anything is asked.
 		var err error
-		if a, err = NewAuthenticator(NewRecord(), denied, seed); err != nil {
+		if a, err = NewAuthenticator(trial.NewRecord(), denied, seed); err != nil {
 			return nil, err
 		}
 		defer a.Close()
@@ -117,12 +119,12 @@
 	if err := w.Stop(stop); err != nil {
 		return nil, err
 	}
-	f := Figure("auth", seed, w.Site, w.Record)
+	f := trial.Figure("auth", seed, w.Site, w.Record)
 	f.Extra["cpu_us_per_try"] = cpu * 1e6 / float64(max(1, f.Taken))
-	f.Extra["p999_ms"] = percentile(w.Site, w.Record, 0.999)
+	f.Extra["p999_ms"] = trial.Percentile(w.Site, w.Record, 0.999)
 	if asks {
 		f.Extra["calls_per_try"] = float64(a.calls) / float64(max(1, f.Taken))
-		f.asked(w, a)
+		judgeAsked(f, w, a)
 	}
 	return f, nil
 }
@@ -140,16 +142,16 @@
 			if m != Answers {
 				fmt.Fprintln(progress, "the authenticator", names[m])
 			}
-			if !sleep(ctx, time.Duration(between(r, 1.5, 3)*float64(time.Second))) {
+			if !sleep(ctx, time.Duration(trial.Between(r, 1.5, 3)*float64(time.Second))) {
 				return a.SetMood(Answers)
 			}
 		}
 	}
 }
 
-// asked judges what the authenticator saw against what went on. Units that went on for
+// judgeAsked judges what the authenticator saw against what went on. Units that went on for
 // a try whose customer had no allowance that could still hold are the difference.
-func (f *Figures) asked(w *World, a *Authenticator) {
+func judgeAsked(f *trial.Figures, w *World, a *Authenticator) {
 	seen := map[string]time.Duration{}
 	for _, at := range w.Record.Attempts {
 		if first, ok := seen[at.ID]; !ok || at.First < first {
@@ -161,22 +163,22 @@
 		at, went := seen[t.ID]
 		if went {
 			on++
-			if !a.allowed(t.Customer, t.Sent-authKept-authStale-onSockets, at) {
+			if !a.allowed(t.Customer, t.Sent-authKept-authStale-trial.OnSockets, at) {
 				difference += t.Units
 			}
-		} else if t.Kind == Failed {
+		} else if t.Kind == trial.Failed {
 			denied++
 		}
 	}
 	f.Extra["went_on"], f.Extra["denied"], f.Extra["quota_difference"] = on, denied, difference
 	f.Extra["calls"], f.Extra["calls_without_token"] = a.calls, a.strange
 	if difference > 0 {
-		f.miss(fmt.Sprintf("%g units went on without an allowance", difference))
+		f.Miss(fmt.Sprintf("%g units went on without an allowance", difference))
 	}
 	if a.strange > 0 {
-		f.miss(fmt.Sprintf("%d calls without the customer's token", a.strange))
+		f.Miss(fmt.Sprintf("%d calls without the customer's token", a.strange))
 	}
 	if on == 0 || denied == 0 {
-		f.miss("nothing went on, or nothing was denied: the run shows nothing")
+		f.Miss("nothing went on, or nothing was denied: the run shows nothing")
 	}
 }
--- a/internal/lab/authenticator.go
+++ b/internal/lab/authenticator.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"mothcleat/internal/trial"
 )
 
 // Mood is what an authenticator does.
@@ -25,7 +27,7 @@
 // Authenticator is the stand-in for an HTTP forward authenticator.
 type Authenticator struct {
 	Address string
-	rec     *Record
+	rec     *trial.Record
 
 	mu      sync.Mutex
 	rand    *rand.Rand
@@ -39,7 +41,7 @@
 }
 
 // NewAuthenticator starts one that denies the customers given.
-func NewAuthenticator(rec *Record, denied map[string]bool, seed uint64) (*Authenticator, error) {
+func NewAuthenticator(rec *trial.Record, denied map[string]bool, seed uint64) (*Authenticator, error) {
 	a := &Authenticator{rec: rec, rand: rand.New(rand.NewPCG(seed, 0xa)), denied: denied,
 		allows: map[string][]time.Duration{}, changed: make(chan struct{}), Address: "127.0.0.1:0"}
 	return a, a.listen()
--- a/internal/lab/consulrun.go
+++ b/internal/lab/consulrun.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"mothcleat/internal/trial"
 )
 
 const consulText = `[register]
@@ -30,7 +32,7 @@
 // falls silent and contradicts itself, beside gateways that follow the platform's
 // register. Quote servers drain and restart in both. With Silent nothing changes but that
 // Consul says nothing any more, beside gateways whose Consul goes on.
-func RunConsul(ctx context.Context, o ConsulOptions, progress io.Writer) (*Figures, error) {
+func RunConsul(ctx context.Context, o ConsulOptions, progress io.Writer) (*trial.Figures, error) {
 	if o.Bin == "" {
 		bin, remove, err := buildAside(ctx)
 		if err != nil {
@@ -39,7 +41,7 @@
 		defer remove()
 		o.Bin = bin
 	}
-	var figures [2]*Figures
+	var figures [2]*trial.Figures
 	var errs [2]error
 	var wg sync.WaitGroup
 	for i, log := range []io.Writer{progress, io.Discard} {
@@ -59,16 +61,16 @@
 	beside := map[bool]string{true: "heard", false: "platform"}[o.Silent]
 	f.Extra[beside] = figures[1]
 	if !figures[1].OK {
-		f.miss("the gateways beside did not hold their promises")
+		f.Miss("the gateways beside did not hold their promises")
 	}
 	if lost := figures[1].Service - f.Service; o.Silent && lost > 0.02 {
-		f.miss(fmt.Sprintf("service %.3f with Consul silent, %.3f with it", f.Service, figures[1].Service))
+		f.Miss(fmt.Sprintf("service %.3f with Consul silent, %.3f with it", f.Service, figures[1].Service))
 	}
 	return f, nil
 }
 
 // runConsulWorld runs one of the two worlds: first is the one that things happen to.
-func runConsulWorld(ctx context.Context, o ConsulOptions, first bool, progress io.Writer) (*Figures, error) {
+func runConsulWorld(ctx context.Context, o ConsulOptions, first bool, progress io.Writer) (*trial.Figures, error) {
 	seed, length, consul := o.Seed, o.For, first || o.Silent
 	wo := Options{Seed: seed, Gateways: 4, Servers: 12, Load: 0.5, Bin: o.Bin, Consul: consul, Log: progress}
 	if consul {
@@ -109,20 +111,20 @@
 	if err := w.Stop(stop); err != nil {
 		return nil, err
 	}
-	f := Figure("consul", seed, w.Site, w.Record)
+	f := trial.Figure("consul", seed, w.Site, w.Record)
 	for _, err := range c.errs {
-		f.miss(err.Error())
+		f.Miss(err.Error())
 	}
 	f.Extra["drain_to_last_send_ms_max"] = lastSend(w.Record).Milliseconds()
 	if consul {
-		f.Extra["told_lag_ms_p99"] = quantile(w.Consul.lags, 0.99)
+		f.Extra["told_lag_ms_p99"] = trial.Quantile(w.Consul.lags, 0.99)
 		most := 0
 		for _, a := range w.Consul.agents {
 			most = max(most, busiest(a.Calls()))
 		}
 		f.Extra["calls_per_second_max"] = most
 		if most > mostConsulCalls {
-			f.miss(fmt.Sprintf("%d calls of one gateway in a second, %d at most wanted", most, mostConsulCalls))
+			f.Miss(fmt.Sprintf("%d calls of one gateway in a second, %d at most wanted", most, mostConsulCalls))
 		}
 	}
 	return f, nil
@@ -141,7 +143,7 @@
 		{"answers out of order", ConsulFault{Reorder: 0.4}}, {"answers 500", ConsulFault{Errs: true}}, {"drops answers", ConsulFault{Drop: 0.5}},
 		{"ends its answers in the middle", ConsulFault{Half: true}}, {"answers at once", ConsulFault{AtOnce: true}},
 	}
-	for i := 0; sleep(ctx, time.Duration(between(rnd, 0.5, 2)*float64(time.Second))); i++ {
+	for i := 0; sleep(ctx, time.Duration(trial.Between(rnd, 0.5, 2)*float64(time.Second))); i++ {
 		k := kinds[i%len(kinds)]
 		agents := r.agents
 		if rnd.IntN(2) == 0 {
@@ -152,7 +154,7 @@
 		for _, a := range agents {
 			a.SetFault(k.fault)
 		}
-		sleep(ctx, min(length/8, time.Duration(between(rnd, 2, 6)*float64(time.Second))))
+		sleep(ctx, min(length/8, time.Duration(trial.Between(rnd, 2, 6)*float64(time.Second))))
 		for _, a := range agents {
 			a.SetFault(ConsulFault{})
 		}
@@ -161,7 +163,7 @@
 
 // lastSend is the longest time from when a gateway was told to stop sending to a
 // server until it sent to it all the same.
-func lastSend(rec *Record) (most time.Duration) {
+func lastSend(rec *trial.Record) (most time.Duration) {
 	for _, a := range rec.Attempts {
 		stop, since := false, time.Duration(0)
 		for _, t := range rec.Told {
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"mothcleat/internal/trial"
 )
 
 // FleetOptions say how a fleet is treated.
@@ -36,7 +38,7 @@
 // RunFleet runs a fleet and restarts its instances in every way, at random. With
 // both, two worlds of the same seed run side by side; with Whole a third one, in
 // which nothing restarts.
-func RunFleet(ctx context.Context, o FleetOptions, progress io.Writer) (*Figures, error) {
+func RunFleet(ctx context.Context, o FleetOptions, progress io.Writer) (*trial.Figures, error) {
 	if o.Load == 0 {
 		o.Load = 0.55
 	}
@@ -65,7 +67,7 @@
 		still.Quiet = true
 		worlds = append(worlds, world{"undisturbed", still, true})
 	}
-	figures, errs := make([]*Figures, len(worlds)), make([]error, len(worlds))
+	figures, errs := make([]*trial.Figures, len(worlds)), make([]error, len(worlds))
 	var wg sync.WaitGroup
 	for i, w := range worlds {
 		wg.Add(1)
@@ -90,10 +92,10 @@
 		name := worlds[i+1].name
 		f.Extra[name] = other
 		if !other.OK {
-			f.miss("the fleet " + name + " did not hold its promises")
+			f.Miss("the fleet " + name + " did not hold its promises")
 		}
 		if name == "undisturbed" {
-			f.compare(other)
+			compare(f, other)
 		}
 	}
 	return f, nil
@@ -102,16 +104,16 @@
 // compare judges a whole-fleet restart against a fleet that had none: what is
 // handed out beyond the quotas, as a part of all that is handed out, is no more
 // but for one part in twenty.
-func (f *Figures) compare(still *Figures) {
-	sent := func(f *Figures) float64 { return f.Extra["sent_units"].(float64) }
+func compare(f, still *trial.Figures) {
+	sent := func(f *trial.Figures) float64 { return f.Extra["sent_units"].(float64) }
 	mine, other := f.Over/sent(f), still.Over/sent(still)
 	f.Extra["over_quota_share"], f.Extra["over_quota_share_undisturbed"] = mine, other
 	if mine > other+0.05 {
-		f.miss(fmt.Sprintf("%.3f of the units went beyond the quotas, %.3f in the fleet that did not restart", mine, other))
+		f.Miss(fmt.Sprintf("%.3f of the units went beyond the quotas, %.3f in the fleet that did not restart", mine, other))
 	}
 }
 
-func runWorld(ctx context.Context, o FleetOptions, state bool, progress io.Writer) (*Figures, error) {
+func runWorld(ctx context.Context, o FleetOptions, state bool, progress io.Writer) (*trial.Figures, error) {
 	w, err := NewWorld(ctx, Options{Seed: o.Seed, Gateways: o.Instances, Servers: 12, Load: o.Load, Bin: o.Bin,
 		Operators: operatorsText(state), Log: progress})
 	if err != nil {
@@ -132,7 +134,7 @@
 	if err := w.Stop(stop); err != nil {
 		c.fail(err)
 	}
-	f := Figure("fleet", o.Seed, w.Site, w.Record)
+	f := trial.Figure("fleet", o.Seed, w.Site, w.Record)
 	c.figures(f)
 	return f, nil
 }
@@ -266,7 +268,7 @@
 		c.mu.Unlock()
 	default:
 		c.did("in place")
-		c.w.Record.AddLife(g.Number, Ready)
+		c.w.Record.AddLife(g.Number, trial.Ready)
 		g.mu.Lock()
 		g.readyIn = append(g.readyIn, c.w.Record.Now()-began)
 		g.mu.Unlock()
@@ -313,7 +315,7 @@
 // servers drains, kills and restarts one quote server after another: after each
 // start there is a cold one.
 func (c *chaos) servers(ctx context.Context, r *rand.Rand) {
-	for sleep(ctx, time.Duration(between(r, 1, 4)*float64(time.Second))) {
+	for sleep(ctx, time.Duration(trial.Between(r, 1, 4)*float64(time.Second))) {
 		sv := c.w.Servers[r.IntN(len(c.w.Servers))]
 		if up, _ := sv.Up(); !up {
 			continue
@@ -325,7 +327,7 @@
 			}
 		}
 		c.w.KillServer(sv)
-		if !sleep(ctx, time.Duration(between(r, 1, 3)*float64(time.Second))) {
+		if !sleep(ctx, time.Duration(trial.Between(r, 1, 3)*float64(time.Second))) {
 			return
 		}
 		if err := c.w.StartServer(sv); err != nil {
@@ -342,7 +344,7 @@
 }
 
 // figures adds what was done and how the gateways took it.
-func (c *chaos) figures(f *Figures) {
+func (c *chaos) figures(f *trial.Figures) {
 	rec, s := c.w.Record, c.w.Site
 	var ready []time.Duration
 	rss := 0
@@ -364,46 +366,33 @@
 	refused, inPlace := refusals(rec)
 	f.Extra["refused_connections"], f.Extra["refused_connections_in_place"] = refused, inPlace
 	f.Extra["service_10s_after_restart"] = afterRestart(s, rec, 10*time.Second)
-	f.Extra["sent_units"] = sentUnits(rec)
+	f.Extra["sent_units"] = trial.SentUnits(rec)
 	if inPlace > 0 {
-		f.miss(fmt.Sprintf("%d connections refused by gateways that were never stopped", inPlace))
+		f.Miss(fmt.Sprintf("%d connections refused by gateways that were never stopped", inPlace))
 	}
 	for _, err := range c.errs[:min(len(c.errs), 3)] {
-		f.miss(err.Error())
+		f.Miss(err.Error())
 	}
 	if n := c.w.Notes.Over.Load(); n > 0 {
-		f.miss(fmt.Sprintf("%d notes over 256 bytes", n))
-	}
-}
-
-func sentUnits(rec *Record) (units float64) {
-	whole := map[string]bool{}
-	for _, a := range rec.Attempts {
-		whole[a.ID] = true
-	}
-	for _, t := range rec.Tries {
-		if whole[t.ID] {
-			units += t.Units
-		}
+		f.Miss(fmt.Sprintf("%d notes over 256 bytes", n))
 	}
-	return units
 }
 
 // refusals counts the connections that found a closed port, and those of them at
 // gateways that nobody had stopped.
-func refusals(rec *Record) (all, inPlace int) {
+func refusals(rec *trial.Record) (all, inPlace int) {
 	for _, t := range rec.Tries {
 		if t.NoPort == 0 {
 			continue
 		}
 		all++
-		last := Started
+		last := trial.Started
 		for _, l := range rec.Lives {
-			if l.Gateway == t.Gateway && l.At <= t.NoPort && l.Event != Reloaded {
+			if l.Gateway == t.Gateway && l.At <= t.NoPort && l.Event != trial.Reloaded {
 				last = l.Event
 			}
 		}
-		if last == Ready || last == Handed {
+		if last == trial.Ready || last == trial.Handed {
 			inPlace++
 		}
 	}
@@ -412,20 +401,20 @@
 
 // afterRestart is the service of requests that came first to a gateway within
 // some time of its start.
-func afterRestart(s *Site, rec *Record, span time.Duration) float64 {
-	var since []Life
+func afterRestart(s *trial.Site, rec *trial.Record, span time.Duration) float64 {
+	var since []trial.Life
 	first := map[int]bool{}
 	for _, l := range rec.Lives {
-		if l.Event == Started && !first[l.Gateway] {
+		if l.Event == trial.Started && !first[l.Gateway] {
 			first[l.Gateway] = true // the beginning of the run is none
-		} else if l.Event == Started || l.Event == Handed {
+		} else if l.Event == trial.Started || l.Event == trial.Handed {
 			since = append(since, l)
 		}
 	}
-	all := slices.DeleteFunc(outcomes(s, rec), func(o outcome) bool {
-		return !slices.ContainsFunc(since, func(l Life) bool {
-			return l.Gateway == o.try.Gateway && o.try.Asked >= l.At && o.try.Asked < l.At+span
+	all := slices.DeleteFunc(trial.Outcomes(s, rec), func(o trial.Outcome) bool {
+		return !slices.ContainsFunc(since, func(l trial.Life) bool {
+			return l.Gateway == o.Try.Gateway && o.Try.Asked >= l.At && o.Try.Asked < l.At+span
 		})
 	})
-	return service(s, all)
+	return trial.Service(s, all)
 }
--- a/internal/lab/front.go
+++ b/internal/lab/front.go
@@ -8,7 +8,6 @@
 	"io"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,16 +16,15 @@
 	"time"
 
 	"mothcleat/internal/resp"
+	"mothcleat/internal/trial"
 )
 
-func hex16(n uint64) string { return fmt.Sprintf("%016x", n) }
-
 // front deals requests out among the gateways. It keeps connections, opens more
 // when all are busy, takes a gateway in once it answers PING, and notices only
 // after some seconds that one has died.
 type front struct {
 	gateways []*Gateway
-	rec      *Record
+	rec      *trial.Record
 	entries  []*entryPoint
 	wg       sync.WaitGroup // polls for gateways that were down
 }
@@ -63,7 +61,7 @@
 	return err == nil && open
 }
 
-func newFront(rec *Record, gateways []*Gateway) *front {
+func newFront(rec *trial.Record, gateways []*Gateway) *front {
 	f := &front{gateways: gateways, rec: rec}
 	for range gateways {
 		f.entries = append(f.entries, &entryPoint{})
@@ -87,7 +85,7 @@
 	defer e.mu.Unlock()
 	if e.failing.IsZero() {
 		e.failing = time.Now()
-		e.notice = time.Duration(between(rand.New(rand.NewPCG(uint64(g), uint64(e.failing.UnixNano()))), 1, 3.9) * float64(time.Second))
+		e.notice = time.Duration(trial.Between(rand.New(rand.NewPCG(uint64(g), uint64(e.failing.UnixNano()))), 1, 3.9) * float64(time.Second))
 		return
 	}
 	if e.down || time.Since(e.failing) < e.notice {
@@ -160,7 +158,7 @@
 
 // send sends a try to its gateway and waits for the answer. A kept connection
 // that the gateway closed, unread, has it sent once more on a new one.
-func (f *front) send(ctx context.Context, s *Site, c *Customer, t *Try) {
+func (f *front) send(ctx context.Context, s *trial.Site, c *trial.Customer, t *trial.Try) {
 	deadline := time.Now().Add(t.Wait)
 	for again := false; ; again = true {
 		conn, err := f.take(t.Gateway, again)
@@ -176,12 +174,12 @@
 			t.Sent = now
 		}
 		cmd := command(s, c, t, max(time.Millisecond, time.Until(deadline)))
-		_ = conn.SetDeadline(deadline.Add(onSockets))
+		_ = conn.SetDeadline(deadline.Add(trial.OnSockets))
 		if _, err = conn.Write(cmd); err == nil {
 			if !again {
 				t.Sent = f.rec.Now()
 			}
-			err = t.read(conn.in, f.rec)
+			err = readAnswer(t, conn.in, f.rec)
 		}
 		if err == nil {
 			f.answered(t.Gateway)
@@ -191,10 +189,10 @@
 		used := conn.used
 		conn.Close()
 		if errors.Is(err, context.DeadlineExceeded) || isTimeout(err) {
-			t.Kind = Silent
+			t.Kind = trial.Silent
 			return
 		}
-		t.Kind, t.Reset = Ended, t.Reset || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+		t.Kind, t.Reset = trial.Ended, t.Reset || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 		if again || !used && !errors.Is(err, io.EOF) {
 			return
 		}
@@ -207,7 +205,7 @@
 	return errors.As(err, &n) && n.Timeout()
 }
 
-func command(s *Site, c *Customer, t *Try, wait time.Duration) []byte {
+func command(s *trial.Site, c *trial.Customer, t *trial.Try, wait time.Duration) []byte {
 	class := &s.Classes[t.Class]
 	fields := fmt.Sprintf("c=%s,t=%s,d=%d", class.Name, s.Plans[t.Plan].Name, wait.Milliseconds())
 	if t.Key != "" {
@@ -225,8 +223,8 @@
 	return b
 }
 
-// read reads the answer to a try.
-func (t *Try) read(in *bufio.Reader, rec *Record) error {
+// readAnswer reads the answer to a try.
+func readAnswer(t *trial.Try, in *bufio.Reader, rec *trial.Record) error {
 	line, err := in.ReadString('\n')
 	if err != nil {
 		if line != "" && errors.Is(err, io.EOF) {
@@ -237,7 +235,7 @@
 	line = strings.TrimSuffix(line, "\r\n")
 	switch {
 	case strings.HasPrefix(line, "-BUSY"):
-		t.Kind = Refused
+		t.Kind = trial.Refused
 		ms, _ := strconv.Atoi(strings.TrimSpace(strings.TrimPrefix(line, "-BUSY")))
 		t.After = time.Duration(ms) * time.Millisecond
 	case strings.HasPrefix(line, "$") && line != "$-1":
@@ -249,9 +247,9 @@
 		if _, err := io.ReadFull(in, b); err != nil {
 			return err
 		}
-		t.Kind, t.Value = Served, string(b[:n])
+		t.Kind, t.Value = trial.Served, string(b[:n])
 	default:
-		t.Kind = Failed
+		t.Kind = trial.Failed
 	}
 	t.Answers++
 	t.Answered = rec.Now()
@@ -264,8 +262,8 @@
 // Clients send what a site's customers ask for, whatever comes back, and try
 // again through another gateway as clients do.
 type Clients struct {
-	site  *Site
-	rec   *Record
+	site  *trial.Site
+	rec   *trial.Record
 	front *front
 	wg    sync.WaitGroup
 	ids   atomic.Uint64
@@ -275,7 +273,7 @@
 }
 
 // NewClients makes the clients of a site.
-func NewClients(s *Site, rec *Record, gateways []*Gateway, seed uint64) *Clients {
+func NewClients(s *trial.Site, rec *trial.Record, gateways []*Gateway, seed uint64) *Clients {
 	c := &Clients{site: s, rec: rec, front: newFront(rec, gateways), seed: seed}
 	c.ids.Store(seed << 32)
 	return c
@@ -289,7 +287,7 @@
 		c.wg.Add(1)
 		go func() {
 			defer c.wg.Done()
-			c.ask(ctx, tries, &c.site.Customers[i], rand.New(rand.NewPCG(c.seed, uint64(i))))
+			c.ask(ctx, tries, i)
 		}()
 	}
 	c.wg.Wait()
@@ -297,90 +295,52 @@
 	c.front.close()
 }
 
-// ask sends one customer's requests: a Poisson stream at the rate of its use.
-func (c *Clients) ask(ctx, tries context.Context, who *Customer, r *rand.Rand) {
-	s := c.site
-	units := 0.0
-	for _, k := range s.Classes {
-		units += k.Share * (k.Least + k.Most) / 2
-	}
-	rate := who.Use * s.Plans[who.Plan].Rate / units
+// ask sends one customer's requests.
+func (c *Clients) ask(ctx, tries context.Context, number int) {
+	traffic := c.site.Traffic(c.seed, number)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(time.Duration(r.ExpFloat64() / rate * float64(time.Second))):
-		}
-		class := 0
-		for x := r.Float64(); class < len(s.Classes)-1 && x >= s.Classes[class].Share; class++ {
-			x -= s.Classes[class].Share
+		case <-time.After(traffic.Pause()):
 		}
-		k := &s.Classes[class]
-		t := Try{Customer: who.ID, Plan: who.Plan, Class: class,
-			Units: k.Least + float64(r.IntN(int(k.Most-k.Least)+1)), Asked: c.rec.Now()}
-		if k.Keyed {
-			t.Key = hex16(r.Uint64())
-		}
-		seed := r.Uint64()
+		t, r := traffic.Request(c.rec.Now())
 		c.wg.Add(1)
 		c.asked.Add(1)
 		c.open.Add(1)
 		go func() {
 			defer c.wg.Done()
 			defer c.open.Add(-1)
-			c.request(tries, who, t, rand.New(rand.NewPCG(seed, 1)))
+			c.request(tries, &c.site.Customers[number], t, r)
 		}()
 	}
 }
 
 // request sends a request until it is served or the client gives up.
-func (c *Clients) request(ctx context.Context, who *Customer, first Try, r *rand.Rand) {
-	k := &c.site.Classes[first.Class]
-	wait := time.Duration(between(r, 0.5, 1) * float64(k.GiveUp))
+func (c *Clients) request(ctx context.Context, who *trial.Customer, first trial.Try, r *rand.Rand) {
+	wait := c.site.Patience(first.Class, r)
 	last := -1
 	for n := 0; n <= c.site.Retries; n++ {
 		t := first
-		t.ID, t.Wait = hex16(c.ids.Add(1)), wait
+		t.ID, t.Wait = trial.Hex16(c.ids.Add(1)), wait
 		if n == 0 {
 			first.First, first.Gateway = t.ID, 0
 			t.First = t.ID
 		} else {
 			t.Asked = 0
 		}
-		t.Gateway = c.choose(who, last, r)
+		t.Gateway = c.site.Choose(who, last, c.rec.Now(), c.front.up, r)
 		last = t.Gateway
 		c.front.send(ctx, c.site, who, &t)
 		c.rec.AddTry(t)
-		if t.Kind == Served {
+		if t.Kind == trial.Served {
 			c.served.Add(1)
 			return
 		}
-		pause := time.Duration(between(r, 50, 100)*float64(int(1)<<n)) * time.Millisecond
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(max(pause, t.After)):
-		}
-	}
-}
-
-// choose deals a request out to a gateway of the customer's set: unevenly, and
-// the busiest one changes now and then; a retry goes through another.
-func (c *Clients) choose(who *Customer, last int, r *rand.Rand) int {
-	n := c.site.Gateways
-	var set []int
-	for i := range who.Spread {
-		if g := (who.First + i) % n; g != last || who.Spread == 1 {
-			set = append(set, g)
+		case <-time.After(trial.Backoff(n, t.After, r)):
 		}
 	}
-	up := slices.DeleteFunc(slices.Clone(set), func(g int) bool { return !c.front.up(g) })
-	if len(up) == 0 {
-		up = set
-	}
-	favourite := int(c.rec.Now()/(15*time.Second)) + who.First
-	if r.Float64() < 0.5 {
-		return up[favourite%len(up)]
-	}
-	return up[r.IntN(len(up))]
 }
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -18,6 +18,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"mothcleat/internal/trial"
 )
 
 // Build compiles the gateway and returns the path of its binary.
@@ -54,7 +56,7 @@
 	dir     string
 	bin     string
 	args    []string
-	rec     *Record
+	rec     *trial.Record
 	config  func(*Gateway) map[string]any
 
 	mu      sync.Mutex
@@ -99,7 +101,7 @@
 	return netip.AddrFrom4([4]byte{127, byte(64 + pid%128), byte((int(world)*16 + pid/128%16) % 250), byte(1 + i%250)})
 }
 
-func newGateway(dir, bin string, args []string, rec *Record, world uint32, i int) (*Gateway, error) {
+func newGateway(dir, bin string, args []string, rec *trial.Record, world uint32, i int) (*Gateway, error) {
 	host := hostOf(world, i)
 	g := &Gateway{Number: i, dir: filepath.Join(dir, fmt.Sprintf("n%d", i)), bin: bin, args: args, rec: rec}
 	if err := os.MkdirAll(g.dir, 0o700); err != nil {
@@ -153,7 +155,7 @@
 		return fmt.Errorf("gateway %d: %w", g.Number, err)
 	}
 	g.pid, g.wanted, g.began = cmd.Process.Pid, true, g.rec.Now()
-	g.rec.AddLife(g.Number, Started)
+	g.rec.AddLife(g.Number, trial.Started)
 	go func() {
 		_ = cmd.Wait() // how it ended is in its log
 		g.ended(cmd.Process.Pid)
@@ -193,10 +195,10 @@
 			go g.watch(next)
 			return
 		}
-		g.rec.AddLife(g.Number, Crashed)
+		g.rec.AddLife(g.Number, trial.Crashed)
 		return
 	}
-	g.rec.AddLife(g.Number, Exited)
+	g.rec.AddLife(g.Number, trial.Exited)
 }
 
 func (g *Gateway) pidFile() string { return filepath.Join(g.dir, "pid") }
@@ -250,17 +252,17 @@
 	switch s {
 	case syscall.SIGKILL:
 		g.wanted = false
-		g.rec.AddLife(g.Number, Killed)
+		g.rec.AddLife(g.Number, trial.Killed)
 		for _, pid := range g.older {
 			_ = syscall.Kill(pid, s)
 		}
 	case syscall.SIGTERM:
 		g.wanted = false
-		g.rec.AddLife(g.Number, Stopping)
+		g.rec.AddLife(g.Number, trial.Stopping)
 	case syscall.SIGHUP:
-		g.rec.AddLife(g.Number, Reloaded)
+		g.rec.AddLife(g.Number, trial.Reloaded)
 	case syscall.SIGUSR2:
-		g.rec.AddLife(g.Number, Handed)
+		g.rec.AddLife(g.Number, trial.Handed)
 	}
 	g.sample()
 	return syscall.Kill(g.pid, s)
@@ -329,7 +331,7 @@
 			g.mu.Lock()
 			g.readyIn = append(g.readyIn, g.rec.Now()-g.began)
 			g.mu.Unlock()
-			g.rec.AddLife(g.Number, Ready)
+			g.rec.AddLife(g.Number, trial.Ready)
 			return nil
 		}
 		select {
--- a/internal/lab/register.go
+++ b/internal/lab/register.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"mothcleat/internal/trial"
 )
 
 // phases of a server, in the register's words.
@@ -52,7 +54,7 @@
 type agent struct {
 	reg     *Register
 	gateway int
-	rec     *Record
+	rec     *trial.Record
 	server  *http.Server
 	address string
 
@@ -75,7 +77,7 @@
 
 // NewRegister makes a register with its agents; lag is the longest time until one
 // hears of a change.
-func NewRegister(rec *Record, gateways int, lag time.Duration, seed uint64) (*Register, error) {
+func NewRegister(rec *trial.Record, gateways int, lag time.Duration, seed uint64) (*Register, error) {
 	r := &Register{lag: lag, rand: rand.New(rand.NewPCG(seed, 0x2e9))}
 	for g := range gateways {
 		a := &agent{reg: r, gateway: g, rec: rec, members: map[string]*entry{}, changed: make(chan struct{})}
@@ -118,7 +120,7 @@
 		r.mu.Unlock()
 		m := member{ID: sv.ID, HostPort: sv.addrs[a.gateway], Locality: "sala-1", Flavor: "maq", Cell: 1, Phase: phase, Size: 1}
 		if since > 0 {
-			m.UpSince = a.rec.began.Add(since).UnixMilli()
+			m.UpSince = a.rec.Began().Add(since).UnixMilli()
 		}
 		if now {
 			a.take(m)
@@ -166,7 +168,7 @@
 		return
 	}
 	e.told = true
-	a.rec.AddTold(Told{Gateway: a.gateway, Server: e.ID, Stop: e.Phase != phaseReady, At: a.rec.Now()})
+	a.rec.AddTold(trial.Told{Gateway: a.gateway, Server: e.ID, Stop: e.Phase != phaseReady, At: a.rec.Now()})
 }
 
 // known is the list as the agent has it, for a gateway's configuration.
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -14,11 +14,11 @@
 	"time"
 
 	"mothcleat/internal/resp"
+	"mothcleat/internal/trial"
 )
 
 const (
-	serverPort   = 8000             // of the first gateway's address, and on
-	serverIdle   = 10 * time.Second // a server closes a connection that stood idle for so long
+	serverPort   = 8000 // of the first gateway's address, and on
 	queuePerCore = 8
 	slotsPerCore = 2
 )
@@ -35,8 +35,8 @@
 // so that it can tell who sends; its work is time on one of its cores.
 type Server struct {
 	ID    string
-	site  *Site
-	rec   *Record
+	site  *trial.Site
+	rec   *trial.Record
 	cores int
 	speed float64
 
@@ -44,21 +44,21 @@
 	rand    *rand.Rand
 	up      bool
 	boot    int // in the record
-	life    Boot
+	life    trial.Boot
 	fault   Fault
 	drain   bool
 	conns   map[net.Conn]bool
 	lists   []net.Listener
-	addrs   []string  // by gateway; the same after a restart
-	recent  []Attempt // within the span over which a fall is counted
+	addrs   []string        // by gateway; the same after a restart
+	recent  []trial.Attempt // within the span over which a fall is counted
 	waiting int
 	slots   chan struct{}
 	ended   chan struct{} // closed with this life
 }
 
 // NewServer makes a server that is up and warm.
-func NewServer(s *Site, rec *Record, world uint32, i int, seed uint64) (*Server, error) {
-	cores, speed := s.machine(i)
+func NewServer(s *trial.Site, rec *trial.Record, world uint32, i int, seed uint64) (*Server, error) {
+	cores, speed := s.Machine(i)
 	sv := &Server{
 		ID: fmt.Sprintf("s-%08x", 0x1000+i*0x101), site: s, rec: rec, cores: int(cores), speed: speed,
 		rand: rand.New(rand.NewPCG(seed, uint64(i))), conns: map[net.Conn]bool{}, addrs: make([]string, s.Gateways),
@@ -101,7 +101,7 @@
 	}
 	sv.up, sv.drain, sv.fault, sv.recent, sv.waiting = true, false, Fault{}, nil, 0
 	sv.slots, sv.ended = make(chan struct{}, sv.cores*slotsPerCore), make(chan struct{})
-	sv.life = Boot{Server: sv.ID, Cores: float64(sv.cores), Speed: sv.speed, Cold: cold, At: sv.rec.Now()}
+	sv.life = trial.Boot{Server: sv.ID, Cores: float64(sv.cores), Speed: sv.speed, Cold: cold, At: sv.rec.Now()}
 	sv.boot = sv.rec.AddBoot(sv.life)
 	for g, l := range sv.lists {
 		go sv.accept(l, g, sv.ended)
@@ -205,7 +205,7 @@
 		defer close(items)
 		in := resp.NewReader(c)
 		for {
-			_ = c.SetReadDeadline(time.Now().Add(serverIdle))
+			_ = c.SetReadDeadline(time.Now().Add(trial.ServerIdle))
 			if in.Await() != nil {
 				return
 			}
@@ -233,7 +233,7 @@
 			return
 		}
 		// The idle time begins with the answer.
-		_ = c.SetReadDeadline(time.Now().Add(serverIdle))
+		_ = c.SetReadDeadline(time.Now().Add(trial.ServerIdle))
 	}
 }
 
@@ -253,12 +253,12 @@
 		return []byte("-ERR unknown command\r\n"), true
 	}
 	fields := fieldsOf(string(args[3]))
-	class := slices.IndexFunc(sv.site.Classes, func(c Class) bool { return c.Name == fields["c"] })
+	class := slices.IndexFunc(sv.site.Classes, func(c trial.Class) bool { return c.Name == fields["c"] })
 	if class < 0 {
 		return []byte("-SYNTAX\r\n"), true
 	}
 	id := string(args[2])
-	a := Attempt{ID: id, Key: fields["k"], Server: sv.ID, Gateway: gateway, Class: class, First: first, Whole: whole}
+	a := trial.Attempt{ID: id, Key: fields["k"], Server: sv.ID, Gateway: gateway, Class: class, First: first, Whole: whole}
 
 	sv.mu.Lock()
 	a.Work = sv.draw(class)
@@ -314,16 +314,12 @@
 	if late < fault.Reset {
 		return nil, false
 	}
-	value := valueOf(id, sv.ID)
+	value := trial.ValueOf(id, sv.ID)
 	b := resp.AppendArray(nil, 3)
 	b = resp.AppendBulk(b, []byte(value))
 	return append(b, "$-1\r\n$-1\r\n"...), true
 }
 
-// valueOf is the value that a server makes for a request: it holds both names, so
-// that the auditor can tell one made for another request or by nobody.
-func valueOf(id, server string) string { return "quote " + id + " by " + server }
-
 // draw is the work of one request, about its class's mean.
 func (sv *Server) draw(class int) time.Duration {
 	x := math.Exp(0.4*sv.rand.NormFloat64() - 0.08) // mean 1
@@ -332,19 +328,19 @@
 
 // effect takes note of a key and tells whether its effect happens now: a repeat
 // within the window is dropped, by whichever server it comes to.
-func (sv *Server) effect(a Attempt) bool {
+func (sv *Server) effect(a trial.Attempt) bool {
 	c := &sv.site.Classes[a.Class]
 	if !c.Keyed || a.Key == "" {
 		return true
 	}
-	return sv.site.remember(a.Key, a.Whole, c.Window)
+	return sv.site.Remember(a.Key, a.Whole, c.Window)
 }
 
 // overrun tells whether a cold server has been sent more than it can bear.
-func (sv *Server) overrun(a Attempt) bool {
+func (sv *Server) overrun(a trial.Attempt) bool {
 	sv.recent = append(sv.recent, a)
-	sv.recent = slices.DeleteFunc(sv.recent, func(b Attempt) bool { return a.Whole-b.Whole > sv.site.FallSpan })
-	share := sv.site.share(&sv.life, a.Whole)
+	sv.recent = slices.DeleteFunc(sv.recent, func(b trial.Attempt) bool { return a.Whole-b.Whole > sv.site.FallSpan })
+	share := sv.site.Share(&sv.life, a.Whole)
 	if share == 1 {
 		return false
 	}
@@ -361,11 +357,11 @@
 }
 
 // work spends a request's time: slots share the cores.
-func (sv *Server) work(a Attempt, life *Boot, f Fault, busy int, ended chan struct{}) bool {
+func (sv *Server) work(a trial.Attempt, life *trial.Boot, f Fault, busy int, ended chan struct{}) bool {
 	need := a.Work.Seconds() / sv.speed * max(1, f.Slow) * max(1, float64(busy)/float64(sv.cores))
 	for need > 0 {
 		step := min(need, 0.1)
-		share := sv.site.share(life, sv.rec.Now())
+		share := sv.site.Share(life, sv.rec.Now())
 		select {
 		case <-time.After(time.Duration(step / share * float64(time.Second))):
 		case <-ended:
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -1,3 +1,10 @@
+// Package lab is the project's own rig in real time: stand-ins for everything round a
+// gateway (quote servers, the server register, the counter, the notes between
+// gateways, the front and its clients) and the real program as processes between
+// them. internal/trial judges what clients and servers saw.
+//
+// Everything binds to loopback addresses. Nothing here knows how a gateway
+// decides: the package imports neither decide nor internal/gateway.
 package lab
 
 import (
@@ -12,6 +19,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"mothcleat/internal/trial"
 )
 
 // Options say what a world is made of.
@@ -29,8 +38,8 @@
 
 // World is a site with everything running: servers, register, notes, gateways.
 type World struct {
-	Site     *Site
-	Record   *Record
+	Site     *trial.Site
+	Record   *trial.Record
 	Servers  []*Server
 	Register *Register
 	Consul   *ConsulRegister // nil: the platform's register
@@ -53,7 +62,7 @@
 	if o.Servers == 0 {
 		o.Servers = 10
 	}
-	w = &World{Site: NewSite(o.Seed, o.Gateways, o.Servers, o.Load), Record: NewRecord(), options: o}
+	w = &World{Site: trial.NewSite(o.Seed, o.Gateways, o.Servers, o.Load), Record: trial.NewRecord(), options: o}
 	if w.Dir, err = os.MkdirTemp("", "mothcleat-lab-"); err != nil {
 		return nil, err
 	}
@@ -150,10 +159,10 @@
 	}
 	return map[string]any{
 		"name": fmt.Sprintf("n%d", g.Number), "listen": g.Address,
-		"discovery": w.Register.agents[g.Number].address, "seed": hex16(w.options.Seed*1e6 + uint64(time.Now().UnixNano())),
+		"discovery": w.Register.agents[g.Number].address, "seed": trial.Hex16(w.options.Seed*1e6 + uint64(time.Now().UnixNano())),
 		"limits":      map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": 1024},
 		"peer_listen": g.Peer, "peers": w.Notes.peers(g.Number), "peers_all": "127.0.0.1:9",
-		"counter": w.Counter.Address, "known": known, "settings": w.Site.settings(g.Number),
+		"counter": w.Counter.Address, "known": known, "settings": w.Site.Settings(g.Number),
 	}
 }
 
--- a/internal/lab/world_test.go
+++ b/internal/lab/world_test.go
@@ -12,6 +12,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"mothcleat/internal/trial"
 )
 
 // within bounds every wait; nothing is asserted of speeds.
@@ -43,9 +45,9 @@
 	alert = "API.WRITE 0000000000000007 %016x c=alerta,t=basico,d=9000,k=%s,units=2,spread=1,first=0 BODY"
 )
 
-func newTestServer(t *testing.T) (*Server, *Record) {
+func newTestServer(t *testing.T) (*Server, *trial.Record) {
 	t.Helper()
-	s, rec := NewSite(1, 2, 1, 0.5), NewRecord()
+	s, rec := trial.NewSite(1, 2, 1, 0.5), trial.NewRecord()
 	for i := range s.Classes {
 		s.Classes[i].Work = ms
 	}
@@ -142,7 +144,7 @@
 		}
 		time.Sleep(ms)
 	}
-	rec.add(func() {
+	rec.Look(func() {
 		if rec.Boots[1].Fell == 0 {
 			t.Error("the fall is not in the record")
 		}
@@ -182,7 +184,7 @@
 	if l := get("?index=2&wait=1"); l.Complete || len(l.Members) != 0 {
 		t.Errorf("no change: %+v", l)
 	}
-	rec.add(func() {
+	rec.Look(func() {
 		if n := len(rec.Told); n < 2 || !rec.Told[n-1].Stop || rec.Told[n-1].Gateway != 1 {
 			t.Errorf("told %+v", rec.Told)
 		}
@@ -289,7 +291,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	f := newFront(NewRecord(), []*Gateway{{Address: l.Addr().String()}})
+	f := newFront(trial.NewRecord(), []*Gateway{{Address: l.Addr().String()}})
 	first, err := f.take(0, false)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/lab/audit.go
+++ b/internal/trial/audit.go
@@ -1,4 +1,4 @@
-package lab
+package trial
 
 import (
 	"fmt"
@@ -21,9 +21,9 @@
 // Rules are all five.
 var Rules = []Rule{Lost, Twice, Drain, Cold, Ceiling}
 
-// onSockets is what each time limit is longer by where sockets carry the events:
+// OnSockets is what each time limit is longer by where sockets carry the events:
 // what two processes saw of one event lies apart by scheduling.
-const onSockets = 50 * time.Millisecond
+const OnSockets = 50 * time.Millisecond
 
 // ceilingSpan widens a ceiling's slack by what its rate gives in this time.
 const ceilingSpan = 150 * time.Millisecond
@@ -80,14 +80,14 @@
 	v.twice(s, rec, attempts)
 	v.drains(s, rec)
 	v.cold(s, rec)
-	v.stores(s, rec, attempts)
+	v.stores(s, rec)
 	return v
 }
 
 // killedDuring tells whether a gateway was killed outright in a span.
 func killedDuring(rec *Record, gateway int, from, to time.Duration) bool {
 	return slices.ContainsFunc(rec.Lives, func(l Life) bool {
-		return l.Gateway == gateway && l.Event == Killed && l.At >= from-onSockets && l.At <= to+onSockets
+		return l.Gateway == gateway && l.Event == Killed && l.At >= from-OnSockets && l.At <= to+OnSockets
 	})
 }
 
@@ -154,14 +154,14 @@
 				t.ID, s.Classes[t.Class].Name, t.Gateway, kinds[t.Kind], t.Closed, t.Reset, t.NoPort, times(seen), lately(rec, t.Gateway, end))
 			continue
 		}
-		if t.Answered > end+onSockets {
+		if t.Answered > end+OnSockets {
 			v.breach(Lost, t.Answered, "try %s was answered %v after its client stopped waiting", t.ID, t.Answered-end)
 		}
-		if t.Kind == Served && !slices.ContainsFunc(seen, func(a Attempt) bool { return a.Ran && valueOf(a.ID, a.Server) == t.Value }) {
+		if t.Kind == Served && !slices.ContainsFunc(seen, func(a Attempt) bool { return a.Ran && ValueOf(a.ID, a.Server) == t.Value }) {
 			v.breach(Lost, t.Answered, "try %s was served %q, which no server made for it", t.ID, t.Value)
 		}
 		for _, a := range seen {
-			if a.First > t.Answered+onSockets {
+			if a.First > t.Answered+OnSockets {
 				v.breach(Lost, a.First, "try %s was sent on %v after its answer", t.ID, a.First-t.Answered)
 			}
 		}
@@ -181,7 +181,7 @@
 			v.breach(Twice, mayRun[1].Whole, "try %s, unsafe, was sent again", t.ID)
 		case c.Unsafe && len(mayRun) > 0 && t.Kind == Refused:
 			v.breach(Twice, t.Answered, "try %s, unsafe, was refused though it may have run", t.ID)
-		case c.Keyed && len(mayRun) > 1 && mayRun[len(mayRun)-1].Whole-mayRun[0].Whole > c.Window+onSockets:
+		case c.Keyed && len(mayRun) > 1 && mayRun[len(mayRun)-1].Whole-mayRun[0].Whole > c.Window+OnSockets:
 			v.breach(Twice, mayRun[len(mayRun)-1].Whole, "try %s, keyed, was sent again after its window", t.ID)
 		}
 	}
@@ -230,14 +230,14 @@
 				stop = false
 			}
 		}
-		if stop && a.First > since+s.DrainGrace+onSockets {
+		if stop && a.First > since+s.DrainGrace+OnSockets {
 			v.breach(Drain, a.First, "gateway %d sent to %s %v after it was told to stop", a.Gateway, a.Server, a.First-since)
 		}
 	}
 }
 
-// share is the part of its capacity that a server has.
-func (s *Site) share(b *Boot, now time.Duration) float64 {
+// Share is the part of its capacity that a server has.
+func (s *Site) Share(b *Boot, now time.Duration) float64 {
 	if !b.Cold {
 		return 1
 	}
@@ -272,7 +272,7 @@
 			for ; window[to].Whole-window[from].Whole > s.FallSpan; from++ {
 				work -= window[from].Work
 			}
-			can := b.Cores * b.Speed * s.share(b, window[to].Whole) * s.FallSpan.Seconds() * s.FallMultiple
+			can := b.Cores * b.Speed * s.Share(b, window[to].Whole) * s.FallSpan.Seconds() * s.FallMultiple
 			if work.Seconds() > can+slack.Seconds() && b.Fell == 0 {
 				v.breach(Cold, window[to].Whole, "%s was sent %v of work in %v, %v after its start, and can do %.2f s", b.Server, work,
 					s.FallSpan, window[to].Whole-b.At, can/s.FallMultiple)
@@ -296,42 +296,27 @@
 
 // stores judges the fifth rule, and counts what was sent on beyond the quotas. A
 // try takes its units when its first attempt has come whole to a server.
-func (v *Verdict) stores(s *Site, rec *Record, attempts map[string][]Attempt) {
-	type spent struct {
-		t  *Try
-		at time.Duration
-	}
-	var all []spent
-	for i := range rec.Tries {
-		if list := attempts[rec.Tries[i].ID]; len(list) > 0 {
-			all = append(all, spent{&rec.Tries[i], list[0].Whole})
-		}
-	}
-	slices.SortFunc(all, func(a, b spent) int { return int(a.at - b.at) })
-	quotas, ceilings, low := map[string]*store{}, map[string]*store{}, map[string]bool{}
-	for _, e := range all {
-		p := &s.Plans[e.t.Plan]
-		q := quotas[e.t.Customer]
-		if q == nil {
-			q = &store{p.Burst, p.Rate, p.Burst, 0}
-			quotas[e.t.Customer] = q
-			ceilings[e.t.Customer] = &store{p.CeilingBurst, p.CeilingRate, p.CeilingBurst, 0}
-		}
-		if q.fill(e.at); q.level >= e.t.Units {
-			q.level -= e.t.Units
-		} else {
-			v.OverQuota += e.t.Units
+func (v *Verdict) stores(s *Site, rec *Record) {
+	quotas, ceilings, low := s.newStores(), map[string]*store{}, map[string]bool{}
+	for _, e := range spending(rec) {
+		p := &s.Plans[e.try.Plan]
+		if !quotas.take(e.try, e.at) {
+			v.OverQuota += e.try.Units
 		}
 		if p.CeilingRate == 0 {
 			continue
 		}
-		c := ceilings[e.t.Customer]
+		c := ceilings[e.try.Customer]
+		if c == nil {
+			c = &store{p.CeilingBurst, p.CeilingRate, p.CeilingBurst, 0}
+			ceilings[e.try.Customer] = c
+		}
 		c.fill(e.at)
-		c.level -= e.t.Units
+		c.level -= e.try.Units
 		under := c.level < -p.CeilingSlack-p.CeilingRate*ceilingSpan.Seconds()
-		if under && !low[e.t.Customer] {
-			v.breach(Ceiling, e.at, "customer %s is %.1f units below its ceiling's store", e.t.Customer, -c.level)
+		if under && !low[e.try.Customer] {
+			v.breach(Ceiling, e.at, "customer %s is %.1f units below its ceiling's store", e.try.Customer, -c.level)
 		}
-		low[e.t.Customer] = under
+		low[e.try.Customer] = under
 	}
 }
--- a/internal/lab/audit_test.go
+++ b/internal/trial/audit_test.go
@@ -1,4 +1,4 @@
-package lab
+package trial
 
 import (
 	"fmt"
@@ -22,7 +22,7 @@
 		at := time.Duration(i+1) * time.Second
 		id := fmt.Sprintf("%016x", i)
 		t := Try{ID: id, First: id, Customer: "c", Plan: 2, Class: i % 2, Units: 2, Asked: at, Sent: at, Wait: 2 * time.Second,
-			Answered: at + 200*ms, Kind: Served, Answers: 1, Value: valueOf(id, "a")}
+			Answered: at + 200*ms, Kind: Served, Answers: 1, Value: ValueOf(id, "a")}
 		a := Attempt{ID: id, Server: "a", Class: t.Class, Work: 100 * ms, First: at + 5*ms, Whole: at + 5*ms, Ran: true, Effect: true}
 		if s.Classes[t.Class].Keyed {
 			t.Key, a.Key = "k"+id, "k"+id
@@ -163,7 +163,7 @@
 	retry.ID, retry.Sent, retry.Answered = "r", retry.Sent+500*ms, retry.Answered+500*ms
 	a := rec.Attempts[0]
 	a.ID = "r"
-	retry.Value = valueOf("r", "a")
+	retry.Value = ValueOf("r", "a")
 	rec.Tries, rec.Attempts = append(rec.Tries, retry), append(rec.Attempts, a)
 	f := Figure("x", 1, s, rec)
 	if !f.OK || f.Asked != 2 || f.InTime != 2 || f.Service != 1 || f.P99 != 700 {
--- a/internal/lab/figures.go
+++ b/internal/trial/figures.go
@@ -1,4 +1,4 @@
-package lab
+package trial
 
 import (
 	"encoding/json"
@@ -39,44 +39,44 @@
 		f.Why = append(f.Why, string(b.Rule)+" at "+b.At.Round(time.Millisecond).String()+": "+b.What)
 	}
 	if v.AttemptsOver > 0 {
-		f.miss("tries with more attempts than a request may have")
+		f.Miss("tries with more attempts than a request may have")
 	}
 	var times []time.Duration
-	all := outcomes(s, rec)
+	all := Outcomes(s, rec)
 	for _, o := range all {
 		f.Asked++
 		switch {
-		case o.kind == Served && o.took <= s.Classes[o.try.Class].Aim:
+		case o.Kind == Served && o.Took <= s.Classes[o.Try.Class].Aim:
 			f.InTime++
-		case o.kind == Served:
+		case o.Kind == Served:
 			f.Late++
-		case o.kind == Refused:
+		case o.Kind == Refused:
 			f.Refused++
 		default:
 			f.Failed++
 		}
-		if o.kind == Served {
-			times = append(times, o.took)
+		if o.Kind == Served {
+			times = append(times, o.Took)
 		}
 	}
-	f.Service = service(s, all)
-	f.P50, f.P99 = quantile(times, 0.5), quantile(times, 0.99)
+	f.Service = Service(s, all)
+	f.P50, f.P99 = Quantile(times, 0.5), Quantile(times, 0.99)
 	return f
 }
 
-// percentile is a quantile of the time to be served, in milliseconds.
-func percentile(s *Site, rec *Record, p float64) float64 {
+// Percentile is a quantile of the time to be served, in milliseconds.
+func Percentile(s *Site, rec *Record, p float64) float64 {
 	var times []time.Duration
-	for _, o := range outcomes(s, rec) {
-		if o.kind == Served {
-			times = append(times, o.took)
+	for _, o := range Outcomes(s, rec) {
+		if o.Kind == Served {
+			times = append(times, o.Took)
 		}
 	}
-	return quantile(times, p)
+	return Quantile(times, p)
 }
 
-// quantile sorts times and gives one of them, in milliseconds.
-func quantile(times []time.Duration, p float64) float64 {
+// Quantile sorts times and gives one of them, in milliseconds.
+func Quantile(times []time.Duration, p float64) float64 {
 	if len(times) == 0 {
 		return 0
 	}
@@ -84,8 +84,8 @@
 	return float64(times[min(len(times)-1, int(p*float64(len(times))))].Microseconds()) / 1000
 }
 
-// miss takes note of a promise that was not kept.
-func (f *Figures) miss(why string) {
+// Miss takes note of a promise that was not kept.
+func (f *Figures) Miss(why string) {
 	f.OK = false
 	f.Why = append(f.Why, why)
 }
@@ -110,7 +110,7 @@
 	for _, r := range Rules {
 		f.Broken[r] = 0
 	}
-	f.miss(why.Error())
+	f.Miss(why.Error())
 	return f
 }
 
@@ -123,15 +123,16 @@
 	return string(b)
 }
 
-// outcome is how a first try ended, with the retries folded into it.
-type outcome struct {
-	try    *Try
-	kind   Kind
-	took   time.Duration
-	inside bool // its customer's quota held it when it was asked
+// Outcome is how a first try ended, with the retries folded into it.
+type Outcome struct {
+	Try    *Try
+	Kind   Kind
+	Took   time.Duration
+	Inside bool // its customer's quota held it when it was asked
 }
 
-func outcomes(s *Site, rec *Record) []outcome {
+// Outcomes are the first tries in the order of their asking.
+func Outcomes(s *Site, rec *Record) []Outcome {
 	last := map[string]*Try{}
 	var firsts []*Try
 	for i := range rec.Tries {
@@ -144,35 +145,26 @@
 		}
 	}
 	slices.SortFunc(firsts, func(a, b *Try) int { return int(a.Asked - b.Asked) })
-	quotas := map[string]*store{}
-	var all []outcome
+	quotas := s.newStores()
+	var all []Outcome
 	for _, t := range firsts {
-		p := &s.Plans[t.Plan]
-		q := quotas[t.Customer]
-		if q == nil {
-			q = &store{p.Burst, p.Rate, p.Burst, 0}
-			quotas[t.Customer] = q
-		}
-		o := outcome{try: t, kind: last[t.First].Kind, took: last[t.First].Answered - t.Asked}
-		if q.fill(t.Asked); q.level >= t.Units {
-			q.level -= t.Units
-			o.inside = true
-		}
+		l := last[t.First]
+		o := Outcome{Try: t, Kind: l.Kind, Took: l.Answered - t.Asked, Inside: quotas.take(t, t.Asked)}
 		all = append(all, o)
 	}
 	return all
 }
 
-// service is the worth served in time over the worth asked, inside the quotas.
-func service(s *Site, all []outcome) float64 {
+// Service is the worth served in time over the worth asked, inside the quotas.
+func Service(s *Site, all []Outcome) float64 {
 	got, asked := 0.0, 0.0
 	for _, o := range all {
-		if !o.inside {
+		if !o.Inside {
 			continue
 		}
-		worth := s.Classes[o.try.Class].Worth * s.Plans[o.try.Plan].Price * o.try.Units
+		worth := s.Classes[o.Try.Class].Worth * s.Plans[o.Try.Plan].Price * o.Try.Units
 		asked += worth
-		if o.kind == Served && o.took <= s.Classes[o.try.Class].Aim {
+		if o.Kind == Served && o.Took <= s.Classes[o.Try.Class].Aim {
 			got += worth
 		}
 	}
@@ -181,3 +173,17 @@
 	}
 	return got / asked
 }
+
+// SentUnits is how many units were sent on, inside the quotas or beyond them.
+func SentUnits(rec *Record) (units float64) {
+	whole := map[string]bool{}
+	for _, a := range rec.Attempts {
+		whole[a.ID] = true
+	}
+	for _, t := range rec.Tries {
+		if whole[t.ID] {
+			units += t.Units
+		}
+	}
+	return units
+}
--- a/internal/lab/record.go
+++ b/internal/trial/record.go
@@ -1,11 +1,11 @@
-// Package lab is the project's own rig: stand-ins for everything round a gateway
-// (quote servers, the server register, the counter, the notes between gateways,
-// the front and its clients), the real program as processes between them, and an
-// auditor that judges the rules from what clients and servers saw.
+// Package trial is what every rig shares that plays gateways against a world: the
+// site that a seed draws and its traffic, the record of all that clients and servers
+// saw, and the auditor that judges it by the five rules and sums it up. The lab plays
+// real processes in real time, the emulator real decisions in virtual time; a verdict
+// means the same in both.
 //
-// Everything binds to loopback addresses. Nothing here knows how a gateway
-// decides: the package imports neither decide nor internal/gateway.
-package lab
+// Nothing here knows how a gateway decides.
+package trial
 
 import (
 	"sync"
@@ -46,6 +46,7 @@
 	Answers  int           // whole answers that came
 	Value    string        // of a served one
 	After    time.Duration // the advice that came with a refusal
+	Why      string        // the gateway's reason for it, where it tells
 	Closed   time.Duration // its first connection ended without a byte of an answer, then; it was sent once more
 	Reset    bool          // a connection was reset, not closed
 	NoPort   time.Duration // when nothing listened at the gateway's address; 0: something did
@@ -121,6 +122,9 @@
 // NewRecord begins a record.
 func NewRecord() *Record { return &Record{began: time.Now()} }
 
+// Began is when the record began.
+func (r *Record) Began() time.Time { return r.began }
+
 // Now is the time since the record began.
 func (r *Record) Now() time.Duration { return time.Since(r.began) }
 
@@ -158,6 +162,9 @@
 // Fell takes note that a server fell over.
 func (r *Record) Fell(n int) { r.add(func() { r.Boots[n].Fell = r.Now() }) }
 
+// Look has f look at the record while nobody adds to it.
+func (r *Record) Look(f func()) { r.add(f) }
+
 func (r *Record) add(f func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/lab/site.go
+++ b/internal/trial/site.go
@@ -1,11 +1,15 @@
-package lab
+package trial
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
 )
 
+// ServerIdle is how long a connection may stand idle before a server closes it.
+const ServerIdle = 10 * time.Second
+
 // Class is a class of requests as the operators describe it.
 type Class struct {
 	Name    string
@@ -59,6 +63,7 @@
 	NoteLoss     float64
 	RegisterLag  time.Duration // the longest
 	Retries      int
+	Shift        time.Duration // how often the busiest gateway of a customer changes
 	MaxAttempts  int
 	Counter      bool // no notes: the gateways count at the counter
 
@@ -71,8 +76,8 @@
 	seen map[string]time.Duration
 }
 
-// remember tells whether a key's effect happens now, and keeps it for the window.
-func (s *Site) remember(key string, now, window time.Duration) bool {
+// Remember tells whether a key's effect happens now, and keeps it for the window.
+func (s *Site) Remember(key string, now, window time.Duration) bool {
 	k := &s.keys
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -86,7 +91,8 @@
 	return true
 }
 
-func between(r *rand.Rand, a, b float64) float64 { return a + (b-a)*r.Float64() }
+// Between draws evenly from a span.
+func Between(r *rand.Rand, a, b float64) float64 { return a + (b-a)*r.Float64() }
 
 // NewSite draws a site. The ranges are those that the operators have published;
 // load is the part of what the servers can do that is asked inside the quotas.
@@ -94,28 +100,28 @@
 	r := rand.New(rand.NewPCG(seed, 0x51))
 	s := &Site{
 		Classes: []Class{
-			{Name: "cotacao", Share: 0.76, Work: time.Duration(between(r, 120, 210)) * time.Millisecond, Aim: time.Second,
+			{Name: "cotacao", Share: 0.76, Work: time.Duration(Between(r, 120, 210)) * time.Millisecond, Aim: time.Second,
 				GiveUp: 3 * time.Second, Worth: 1, Least: 1, Most: 2, Command: "API.READ"},
-			{Name: "alerta", Share: 0.24, Work: time.Duration(between(r, 260, 460)) * time.Millisecond, Aim: 4 * time.Second,
+			{Name: "alerta", Share: 0.24, Work: time.Duration(Between(r, 260, 460)) * time.Millisecond, Aim: 4 * time.Second,
 				GiveUp: 15 * time.Second, Worth: 3, Keyed: true, Window: 30 * time.Second, Least: 2, Most: 4, Command: "API.WRITE"},
 		},
 		Plans: []Plan{
-			{Name: "basico", Share: 0.36, Rate: between(r, 0.96, 1.7), Price: 0.72},
-			{Name: "profissional", Share: 0.41, Rate: between(r, 2.9, 4.9), Price: 1.2},
-			{Name: "corporativo", Share: 0.23, Rate: between(r, 11, 20), Price: 1.8, BeyondEarns: 0.3},
+			{Name: "basico", Share: 0.36, Rate: Between(r, 0.96, 1.7), Price: 0.72},
+			{Name: "profissional", Share: 0.41, Rate: Between(r, 2.9, 4.9), Price: 1.2},
+			{Name: "corporativo", Share: 0.23, Rate: Between(r, 11, 20), Price: 1.8, BeyondEarns: 0.3},
 		},
 		Gateways: gateways, Servers: servers,
 		ColdFrom: 0.15, ColdTime: 16 * time.Second, FallMultiple: 4, FallSpan: time.Second, DrainGrace: 2 * time.Second,
-		NoteLoss: 0.06, RegisterLag: 2 * time.Second, Retries: 3, MaxAttempts: 3,
+		NoteLoss: 0.06, RegisterLag: 2 * time.Second, Retries: 3, Shift: 15 * time.Second, MaxAttempts: 3,
 	}
 	const most = 4 // units of the largest request
 	for i, burst := range [][2]float64{{3.2, 5.8}, {3.5, 6}, {1.3, 2.8}} {
 		p := &s.Plans[i]
-		p.Burst = max(p.Rate*between(r, burst[0], burst[1]), 2*most)
+		p.Burst = max(p.Rate*Between(r, burst[0], burst[1]), 2*most)
 	}
 	corporate := &s.Plans[2]
 	corporate.Burst = max(corporate.Burst, 4*most)
-	times := between(r, 1.7, 2.6)
+	times := Between(r, 1.7, 2.6)
 	corporate.CeilingRate, corporate.CeilingBurst = times*corporate.Rate, times*corporate.Burst
 	corporate.CeilingSlack = max(0.1*corporate.CeilingBurst, most)
 
@@ -126,38 +132,38 @@
 	}
 	capacity := 0.0
 	for i := range servers {
-		cores, speed := s.machine(i)
+		cores, speed := s.Machine(i)
 		capacity += cores * speed
 	}
 	s.PerSecond = load * capacity / work
 	for i, p := range s.Plans {
 		for want := p.Share * s.PerSecond * units; want > 0; {
-			use := between(r, 0.15, 0.7)
+			use := Between(r, 0.15, 0.7)
 			if x := r.Float64(); x < 0.15 {
-				use = between(r, 0.85, 1) // uses nearly all
+				use = Between(r, 0.85, 1) // uses nearly all
 			} else if x < 0.25 {
-				use = between(r, 1.3, 3) // asks for more than it has
+				use = Between(r, 1.3, 3) // asks for more than it has
 			}
 			want -= min(use, 1) * p.Rate
 			s.Customers = append(s.Customers, Customer{
 				Plan: i, First: r.IntN(gateways), Spread: min(gateways, 2+r.IntN(3)), Use: use,
-				ID: hex16(uint64(r.Uint32())),
+				ID: Hex16(uint64(r.Uint32())),
 			})
 		}
 	}
 	return s
 }
 
-// machine is the size of a server: cores and their speed.
-func (s *Site) machine(i int) (cores, speed float64) {
+// Machine is the size of a server: cores and their speed.
+func (s *Site) Machine(i int) (cores, speed float64) {
 	if i%2 == 0 {
 		return 2, 1.3 + 0.4*float64(i%5)/4
 	}
 	return 2, 0.85 + 0.25*float64(i%5)/4
 }
 
-// settings is the object that a gateway is told at its start, for one of them.
-func (s *Site) settings(self int) map[string]any {
+// Settings is the object that a gateway is told at its start, for one of them.
+func (s *Site) Settings(self int) map[string]any {
 	classes, plans := []any{}, []any{}
 	for _, c := range s.Classes {
 		repeat, window := "retryable", time.Duration(0)
@@ -186,7 +192,7 @@
 		"ceilings": map[string]any{
 			"peers": !s.Counter && s.Gateways > 1, "probes": false, "second-copies": true, "retry-after": true,
 			"max-attempts": s.MaxAttempts, "max-retry-after-us": 1000000, "max-open": 20000,
-			"dial-timeout-us": 250000, "idle-close-us": serverIdle.Microseconds(),
+			"dial-timeout-us": 250000, "idle-close-us": ServerIdle.Microseconds(),
 		},
 		"family-info": map[string]any{
 			"counter": s.Counter, "settles": false, "counter-timeout-us": 50000, "max-units": 4, "mail-per-s": 60,
@@ -198,3 +204,10 @@
 		"request-classes": classes, "tariffs": plans,
 	}
 }
+
+// ValueOf is the value that a server makes for a request: it holds both names, so
+// that the auditor can tell one made for another request or by nobody.
+func ValueOf(id, server string) string { return "quote " + id + " by " + server }
+
+// Hex16 is a number as 16 hex digits, as customers and requests are named.
+func Hex16(n uint64) string { return fmt.Sprintf("%016x", n) }
--- /dev/null
+++ b/sim/server.go
@@ -0,0 +1,151 @@
+package sim
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"mothcleat/internal/trial"
+)
+
+const (
+	slotsPerCore = 2
+	queuePerCore = 8
+)
+
+// server is a quote server: slots that share its cores, a waiting room, a cold
+// start, and a fall when it is overrun.
+type server struct {
+	w      *World
+	number uint32 // the gateways' name for it
+	id     string
+	cores  int
+	speed  float64
+	rand   *rand.Rand
+
+	up     bool
+	drains bool
+	life   int // counts its processes: what an earlier one had begun is gone
+	boot   int // its place in the record
+	errs   float64
+	slow   float64
+	busy   int
+	queue  []*attempt
+	recent []trial.Attempt
+}
+
+func newServer(w *World, i int) *server {
+	cores, speed := w.Site.Machine(i)
+	return &server{w: w, number: uint32(i + 1), id: serverName(i), cores: int(cores), speed: speed,
+		rand: rand.New(rand.NewPCG(w.o.Seed, 0x5e0000+uint64(i)))}
+}
+
+func (sv *server) start(cold bool) {
+	sv.up, sv.drains, sv.busy, sv.queue, sv.recent = true, false, 0, nil, nil
+	sv.errs, sv.slow = 0, 1
+	sv.life++
+	sv.boot = sv.w.Record.AddBoot(trial.Boot{Server: sv.id, Cores: float64(sv.cores), Speed: sv.speed, Cold: cold, At: sv.w.at()})
+}
+
+// kill ends the process: what it holds is reset, what comes finds no port.
+func (sv *server) kill() {
+	sv.up = false
+	sv.life++
+	held := sv.queue
+	sv.queue = nil
+	for _, a := range held {
+		a.end(resultReset)
+	}
+	for _, a := range sv.w.out(sv) {
+		a.end(resultReset)
+	}
+}
+
+// share is the part of its capacity that it has.
+func (sv *server) share() float64 {
+	return sv.w.Site.Share(&sv.w.Record.Boots[sv.boot], sv.w.at())
+}
+
+// arrive takes in an attempt that has come whole.
+func (sv *server) arrive(a *attempt) {
+	if !sv.up {
+		a.end(resultConnect)
+		return
+	}
+	w, class := sv.w, &sv.w.Site.Classes[a.q.try.Class]
+	x := math.Exp(0.4*sv.rand.NormFloat64() - 0.08) // mean 1
+	seen := trial.Attempt{ID: a.q.try.ID, Key: a.q.try.Key, Server: sv.id, Gateway: a.q.gateway.number, Class: a.q.try.Class,
+		Work: time.Duration(x * float64(class.Work)), First: w.at(), Whole: w.at()}
+	a.place, a.work = w.Record.AddAttempt(seen), seen.Work.Seconds()
+	if sv.overrun(seen) {
+		w.Record.Boots[sv.boot].Fell = w.at()
+		sv.kill()
+		a.end(resultReset)
+		return
+	}
+	switch {
+	case sv.drains || len(sv.queue) >= sv.cores*queuePerCore:
+		w.Record.Turned(a.place)
+		w.after(w.net(), func() { a.end(resultFull) })
+		return
+	case sv.rand.Float64() < sv.errs:
+		w.after(w.net(), func() { a.end(resultFailed) })
+		return
+	}
+	sv.queue = append(sv.queue, a)
+	sv.pull()
+}
+
+// overrun tells whether it has been sent more than it can bear while cold.
+func (sv *server) overrun(a trial.Attempt) bool {
+	s := sv.w.Site
+	share := sv.share()
+	if share == 1 {
+		sv.recent = nil
+		return false
+	}
+	sv.recent = append(sv.recent, a)
+	from, sum, slack := 0, 0.0, 0.0
+	for ; a.Whole-sv.recent[from].Whole > s.FallSpan; from++ {
+	}
+	sv.recent = sv.recent[from:]
+	for _, b := range sv.recent {
+		sum += b.Work.Seconds()
+	}
+	for _, c := range s.Classes {
+		slack = max(slack, c.Work.Seconds())
+	}
+	return sum > s.FallMultiple*float64(sv.cores)*sv.speed*share*s.FallSpan.Seconds()+slack
+}
+
+// pull begins what waits while there are slots.
+func (sv *server) pull() {
+	for sv.up && sv.busy < sv.cores*slotsPerCore && len(sv.queue) > 0 {
+		a := sv.queue[0]
+		sv.queue = sv.queue[1:]
+		if a.over {
+			continue // its gateway has left: waiting work is dropped
+		}
+		sv.busy++
+		class := &sv.w.Site.Classes[a.q.try.Class]
+		effect := !class.Keyed || a.q.try.Key == "" || sv.w.Site.Remember(a.q.try.Key, sv.w.at(), class.Window)
+		sv.w.Record.Ran(a.place, effect)
+		sv.step(a, sv.life, a.work/sv.speed*sv.slow*max(1, float64(sv.busy)/float64(sv.cores)))
+	}
+}
+
+// step spends a request's time, as much at once as a cold start stays as it is.
+func (sv *server) step(a *attempt, life int, need float64) {
+	now := min(need, 0.1)
+	sv.w.after(int64(now/sv.share()*1e6), func() {
+		switch {
+		case life != sv.life:
+		case need > now+1e-9:
+			sv.step(a, life, need-now)
+		default:
+			sv.busy--
+			sv.w.after(sv.w.net(), func() { a.end(resultOK) })
+			sv.pull()
+		}
+	})
+}
