[quota] lab quota, causes of losses, a home that gives of its ceiling, the emulator's tests

Change: the gateway writes down the reason of each refusal ([record], off), and every lab command tells losses by cause; lab quota plays the same requests to fleets of 1, 3, 8 and 24; lab sim plays one in virtual time. The home of a wide set holds half of its ceiling and gives of it to who asks, taking it off first: a lost answer loses units, a doubled one finds no request. More plans ask their home. The time whose demand is left to others is a tenth of a second.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -15,6 +15,7 @@
 
 	"mothcleat/internal/lab"
 	"mothcleat/internal/trial"
+	"mothcleat/sim"
 )
 
 const usage = `usage: lab NAME [--seed N] [--for D] ...
@@ -25,6 +26,13 @@
            --instances N, --load X; --state on|off|both: whether they keep their
            state, or two fleets side by side; --in-place: hand-overs and reloads
            only; --whole: one restart of all, beside a fleet that has none
+  quota    the same requests to fleets of 1, 3, 8 and 24 gateways, nothing disturbed: how
+           much of its quota a customer gets from each, and what the rest was lost to
+           --load X; --spread N: every customer comes through so many gateways
+  sim      a fleet in virtual time: the real decisions, all else modelled
+           --gateways N, --servers N, --load X, --spread N; --loss X, --late D, --twice X:
+           of the notes between gateways; --shift D: how often a customer's busiest gateway
+           changes; --kills D, --restarts D: a gateway killed, a server restarted each D
   auth     three gateways that ask a forward authenticator which stalls, flaps, errs
            and crashes, beside three that ask nobody
   consul   gateways that follow Consul, whose agents lag, fall silent and contradict
@@ -44,10 +52,24 @@
 	os.Exit(code)
 }
 
+func loadCheck(load float64) error {
+	if !(load > 0 && load <= 2) {
+		return fmt.Errorf("--load %g: above 0, 2 at most wanted", load)
+	}
+	return nil
+}
+
+func spreadCheck(spread int) error {
+	if spread < 0 {
+		return fmt.Errorf("--spread %d: 0 or more wanted", spread)
+	}
+	return nil
+}
+
 // run runs one command and gives the exit code.
 func run(ctx context.Context, args []string, out, progress io.Writer) (int, error) {
 	if len(args) == 0 {
-		return 2, errors.New("a command is wanted: try, fleet, auth or consul; --help tells more")
+		return 2, errors.New("a command is wanted: try, fleet, quota, sim, auth or consul; --help tells more")
 	}
 	if args[0] == "--help" || args[0] == "-h" || args[0] == "help" {
 		fmt.Fprintln(out, usage)
@@ -63,6 +85,44 @@
 	case "try":
 		serve := flags.Bool("serve", false, "")
 		play = func() (*trial.Figures, error) { return lab.RunTry(ctx, *seed, *length, *serve, out, progress) }
+	case "quota":
+		o := lab.QuotaOptions{}
+		flags.Float64Var(&o.Load, "load", 0.55, "")
+		flags.IntVar(&o.Spread, "spread", 0, "")
+		check = func() error { return errors.Join(loadCheck(o.Load), spreadCheck(o.Spread)) }
+		play = func() (*trial.Figures, error) {
+			o.Seed, o.For = *seed, *length
+			return lab.RunQuota(ctx, o, progress, progress)
+		}
+	case "sim":
+		o := sim.Options{}
+		flags.IntVar(&o.Gateways, "gateways", 40, "")
+		flags.IntVar(&o.Servers, "servers", 12, "")
+		flags.Float64Var(&o.Load, "load", 0.55, "")
+		flags.IntVar(&o.Spread, "spread", 0, "")
+		flags.Float64Var(&o.NoteLoss, "loss", -1, "")
+		flags.DurationVar(&o.NoteLate, "late", 0, "")
+		flags.Float64Var(&o.NoteTwice, "twice", 0, "")
+		flags.DurationVar(&o.Shift, "shift", 0, "")
+		flags.DurationVar(&o.Kills, "kills", 0, "")
+		flags.DurationVar(&o.Restarts, "restarts", 0, "")
+		check = func() error {
+			switch {
+			case o.Gateways < 1 || o.Gateways > 5000:
+				return fmt.Errorf("--gateways %d: 1 to 5000 wanted", o.Gateways)
+			case o.Servers < 1 || o.Servers > 20000:
+				return fmt.Errorf("--servers %d: 1 to 20000 wanted", o.Servers)
+			case o.NoteLoss > 1 || o.NoteTwice < 0 || o.NoteTwice > 1:
+				return fmt.Errorf("--loss %g, --twice %g: parts of one wanted", o.NoteLoss, o.NoteTwice)
+			case min(o.NoteLate, o.Shift, o.Kills, o.Restarts) < 0:
+				return errors.New("a length of time below 0")
+			}
+			return errors.Join(loadCheck(o.Load), spreadCheck(o.Spread))
+		}
+		play = func() (*trial.Figures, error) {
+			o.Seed, o.For = *seed, *length
+			return sim.RunFigures(o)
+		}
 	case "auth":
 		play = func() (*trial.Figures, error) { return lab.RunAuth(ctx, *seed, *length, progress) }
 	case "consul":
@@ -85,8 +145,8 @@
 				return fmt.Errorf("--instances %d: 1 to 200 wanted", o.Instances)
 			case o.State != "on" && o.State != "off" && o.State != "both":
 				return fmt.Errorf("--state %s: on, off or both wanted", o.State)
-			case !(o.Load > 0 && o.Load <= 2):
-				return fmt.Errorf("--load %g: above 0, 2 at most wanted", o.Load)
+			case loadCheck(o.Load) != nil:
+				return loadCheck(o.Load)
 			case o.InPlace && o.Whole:
 				return errors.New("--in-place and --whole exclude each other")
 			}
@@ -97,7 +157,7 @@
 			return lab.RunFleet(ctx, o, progress)
 		}
 	default:
-		return 2, fmt.Errorf("%q is no command: try, fleet, auth or consul; --help tells more", args[0])
+		return 2, fmt.Errorf("%q is no command: try, fleet, quota, sim, auth or consul; --help tells more", args[0])
 	}
 	if err := flags.Parse(args[1:]); err != nil {
 		return 2, err
--- a/cmd/mothcleat/run.go
+++ b/cmd/mothcleat/run.go
@@ -60,6 +60,14 @@
 	if err := p.survive(&cfg); err != nil {
 		return err
 	}
+	if path := p.settings.Record.Refusals; path != "" {
+		f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return fmt.Errorf("record.refusals: %w", err)
+		}
+		defer f.Close()
+		cfg.Refusals = f
+	}
 	handed := make(chan struct{})
 	go p.handOvers(handOver, handed)
 	if p.upgrader != nil {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -30,11 +30,12 @@
 	grantLeast = 0.01        // the least grant: no customer is shut out for good
 	grantError = 0.1         // by what part a member's grant may be off before its home answers
 	reserve    = 0.75        // the part of the burst that a home keeps for chance in what its set sends
-	askRate    = 0.4         // the part of the notes a receiver takes in that asks for one customer may be
+	askRate    = 0.7         // the part of the notes a receiver takes in that asks for one customer may be
+	homePart   = 0.5         // the part of a wide set's ceiling that its home holds
 	askWait    = 0.1         // how long a home's answer is waited for, in shortest aims
 	sliceMost  = 2.0         // how many requests' worth a slice under a grant saves up
 	hearIn     = 2           // counter periods until what another takes now is heard
-	flight     = second / 20 // and until a note sent at once is, with room for chance
+	flight     = second / 10 // and until a note sent at once is, with room for chance
 	leadUp     = second / 50 // what is added to that when notes prove later, or lost,
 	leadDown   = 500         // and goes again with each that is in time;
 	leadMost   = second / 2  // at most so much
@@ -142,7 +143,8 @@
 		first = (first%g.set.Gateways + g.set.Gateways) % g.set.Gateways
 		c = &customer{id: id, plan: plan, first: first, spread: spread, window: second,
 			store: bank{p.Burst, p.Rate, p.Burst, g.now}, grant: 1, granted: 1,
-			ceiling: bank{p.CeilingSlack / even / 2, p.CeilingRate / even, p.CeilingBurst / even, g.lived}}
+			ceiling: bank{level: p.CeilingSlack / even / 2, at: g.lived}}
+		c.ceiling.rate, c.ceiling.cap = g.ceilingPart(c)
 		if p.Rate > 0 {
 			c.window = max(Time(useWindow*p.Burst/p.Rate*float64(second)), g.mailTime(spread))
 		}
@@ -320,13 +322,40 @@
 	return g.set.Plans[c.plan].Rate*float64(g.mailTime(1)) < askRate*float64(second)
 }
 
-// consult asks the home for a request's units and keeps the request till it answers.
+// ceilingPart is this gateway's safe part of a customer's ceiling: an even one, so that no
+// message has to arrive for the ceiling to hold. Of many even parts none holds a request:
+// half of a wide set's is its home's, which gives of it to whoever asks. What it has given
+// is used or lost in the time of an answer, in which its own part may fill again.
+func (g *Gateway) ceilingPart(c *customer) (rate, burst float64) {
+	p, part := &g.set.Plans[c.plan], 1/float64(c.spread)
+	if !g.wide(c) {
+		return part * p.CeilingRate, part * p.CeilingBurst
+	}
+	if g.member(c) {
+		part = (1 - homePart) / float64(c.spread-1)
+		return part * p.CeilingRate, part * p.CeilingBurst
+	}
+	rate = homePart * p.CeilingRate
+	return rate, math.Max(0, homePart*p.CeilingBurst-rate*float64(g.askTime())/float64(second))
+}
+
+// askTime is how long a home's answer is waited for.
+func (g *Gateway) askTime() Time { return Time(askWait * float64(g.shortAim)) }
+
+// under tells whether this gateway's part of the customer's ceiling holds the units.
+func (g *Gateway) under(c *customer, units float64) bool {
+	return g.set.Plans[c.plan].CeilingRate == 0 || c.ceiling.level >= units
+}
+
+// consult asks the home for a request's units, and for those of the ceiling where this
+// gateway's part lacks them, and keeps the request till it answers.
 func (g *Gateway) consult(r *request) {
 	c := r.c
 	c.asks++
-	r.ask, r.by = max(1, c.asks), g.now+min(Time(askWait*float64(g.shortAim)), r.Grace/2)
+	r.paid = !g.under(c, r.Units)
+	r.ask, r.by = max(1, c.asks), g.now+min(g.askTime(), r.Grace/2)
 	e := g.entry(c)
-	e.want, e.ask = byte(min(math.MaxUint8, math.Ceil(2*r.Units))), r.ask
+	e.want, e.ask, e.ceiling = byte(math.Ceil(2*r.Units)), r.ask, r.paid
 	c.askedTold = c.asked
 	g.do.Tell(g.home(c), e.put(g.noteHead()))
 	g.do.SetTimer(r.by, askToken)
@@ -343,9 +372,10 @@
 		case g.requests[r.ID] != r: // the client has left
 		case due || g.now >= r.by:
 			delete(g.requests, r.ID)
+			r.paid = r.paid && due && a.yes
 			if !due {
 				r.c.slice = math.Min(r.c.slice+r.c.grant*r.Units, sliceMost*r.Units)
-			} else if a.yes {
+			} else if r.denied = !a.yes; a.yes {
 				r.c.slice += r.Units // to be taken at once
 			}
 			g.admit(r, due && a.yes || !due && g.inside(r.c, r.Units))
@@ -510,8 +540,10 @@
 	g.settleGrant(c)
 	if a := (grant{id: c.id, part: c.grant, ask: e.ask}); e.ask > 0 {
 		want := float64(e.want) / 2
-		if a.yes = c.store.level >= want; a.yes {
-			c.store.level -= want
+		if a.yes = c.store.level >= want && (!e.ceiling || g.under(c, want)); a.yes {
+			if c.store.level -= want; e.ceiling {
+				c.ceiling.level -= want
+			}
 			h.taken += counted(want)
 		}
 		g.do.Tell(from, a.put(g.noteHead()))
@@ -837,7 +869,7 @@
 	r := &request{Request: q, until: now + q.Grace, c: c}
 	if g.full(g.open(&q, plan)) {
 		g.refuse(q.ID, g.shortAim/2, WhyLoad)
-	} else if g.member(c) && g.consults(c) {
+	} else if g.member(c) && (g.consults(c) || !g.under(c, q.Units)) && 2*q.Units <= wantMost {
 		g.consult(r)
 	} else {
 		g.admit(r, g.inside(c, q.Units))
@@ -850,11 +882,11 @@
 	if !inside {
 		g.lend.refill(g.now)
 		if !plan.soft() || g.lend.level < q.Units || g.full(lendShare) {
-			g.refuse(q.ID, g.filledIn(c, q.Units), g.whyEmpty(c, q.Units))
+			g.refuse(q.ID, g.filledIn(c, q.Units), g.whyEmpty(r))
 			return
 		}
 	}
-	if plan.CeilingRate > 0 && c.ceiling.level < q.Units {
+	if !r.paid && !g.under(c, q.Units) {
 		g.refuse(q.ID, until(c.ceiling.level, c.ceiling.rate, q.Units), WhyCeiling)
 		return
 	}
@@ -868,7 +900,7 @@
 	} else {
 		g.lend.level -= q.Units
 	}
-	if plan.CeilingRate > 0 {
+	if plan.CeilingRate > 0 && !r.paid {
 		c.ceiling.level -= q.Units
 	}
 	g.spend(c, q.Units)
--- a/decide/note.go
+++ b/decide/note.go
@@ -18,6 +18,12 @@
 	eighths     = 8.0 // units are told in eighths, a total of them wraps
 )
 
+// wantMost is what an entry can ask for, in halves of units; its highest bit is another's.
+const (
+	wantMost    = 127
+	ceilingFlag = 128
+)
+
 const (
 	entryItem = iota
 	grantItem
@@ -31,6 +37,7 @@
 	taken, asked        uint16  // units since the boot, counted
 	fresh               uint16  // of those asked: since the last note, at most 255 eighths
 	want, ask           byte    // halves of units wanted now, and the number of that ask; 0: none
+	ceiling             bool    // and they are wanted of the ceiling too
 	left                float64 // of the store, as a part of the burst; of a wide set the grant
 }
 
@@ -85,7 +92,11 @@
 	n = binary.LittleEndian.AppendUint16(n, uint16(e.spread))
 	n = binary.LittleEndian.AppendUint16(n, e.taken)
 	n = binary.LittleEndian.AppendUint16(n, e.asked)
-	return append(n, byte(min(e.fresh, math.MaxUint8)), e.want, e.ask, packPart(e.left))
+	want := e.want
+	if e.ceiling {
+		want |= ceilingFlag
+	}
+	return append(n, byte(min(e.fresh, math.MaxUint8)), want, e.ask, packPart(e.left))
 }
 
 // put adds a grant to a note.
@@ -117,7 +128,7 @@
 				id: readID(b[1:]), plan: int(b[6]),
 				first: int(binary.LittleEndian.Uint16(b[7:])), spread: int(binary.LittleEndian.Uint16(b[9:])),
 				taken: binary.LittleEndian.Uint16(b[11:]), asked: binary.LittleEndian.Uint16(b[13:]),
-				fresh: uint16(b[15]), want: b[16], ask: b[17], left: unpackPart(b[18]),
+				fresh: uint16(b[15]), want: b[16] &^ ceilingFlag, ceiling: b[16]&ceilingFlag > 0, ask: b[17], left: unpackPart(b[18]),
 			})
 			b = b[entrySize:]
 		case b[0] == grantItem && len(b) >= grantSize:
--- a/decide/state.go
+++ b/decide/state.go
@@ -150,6 +150,8 @@
 	c        *customer
 	attempts []*attempt
 	over     bool
+	denied   bool // by its home
+	paid     bool // its home is to take it from its part of the ceiling, or has
 }
 
 func (r *request) tried(b *backend) bool {
--- a/decide/why.go
+++ b/decide/why.go
@@ -26,13 +26,29 @@
 // It is for rigs and for people who look for a cause; nil, the default, costs nothing.
 func (g *Gateway) Explain(f func(id uint64, why Why)) { g.explain = f }
 
+// Holds tells what is left of a customer's whole store, as far as heard, and what of it
+// may be taken here, in units at the last event; false: nothing is known of it, and it is
+// full. Like Explain it is for those who look for a cause.
+func (g *Gateway) Holds(customer uint64) (whole, here float64, known bool) {
+	c := g.customers[customer]
+	if c == nil {
+		return 0, 0, false
+	}
+	g.refill(c)
+	return c.store.level, g.level(c), true
+}
+
 // whyEmpty tells why the customer's own bank does not hold the units.
-func (g *Gateway) whyEmpty(c *customer, units float64) Why {
-	p := &g.set.Plans[c.plan]
+func (g *Gateway) whyEmpty(r *request) Why {
+	c, p := r.c, &g.set.Plans[r.Plan]
 	switch {
-	case p.Rate == 0 || g.level(c) >= units:
+	case r.denied && !p.soft():
+		return WhyStore
+	case r.denied:
+		return WhyBank0
+	case p.Rate == 0 || g.level(c) >= r.Units:
 		return WhyOpen
-	case c.store.level >= units:
+	case c.store.level >= r.Units || g.member(c):
 		return WhySlice
 	case p.soft():
 		return WhyBank0
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -35,8 +36,9 @@
 	Settings decide.Settings
 	Host     wire.Host
 
-	Survival Survival // from the operators' file
-	Auth     Auth     // the same
+	Survival Survival  // from the operators' file
+	Auth     Auth      // the same
+	Refusals io.Writer // gets a line for each request refused: its id and the reason; nil: none
 
 	// Register makes the source of news of the servers; nil: the platform's discovery.
 	// MoveTo is what its Move is told on a reload; "": the discovery's address.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,7 @@
 	go control.steer(ctx, l)
 	l.run()
 	l.lastState()
+	l.refusals.flush(l)
 	l.stopAsk()
 	_ = l.clients.listener.Close()
 	if l.peers.conn != nil {
@@ -72,6 +73,7 @@
 	if l.module, err = decide.New(cfg.Settings, cfg.Seed, l); err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
+	l.recordRefusals(cfg.Refusals)
 	if l.peers, err = newPeers(&cfg, log); err != nil {
 		return nil, err
 	}
@@ -116,6 +118,7 @@
 func (sweep) due(l *Loop) {
 	l.clients.sweep(l)
 	l.backends.sweep(l)
+	l.refusals.flush(l)
 	l.at(l.now()+sweepEvery, sweep{})
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -565,3 +565,27 @@
 		}
 	}
 }
+
+// Where a record is kept each refusal is in it with its reason, and nothing else is.
+func TestRefusalsAreWrittenDown(t *testing.T) {
+	d := newFakeDiscovery(t)
+	cfg := configure(t, d, nil)
+	written := make(writes, 16)
+	cfg.Refusals = written
+	c := begin(t, cfg).client(t)
+	c.lookup(0xabc, "500") // there is no backend, so no room
+	if got := c.line(); !strings.HasPrefix(got, "-BUSY") {
+		t.Fatalf("%q", got)
+	}
+	if got := wait(t, written, "the record"); got != "0000000000000abc load\n" {
+		t.Errorf("%q", got)
+	}
+}
+
+// writes hands on what is written.
+type writes chan string
+
+func (w writes) Write(p []byte) (int, error) {
+	w <- string(p)
+	return len(p), nil
+}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -69,6 +69,7 @@
 	counter   *counter
 	register  register
 	survival  survival
+	refusals  *refusals         // nil: no record is kept
 	auth      *forwardauth.Step // nil: nobody was ever asked
 	authOn    atomic.Bool       // for those who read commands
 	asking    context.Context   // of the calls that it makes
--- a/internal/lab/auth.go
+++ b/internal/lab/auth.go
@@ -119,7 +119,7 @@
 	if err := w.Stop(stop); err != nil {
 		return nil, err
 	}
-	f := trial.Figure("auth", seed, w.Site, w.Record)
+	f := w.figures("auth")
 	f.Extra["cpu_us_per_try"] = cpu * 1e6 / float64(max(1, f.Taken))
 	f.Extra["p999_ms"] = trial.Percentile(w.Site, w.Record, 0.999)
 	if asks {
--- a/internal/lab/consulrun.go
+++ b/internal/lab/consulrun.go
@@ -111,7 +111,7 @@
 	if err := w.Stop(stop); err != nil {
 		return nil, err
 	}
-	f := trial.Figure("consul", seed, w.Site, w.Record)
+	f := w.figures("consul")
 	for _, err := range c.errs {
 		f.Miss(err.Error())
 	}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -28,7 +28,7 @@
 
 // operatorsText is the operators' file of an instance; paths are in its folder.
 func operatorsText(state bool) string {
-	text := "[handover]\non = true\npid_file = \"pid\"\nready_within = \"10s\"\n"
+	text := "[handover]\non = true\npid_file = \"pid\"\nready_within = \"10s\"\n" + recordText
 	if state {
 		text += "[state]\nfile = \"state\"\nevery = \"1s\"\n"
 	}
@@ -134,7 +134,7 @@
 	if err := w.Stop(stop); err != nil {
 		c.fail(err)
 	}
-	f := trial.Figure("fleet", o.Seed, w.Site, w.Record)
+	f := w.figures("fleet")
 	c.figures(f)
 	return f, nil
 }
--- a/internal/lab/fleet_test.go
+++ b/internal/lab/fleet_test.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"mothcleat/internal/trial"
 )
 
 // The whole rig in small: real processes are killed, stopped, replaced and reloaded
@@ -154,3 +156,25 @@
 		t.Error(f.Line())
 	}
 }
+
+// Fleets of several sizes get the same requests, keep the rules and tell why each loss came.
+func TestQuotaTellsOfLosses(t *testing.T) {
+	if !HasGo() {
+		t.Skip("no Go to build the gateway with")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+	defer cancel()
+	f, err := RunQuota(ctx, QuotaOptions{Seed: 21, For: 6 * time.Second, Load: 0.5, Sizes: []int{1, 4}}, io.Discard, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows, _ := f.Extra["fleets"].([]quotaRow)
+	if !f.OK || len(rows) != 2 || f.Taken == 0 {
+		t.Fatalf("%s", f.Line())
+	}
+	for _, r := range rows {
+		if r.Losses[trial.LossUntold] > 0 {
+			t.Errorf("%d gateways: refusals without a reason: %v", r.Gateways, r.Losses)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/quota.go
@@ -0,0 +1,129 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"mothcleat/internal/trial"
+)
+
+// QuotaOptions say which fleets are compared.
+type QuotaOptions struct {
+	Seed   uint64
+	For    time.Duration
+	Load   float64
+	Sizes  []int // of the fleets; the first is what the others are held against
+	Spread int   // of every customer; 0: as the site draws it
+	Bin    string
+}
+
+// QuotaSizes are the fleets that are compared where nothing else is asked for.
+var QuotaSizes = []int{1, 3, 8, 24}
+
+// quotaRow is what one fleet came to.
+type quotaRow struct {
+	Gateways int                     `json:"gateways"`
+	Service  float64                 `json:"service"`
+	Given    map[string]*trial.Share `json:"given_of_bought"`
+	Over     float64                 `json:"over_quota_units"`
+	Sent     float64                 `json:"sent_units"`
+	Notes    float64                 `json:"notes_per_second"` // to each gateway
+	Losses   map[string]float64      `json:"losses"`
+	OK       bool                    `json:"ok"`
+}
+
+// RunQuota plays the same requests to fleets of several sizes side by side, with nothing
+// disturbed, and tells how much of their quotas customers got from each.
+func RunQuota(ctx context.Context, o QuotaOptions, out, progress io.Writer) (*trial.Figures, error) {
+	if len(o.Sizes) == 0 {
+		o.Sizes = QuotaSizes
+	}
+	if o.Bin == "" {
+		bin, remove, err := buildAside(ctx)
+		if err != nil {
+			return nil, err
+		}
+		defer remove()
+		o.Bin = bin
+	}
+	rows, figures, errs := make([]quotaRow, len(o.Sizes)), make([]*trial.Figures, len(o.Sizes)), make([]error, len(o.Sizes))
+	var wg sync.WaitGroup
+	for i, n := range o.Sizes {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			log := io.Discard
+			if i == len(o.Sizes)-1 {
+				log = progress
+			}
+			rows[i], figures[i], errs[i] = runQuotaWorld(ctx, o, n, log)
+		}()
+	}
+	wg.Wait()
+	for i, err := range errs {
+		if err != nil {
+			return nil, fmt.Errorf("%d gateways: %w", o.Sizes[i], err)
+		}
+	}
+	last := len(rows) - 1
+	f, least, beyond := figures[last], 1.0, 0.0
+	for i, r := range rows {
+		least = min(least, r.Given[trial.Near].Of, r.Given[trial.Over].Of)
+		beyond = max(beyond, r.Over)
+		if i < last {
+			for rule, n := range figures[i].Broken {
+				f.Broken[rule] += n
+			}
+			if !figures[i].OK {
+				f.Miss(fmt.Sprintf("%d gateways did not hold their promises: %v", r.Gateways, figures[i].Why))
+			}
+		}
+	}
+	f.Extra["fleets"], f.Extra["given_of_bought_least"] = rows, least
+	f.Extra["service_gap"] = rows[0].Service - rows[last].Service
+	f.Extra["over_quota_units_most"], f.Extra["notes_per_second"] = beyond, rows[last].Notes
+	quotaTable(out, rows)
+	return f, nil
+}
+
+func runQuotaWorld(ctx context.Context, o QuotaOptions, gateways int, progress io.Writer) (quotaRow, *trial.Figures, error) {
+	w, err := NewWorld(ctx, Options{Seed: o.Seed, Gateways: gateways, Servers: 12, Load: o.Load, Bin: o.Bin,
+		Spread: o.Spread, Operators: recordText, Log: progress})
+	if err != nil {
+		return quotaRow{}, nil, err
+	}
+	defer w.Close()
+	asking, cancel := context.WithTimeout(ctx, o.For)
+	defer cancel()
+	w.progress(asking, progress, o.For)
+	w.Clients.Run(asking)
+	notes := float64(w.Notes.Sent.Load()) / w.Record.Now().Seconds() / float64(gateways)
+	stop, cancel := context.WithTimeout(context.Background(), readyWithin)
+	defer cancel()
+	if err := w.Stop(stop); err != nil {
+		return quotaRow{}, nil, err
+	}
+	f := w.figures("quota")
+	if n := w.Notes.Over.Load(); n > 0 {
+		f.Miss(fmt.Sprintf("%d notes over %d bytes", n, noteMost))
+	}
+	return quotaRow{Gateways: gateways, Service: f.Service, Given: trial.GivenOfBought(w.Site, w.Record), Over: f.Over,
+		Sent: trial.SentUnits(w.Record), Notes: notes, Losses: f.Losses, OK: f.OK}, f, nil
+}
+
+// quotaTable shows the fleets to a person.
+func quotaTable(out io.Writer, rows []quotaRow) {
+	fmt.Fprintf(out, "\n  %8s %8s %21s %12s %8s   worth lost inside the quotas, by cause\n", "gateways", "service", "given: under near over", "units beyond", "notes/s")
+	for _, r := range rows {
+		fmt.Fprintf(out, "  %8d %8.3f %8.3f %6.3f %6.3f %12.0f %8.1f  ", r.Gateways, r.Service, r.Given[trial.Under].Of,
+			r.Given[trial.Near].Of, r.Given[trial.Over].Of, r.Over, r.Notes)
+		for _, why := range trial.ByLoss(r.Losses) {
+			fmt.Fprintf(out, " %s %.3f", why, r.Losses[why])
+		}
+		fmt.Fprintln(out)
+	}
+	fmt.Fprintln(out)
+}
--- a/internal/lab/try.go
+++ b/internal/lab/try.go
@@ -46,7 +46,7 @@
 	}()
 	w.progress(asking, progress, length)
 	w.Clients.Run(asking)
-	f := trial.Figure("try", seed, w.Site, w.Record)
+	f := w.figures("try")
 	table(f, out)
 	if serve {
 		w.sample(out)
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -33,6 +33,7 @@
 	Prepare   func(w *World, g *Gateway) error // writes further files into a gateway's folder; nil: none
 	Consul    bool                             // the register is Consul, with an agent for each gateway
 	Operators string                           // text of the operators' file, %DIR% being the gateway's folder; "": none
+	Spread    int                              // of every customer; 0: as the site draws it
 	Log       io.Writer
 }
 
@@ -63,6 +64,7 @@
 		o.Servers = 10
 	}
 	w = &World{Site: trial.NewSite(o.Seed, o.Gateways, o.Servers, o.Load), Record: trial.NewRecord(), options: o}
+	w.Site.SpreadAll(o.Spread)
 	if w.Dir, err = os.MkdirTemp("", "mothcleat-lab-"); err != nil {
 		return nil, err
 	}
@@ -166,6 +168,30 @@
 	}
 }
 
+// recordText has a gateway write down why it refuses, for figures to tell of losses.
+const recordText = "[record]\nrefusals = \"refusals\"\n"
+
+// figures audits the run and sums it up, with the reasons that the gateways wrote down.
+func (w *World) figures(command string) *trial.Figures {
+	why := map[string]string{}
+	for _, g := range w.Gateways {
+		raw, err := os.ReadFile(filepath.Join(g.dir, "refusals"))
+		if err != nil {
+			continue // it writes none down
+		}
+		for line := range strings.SplitSeq(string(raw), "\n") {
+			if id, reason, ok := strings.Cut(line, " "); ok {
+				why[id] = reason
+			}
+		}
+	}
+	for i := range w.Record.Tries {
+		t := &w.Record.Tries[i]
+		t.Why = why[t.ID]
+	}
+	return trial.Figure(command, w.options.Seed, w.Site, w.Record)
+}
+
 // Close ends everything that runs and removes the folder.
 func (w *World) Close() {
 	for _, g := range w.Gateways {
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -23,6 +23,12 @@
 	HandOver HandOver `toml:"handover"`
 	Auth     Auth     `toml:"auth"`
 	Register Register `toml:"register"`
+	Record   Record   `toml:"record"`
+}
+
+// Record is what a gateway writes down for those who look for a cause.
+type Record struct {
+	Refusals string `toml:"refusals"` // a file; "": none
 }
 
 // State is where a gateway keeps what its next process is to know.
@@ -206,6 +212,8 @@
 		return "auth.secret_file", "goes with auth.secret_header: both or neither"
 	case s.State.File != "" && filepath.Base(s.State.File) != strings.TrimSpace(filepath.Base(s.State.File)):
 		return "state.file", "a name that ends in a space"
+	case s.Record.Refusals != "" && (s.Record.Refusals == s.State.File || s.Record.Refusals == s.HandOver.PIDFile):
+		return "record.refusals", "the same file as another setting's"
 	case s.State.Oldest < s.State.Every:
 		return "state.oldest", "less than state.every: no state would ever be used"
 	case s.HandOver.PIDFile != "" && !s.HandOver.On:
@@ -257,6 +265,7 @@
 		{"state.oldest", false}, // only a start uses it
 		{"handover", s.HandOver != other.HandOver},
 		{"register", !s.Register.sameButAgents(&other.Register)},
+		{"record", s.Record != other.Record},
 	} {
 		if c.changed {
 			names = append(names, c.name)
--- a/internal/operators/operators_test.go
+++ b/internal/operators/operators_test.go
@@ -27,7 +27,7 @@
 		"classes", "plans", "pass_unknown", "budget", "timeout", "allow_for", "allow_most", "deny_for", "stale_for", "most_calls", "most_waiting",
 		"most_kept", "fails", "open_for", "open_most", "headers", "secret_header", "secret_file", "tokens_file", "ca_file",
 		"source", "agents", "tls", "token_file", "service", "datacenter", "namespace", "filter", "mode", "wait", "catalogue",
-		"warning_serves", "hold", "reset_after", "skew"} {
+		"warning_serves", "hold", "reset_after", "skew", "refusals"} {
 		if !strings.Contains(string(raw), "\n"+key+" = ") {
 			t.Errorf("%s is not in the shipped file", key)
 		}
--- a/internal/trial/audit_test.go
+++ b/internal/trial/audit_test.go
@@ -173,3 +173,69 @@
 		t.Errorf("line %s", f.Line())
 	}
 }
+
+// What is given is held against the least of asked and bought, by groups of customers,
+// and what goes beyond a quota is not given.
+func TestGivenOfBought(t *testing.T) {
+	s := &Site{Gateways: 3, Classes: NewSite(1, 1, 2, 0.5).Classes, Plans: []Plan{{Rate: 1, Burst: 4}},
+		Customers: []Customer{{ID: "a", Use: 0.5, Spread: 2}, {ID: "b", Use: 0.9, Spread: 3}, {ID: "c", Use: 2, Spread: 3}}}
+	rec := &Record{}
+	ask := func(customer string, at time.Duration, units float64, on bool) {
+		id := fmt.Sprint(len(rec.Tries))
+		rec.Tries = append(rec.Tries, Try{ID: id, First: id, Customer: customer, Units: units, Asked: at, Sent: at})
+		if on {
+			rec.Attempts = append(rec.Attempts, Attempt{ID: id, Whole: at})
+		}
+	}
+	ask("a", 0, 2, true)
+	ask("b", 0, 2, true)
+	ask("b", time.Second, 2, false)
+	for range 4 {
+		ask("c", 0, 2, true) // two of them beyond the burst of 4
+	}
+	ask("a", 6*time.Second, 2, true) // ends the span: 10 units bought
+	got := GivenOfBought(s, rec)
+	for group, want := range map[string]Share{Under: {Customers: 1, Bought: 4, Given: 4, Of: 1}, Near: {Customers: 1, Bought: 4, Given: 2, Of: 0.5},
+		Over: {Customers: 1, Bought: 8, Given: 4, Of: 0.5}} {
+		g := got[group]
+		if g.Customers != want.Customers || g.Bought != want.Bought || g.Given != want.Given || g.Of != want.Of {
+			t.Errorf("%s: %+v, want %+v", group, *g, want)
+		}
+	}
+	if of := got[Near].BySpread[3].Of; of != 0.5 {
+		t.Errorf("near, through three gateways: %g", of)
+	}
+}
+
+// A request inside its quota that was not served in time is lost to the reason of its
+// last refusal, unless the store truly lacked the units by then.
+func TestLossesHaveACause(t *testing.T) {
+	classes := NewSite(1, 1, 2, 0.5).Classes
+	s := &Site{Gateways: 2, Classes: classes, Plans: []Plan{{Rate: 0.001, Burst: 4, Price: 1}}, Customers: []Customer{{ID: "c"}}}
+	for _, c := range []struct {
+		name string
+		want string
+		tell func(rec *Record, t *Try)
+	}{
+		{"slice", "slice", func(rec *Record, t *Try) { t.Why = "slice" }},
+		{"untold", LossUntold, func(rec *Record, t *Try) {}},
+		{"load", "load", func(rec *Record, t *Try) { t.Why = "load" }},
+		{"spent", LossSpent, func(rec *Record, t *Try) {
+			t.Why = "slice"
+			rec.Tries = append(rec.Tries, Try{ID: "x", First: "w", Customer: "c", Units: 3, Sent: 10 * ms, Kind: Served})
+			rec.Attempts = append(rec.Attempts, Attempt{ID: "x", Whole: 10 * ms})
+		}},
+		{"failed", LossFailed, func(rec *Record, t *Try) { t.Kind = Failed }},
+		{"killed", LossKilled, func(rec *Record, t *Try) { t.Kind = Ended }},
+		{"no port", LossNoPort, func(rec *Record, t *Try) { t.Kind = Unsent }},
+		{"late", LossLate, func(rec *Record, t *Try) { t.Kind, t.Answered = Served, 3*time.Second }},
+		{"silent", LossSilent, func(rec *Record, t *Try) { t.Kind = Silent }},
+	} {
+		rec := &Record{Tries: []Try{{ID: "1", First: "1", Customer: "c", Units: 2, Sent: 20 * ms, Answered: 30 * ms, Kind: Refused}}}
+		c.tell(rec, &rec.Tries[0])
+		got := Losses(s, rec)
+		if len(got) != 1 || got[c.want] != 1 {
+			t.Errorf("%s: %v, want all of it for %q", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/trial/figures.go
+++ b/internal/trial/figures.go
@@ -8,26 +8,27 @@
 
 // Figures is what a run comes to; its JSON is a lab command's last line.
 type Figures struct {
-	Command string         `json:"command"`
-	Seed    uint64         `json:"seed"`
-	Seconds float64        `json:"seconds"`
-	Broken  map[Rule]int   `json:"broken"`
-	Why     []string       `json:"why,omitempty"` // the first breaches, and promises not kept
-	OK      bool           `json:"ok"`
-	Asked   int            `json:"asked"` // first tries
-	InTime  int            `json:"served_in_time"`
-	Late    int            `json:"served_late"`
-	Refused int            `json:"refused"` // first tries that ended so, after all retries
-	Failed  int            `json:"failed"`
-	P50     float64        `json:"p50_ms"` // of those served, from when they were asked
-	P99     float64        `json:"p99_ms"`
-	Service float64        `json:"service"` // worth served in time / worth asked, inside the quotas
-	Taken   int            `json:"taken"`
-	Once    int            `json:"answered_once"`
-	Killed  int            `json:"killed_unanswered"`
-	Crossed int            `json:"crossed"`
-	Over    float64        `json:"over_quota_units"`
-	Extra   map[string]any `json:"-"` // a command's own figures; they stand beside the others
+	Command string             `json:"command"`
+	Seed    uint64             `json:"seed"`
+	Seconds float64            `json:"seconds"`
+	Broken  map[Rule]int       `json:"broken"`
+	Why     []string           `json:"why,omitempty"` // the first breaches, and promises not kept
+	OK      bool               `json:"ok"`
+	Asked   int                `json:"asked"` // first tries
+	InTime  int                `json:"served_in_time"`
+	Late    int                `json:"served_late"`
+	Refused int                `json:"refused"` // first tries that ended so, after all retries
+	Failed  int                `json:"failed"`
+	P50     float64            `json:"p50_ms"` // of those served, from when they were asked
+	P99     float64            `json:"p99_ms"`
+	Service float64            `json:"service"` // worth served in time / worth asked, inside the quotas
+	Taken   int                `json:"taken"`
+	Once    int                `json:"answered_once"`
+	Killed  int                `json:"killed_unanswered"`
+	Crossed int                `json:"crossed"`
+	Over    float64            `json:"over_quota_units"`
+	Losses  map[string]float64 `json:"losses"` // of the worth asked inside the quotas, by cause
+	Extra   map[string]any     `json:"-"`      // a command's own figures; they stand beside the others
 }
 
 // Figure audits a record and sums it up.
@@ -60,6 +61,7 @@
 		}
 	}
 	f.Service = Service(s, all)
+	f.Losses = Losses(s, rec)
 	f.P50, f.P99 = Quantile(times, 0.5), Quantile(times, 0.99)
 	return f
 }
--- a/internal/trial/quota.go
+++ b/internal/trial/quota.go
@@ -1,6 +1,8 @@
 package trial
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -11,6 +13,17 @@
 	Bought    float64 `json:"bought_units"` // the least of asked and bought, summed over customers
 	Given     float64 `json:"given_units"`  // sent on, and within what was bought
 	Of        float64 `json:"given_of_bought"`
+
+	BySpread map[int]*Share `json:"by_spread,omitempty"` // the same by the number of gateways they come through
+}
+
+func (s *Share) add(bought, given float64) {
+	s.Customers++
+	s.Bought += bought
+	s.Given += given
+	if s.Of = 1; s.Bought > 0 {
+		s.Of = s.Given / s.Bought
+	}
 }
 
 // Groups of customers by what they ask for, as a part of what they have bought.
@@ -38,7 +51,10 @@
 // were sent on over the least of what they asked and what they had bought: the burst
 // and the rate over the run. What goes on beyond a quota does not count as given.
 func GivenOfBought(s *Site, rec *Record) map[string]*Share {
-	groups := map[string]*Share{Under: {}, Near: {}, Over: {}}
+	groups := map[string]*Share{}
+	for _, name := range []string{Under, Near, Over} {
+		groups[name] = &Share{Of: 1, BySpread: map[int]*Share{}}
+	}
 	_, to := rec.span()
 	asked, given := map[string]float64{}, map[string]float64{}
 	for i := range rec.Tries {
@@ -62,14 +78,11 @@
 			g = groups[Near]
 		}
 		bought := min(asked[c.ID], p.Burst+p.Rate*to.Seconds())
-		g.Customers++
-		g.Bought += bought
-		g.Given += min(given[c.ID], bought)
-	}
-	for _, g := range groups {
-		if g.Of = 1; g.Bought > 0 {
-			g.Of = g.Given / g.Bought
+		if g.BySpread[c.Spread] == nil {
+			g.BySpread[c.Spread] = &Share{}
 		}
+		g.add(bought, min(given[c.ID], bought))
+		g.BySpread[c.Spread].add(bought, min(given[c.ID], bought))
 	}
 	return groups
 }
@@ -220,3 +233,10 @@
 	}
 	return LossFailed
 }
+
+// ByLoss are the causes of losses, the greatest first.
+func ByLoss(losses map[string]float64) []string {
+	names := slices.Sorted(maps.Keys(losses))
+	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(losses[b], losses[a]) })
+	return names
+}
--- a/internal/trial/site.go
+++ b/internal/trial/site.go
@@ -154,6 +154,15 @@
 	return s
 }
 
+// SpreadAll has every customer come through so many gateways; 0: as drawn.
+func (s *Site) SpreadAll(gateways int) {
+	for i := range s.Customers {
+		if gateways > 0 {
+			s.Customers[i].Spread = min(gateways, s.Gateways)
+		}
+	}
+}
+
 // Machine is the size of a server: cores and their speed.
 func (s *Site) Machine(i int) (cores, speed float64) {
 	if i%2 == 0 {
--- a/sim/world.go
+++ b/sim/world.go
@@ -79,11 +79,7 @@
 	if o.Shift > 0 {
 		w.Site.Shift = o.Shift
 	}
-	for i := range w.Site.Customers {
-		if o.Spread > 0 {
-			w.Site.Customers[i].Spread = min(o.Spread, o.Gateways)
-		}
-	}
+	w.Site.SpreadAll(o.Spread)
 	if o.NoteLoss >= 0 {
 		w.Site.NoteLoss = o.NoteLoss
 	}
