--- a/decide/decide.go
+++ b/decide/decide.go
@@ -35,7 +35,7 @@
 	askWait    = 0.1         // how long a home's answer is waited for, in shortest aims
 	sliceMost  = 2.0         // how many requests' worth a slice under a grant saves up
 	hearIn     = 2           // counter periods until what another takes now is heard
-	flight     = second / 10 // and until a note sent at once is, with room for chance
+	flight     = second / 14 // and until a note sent at once is, with room for chance
 	leadUp     = second / 50 // what is added to that when notes prove later, or lost,
 	leadDown   = 500         // and goes again with each that is in time;
 	leadMost   = second / 2  // at most so much
