[sim] A search for schedules of faults that break a rule, and a cold server mended

Need: nobody could say which order of events breaks a rule. Faults are data now (internal/trial): drawn, changed, shrunk and played by either rig.

The lab's command line by cobra.

--- /dev/null
+++ b/cmd/lab/real.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"mothcleat/internal/lab"
+	"mothcleat/internal/trial"
+)
+
+// The commands that play real processes in real time.
+
+type player = func(ctx context.Context, seed uint64, length time.Duration) (*trial.Figures, error)
+
+func (b *bench) try() *cobra.Command {
+	return b.play("try", "three gateways with stand-ins and a minute of traffic", time.Minute, func(c *cobra.Command) (func() error, player) {
+		serve := c.Flags().Bool("serve", false, "keep them running, and print their addresses and a sample command")
+		return anything, func(ctx context.Context, seed uint64, length time.Duration) (*trial.Figures, error) {
+			return lab.RunTry(ctx, seed, length, *serve, b.out, b.progress)
+		}
+	})
+}
+
+func (b *bench) fleet() *cobra.Command {
+	return b.play("fleet", "many instances, killed, stopped, replaced and reloaded at random", time.Minute, func(c *cobra.Command) (func() error, player) {
+		o, f := lab.FleetOptions{}, c.Flags()
+		f.IntVar(&o.Instances, "instances", 8, "gateways, 1 to 200")
+		f.StringVar(&o.State, "state", "on", "on or off: whether they keep their state; both: two fleets side by side")
+		f.BoolVar(&o.InPlace, "in-place", false, "hand-overs and reloads only")
+		f.BoolVar(&o.Whole, "whole", false, "one restart of all, beside a fleet that has none")
+		f.Float64Var(&o.Load, "load", 0.55, "part of what the servers can do that is asked inside the quotas")
+		check := func() error {
+			switch {
+			case o.State != "on" && o.State != "off" && o.State != "both":
+				return fmt.Errorf("--state %s: on, off or both wanted", o.State)
+			case o.InPlace && o.Whole:
+				return errors.New("--in-place and --whole exclude each other")
+			}
+			return errors.Join(within("instances", o.Instances, 1, 200), within("load", o.Load, 0.01, 2))
+		}
+		return check, func(ctx context.Context, seed uint64, length time.Duration) (*trial.Figures, error) {
+			o.Seed, o.For = seed, length
+			return lab.RunFleet(ctx, o, b.progress)
+		}
+	})
+}
+
+func (b *bench) quota() *cobra.Command {
+	return b.play("quota", "the same requests to fleets of several sizes: how much of its quota a customer gets", 30*time.Second, func(c *cobra.Command) (func() error, player) {
+		o, f := lab.QuotaOptions{}, c.Flags()
+		f.Float64Var(&o.Load, "load", 0.55, "part of what the servers can do that is asked inside the quotas")
+		f.IntVar(&o.Spread, "spread", 0, "gateways that every customer comes through; 0: 2 to 4, as drawn")
+		f.IntSliceVar(&o.Sizes, "sizes", lab.QuotaSizes, "of the fleets; the others are held against the first")
+		check := func() error {
+			for _, n := range o.Sizes {
+				if err := within("sizes", n, 1, 200); err != nil {
+					return err
+				}
+			}
+			return errors.Join(within("load", o.Load, 0.01, 2), within("spread", o.Spread, 0, 200))
+		}
+		return check, func(ctx context.Context, seed uint64, length time.Duration) (*trial.Figures, error) {
+			o.Seed, o.For = seed, length
+			return lab.RunQuota(ctx, o, b.progress, b.progress)
+		}
+	})
+}
+
+func (b *bench) auth() *cobra.Command {
+	return b.play("auth", "gateways that ask a forward authenticator that stalls, flaps, errs and crashes, beside some that ask nobody", time.Minute,
+		func(c *cobra.Command) (func() error, player) {
+			return anything, func(ctx context.Context, seed uint64, length time.Duration) (*trial.Figures, error) {
+				return lab.RunAuth(ctx, seed, length, b.progress)
+			}
+		})
+}
+
+func (b *bench) consul() *cobra.Command {
+	return b.play("consul", "gateways that follow Consul, whose agents lag, fall silent and contradict themselves, beside some at the platform's register", time.Minute,
+		func(c *cobra.Command) (func() error, player) {
+			silent := c.Flags().Bool("silent", false, "Consul says nothing any more, beside gateways whose Consul goes on")
+			return anything, func(ctx context.Context, seed uint64, length time.Duration) (*trial.Figures, error) {
+				return lab.RunConsul(ctx, lab.ConsulOptions{Seed: seed, For: length, Silent: *silent}, b.progress)
+			}
+		})
+}
--- /dev/null
+++ b/cmd/lab/virtual.go
@@ -0,0 +1,225 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"mothcleat/internal/calibrate"
+	"mothcleat/internal/experiment"
+	"mothcleat/internal/mutants"
+	"mothcleat/internal/trial"
+	"mothcleat/sim"
+)
+
+// The commands that play the real decisions in virtual time.
+
+func (b *bench) sim() *cobra.Command {
+	return b.play("sim", "a fleet in virtual time: the real decisions, all else modelled", time.Minute, func(c *cobra.Command) (func() error, player) {
+		o, f := sim.Options{}, c.Flags()
+		f.IntVar(&o.Gateways, "gateways", 40, "of the fleet")
+		f.IntVar(&o.Servers, "servers", 12, "quote servers")
+		f.Float64Var(&o.Load, "load", 0.55, "part of what the servers can do that is asked inside the quotas")
+		f.Float64Var(&o.PerSecond, "per-second", 0, "requests a second inside the quotas: work is made lighter or heavier for it")
+		f.IntVar(&o.Customers, "customers", 0, "about so many: plans are made larger or smaller for it")
+		f.IntVar(&o.Spread, "spread", 0, "gateways that every customer comes through; 0: 2 to 4, as drawn")
+		f.Float64Var(&o.Surge, "surge", 0, "one plan's customers ask for so many times more in the middle third")
+		f.Float64Var(&o.NoteLoss, "loss", -1, "part of the notes between gateways that is lost; -1: as drawn")
+		f.DurationVar(&o.NoteLate, "late", 0, "how much later than usual notes come")
+		f.Float64Var(&o.NoteTwice, "twice", 0, "part of the notes that come twice")
+		f.DurationVar(&o.Shift, "shift", 0, "how often a customer's busiest gateway changes; 0: 15s")
+		f.DurationVar(&o.Kills, "kills", 0, "a gateway is killed each so often")
+		f.DurationVar(&o.Restarts, "restarts", 0, "a server ends, and comes back cold, each so often")
+		f.BoolVar(&o.State, "state", false, "gateways keep their state, and killed ones come back with it")
+		world := f.String("world", "", "a file with a schedule as the search prints it, - for standard input; all other flags are passed over")
+		check := func() error {
+			if *world != "" {
+				return nil
+			}
+			t := o
+			t.Seed, t.For = 1, time.Second
+			return t.Check()
+		}
+		return check, func(ctx context.Context, seed uint64, length time.Duration) (*trial.Figures, error) {
+			o.Seed, o.For = seed, length
+			if *world != "" {
+				s, err := readSchedule(*world)
+				if err != nil {
+					return nil, err
+				}
+				o = s.Options
+			}
+			return sim.RunFigures(o)
+		}
+	})
+}
+
+func readSchedule(path string) (sim.Schedule, error) {
+	var raw []byte
+	var err error
+	if path == "-" {
+		raw, err = io.ReadAll(os.Stdin)
+	} else {
+		raw, err = os.ReadFile(path)
+	}
+	if err != nil {
+		return sim.Schedule{}, err
+	}
+	return sim.ParseSchedule(raw)
+}
+
+func (b *bench) search() *cobra.Command {
+	return b.play("search", "looks for schedules of faults that break a rule, and shows on mutants that it can find them", 30*time.Second,
+		func(c *cobra.Command) (func() error, player) {
+			f := c.Flags()
+			most := f.Int("schedules", 1_000_000, "so many at most")
+			wrong := f.Bool("mutants", true, "search wrong variants of the decisions as well; needs Go and the sources")
+			each := f.Int("mutant-schedules", 1500, "so many at most for each of them")
+			check := func() error {
+				return errors.Join(within("schedules", *most, 1, 100_000_000), within("mutant-schedules", *each, 1, 10_000_000))
+			}
+			return check, func(ctx context.Context, seed uint64, length time.Duration) (*trial.Figures, error) {
+				began := time.Now()
+				limited, cancel := context.WithTimeout(ctx, length)
+				defer cancel()
+				found, err := sim.Search(limited, seed, *most)
+				if err != nil {
+					return nil, err
+				}
+				fig := trial.NewFigures("search", seed)
+				fig.Seconds = time.Since(began).Seconds()
+				fig.Extra["schedules"], fig.Extra["states"], fig.Extra["found"], fig.Extra["findings"] = found.Schedules, found.States, len(found.Findings), found.Findings
+				for _, x := range found.Findings {
+					fig.Broken[trial.Rule(x.Rule)]++
+					fig.Miss(x.Rule + ": " + x.What)
+					fmt.Fprintf(b.progress, "%s: %s\nplay it again with: lab sim --world - <<< '%s'\n", x.Rule, x.What, x.Schedule)
+				}
+				if *wrong {
+					if err := b.mutants(ctx, fig, seed, *each); err != nil {
+						return fig, err
+					}
+				}
+				return fig, nil
+			}
+		})
+}
+
+// mutants adds to the figures what the search makes of wrong variants.
+func (b *bench) mutants(ctx context.Context, f *trial.Figures, seed uint64, schedules int) error {
+	all, err := mutants.List()
+	if err != nil {
+		return err
+	}
+	results, err := mutants.Run(ctx, all, seed, schedules, b.progress)
+	if err != nil {
+		return err
+	}
+	n := 0
+	for _, r := range results {
+		if r.Found {
+			n++
+		} else {
+			f.Miss("mutant not found: " + r.Name)
+		}
+	}
+	f.Extra["mutants"], f.Extra["mutants_found"], f.Extra["mutants_schedules_median"] = len(results), n, mutants.Median(results)
+	f.Extra["mutant_results"] = results
+	return nil
+}
+
+func (b *bench) experiment() *cobra.Command {
+	c := &cobra.Command{Use: "experiment FILE.toml", Short: "plays a sweep in the emulator, paired by seed; one that was interrupted goes on where it was",
+		Args: one("a file")}
+	out := c.Flags().String("out", "results", "folder for the results, NAME.jsonl")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		f, err := experiment.Load(args[0])
+		if err != nil {
+			return err
+		}
+		if err := os.MkdirAll(*out, 0o755); err != nil {
+			return err
+		}
+		path := filepath.Join(*out, f.Name+".jsonl")
+		played := f.Run(c.Context(), path, b.progress)
+		rows, err := experiment.ReadRows(path)
+		if err != nil {
+			return err
+		}
+		return b.summary(f, rows, played, nil)
+	}
+	return c
+}
+
+func (b *bench) plot() *cobra.Command {
+	c := &cobra.Command{Use: "plot FILE.toml", Short: "draws an experiment's results as PNG and SVG", Args: one("a file")}
+	from := c.Flags().String("results", "results", "folder with the results, NAME.jsonl")
+	to := c.Flags().String("out", "plots", "folder for the plots")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		f, err := experiment.Load(args[0])
+		if err != nil {
+			return err
+		}
+		rows, err := experiment.ReadRows(filepath.Join(*from, f.Name+".jsonl"))
+		if err != nil {
+			return err
+		}
+		if len(rows) == 0 {
+			return fmt.Errorf("no results in %s: play the experiment first", *from)
+		}
+		if err := os.MkdirAll(*to, 0o755); err != nil {
+			return err
+		}
+		files, err := f.Plot(f.Summarise(rows), *to)
+		return b.summary(f, rows, err, files)
+	}
+	return c
+}
+
+// summary prints what an experiment came to, its last line as JSON.
+func (b *bench) summary(f *experiment.File, rows []experiment.Row, why error, files []string) error {
+	all := f.Summarise(rows)
+	f.Table(b.progress, all)
+	broken := 0.0
+	for _, r := range rows {
+		broken += r.Figures["broken"]
+	}
+	line := map[string]any{"command": "experiment", "name": f.Name, "worlds": len(rows), "of": len(f.Points()), "broken": broken,
+		"summary": all, "files": files, "ok": why == nil && broken == 0}
+	if why != nil {
+		line["why"] = why.Error()
+	}
+	text, err := json.Marshal(line)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(b.out, string(text))
+	if why != nil || broken > 0 {
+		b.code = 1
+	}
+	return nil
+}
+
+func (b *bench) calibrate() *cobra.Command {
+	return b.play("calibrate", "the same sites, seeds and faults in real processes and in the emulator, side by side", 20*time.Second,
+		func(c *cobra.Command) (func() error, player) {
+			return anything, func(ctx context.Context, seed uint64, length time.Duration) (*trial.Figures, error) {
+				return calibrate.Run(ctx, seed, length, b.progress)
+			}
+		})
+}
+
+func one(what string) cobra.PositionalArgs {
+	return func(_ *cobra.Command, args []string) error {
+		if len(args) != 1 {
+			return fmt.Errorf("%s is wanted, %d given", what, len(args))
+		}
+		return nil
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -941,8 +941,6 @@
 	r.c.open++
 	if g.share(b) < 1 {
 		b.cold.level--
-	} else {
-		g.pace.add(g.now, paceTime, 1/float64(max(1, g.warm)))
 	}
 	class, base := &g.set.Classes[r.Class], Time(g.base[r.Class].v)
 	until := g.now + max(Time(patience)*base, Time(leastWait*float64(class.Aim)))
@@ -1009,6 +1007,9 @@
 	if o.Result == OK || o.Result == Failed || o.Result == Full {
 		b.quiet = g.awake
 	}
+	if o.Result == OK && g.share(b) == 1 {
+		g.pace.add(g.now, paceTime, 1/float64(max(1, g.warm)))
+	}
 	g.loaded(b, o.Load)
 	g.judge(a, r.Class, o.Result, float64(o.Took))
 	// Trouble for one plan or class, met once in many seconds at any one backend: all are told, and
--- /dev/null
+++ b/internal/calibrate/calibrate.go
@@ -0,0 +1,164 @@
+// Package calibrate plays the same site, seed and faults in real processes and in the
+// emulator, and tells how far what the emulator says can be believed.
+package calibrate
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"sync"
+	"time"
+
+	"mothcleat/internal/lab"
+	"mothcleat/internal/trial"
+	"mothcleat/sim"
+)
+
+// Pairing is one world, as both rigs are to play it.
+type Pairing struct {
+	Name     string
+	Gateways int
+	Load     float64
+	NoteLoss float64 // below 0: the site's
+	Faults   func(length time.Duration) []trial.Fault
+}
+
+// Pairings are what is compared.
+func Pairings() []Pairing {
+	calm := func(time.Duration) []trial.Fault { return nil }
+	at := func(length time.Duration, part float64) time.Duration { return time.Duration(part * float64(length)) }
+	return []Pairing{
+		{"calm, 3 gateways", 3, 0.55, -1, calm},
+		{"calm, 24 gateways", 24, 0.55, -1, calm},
+		{"calm, 40 gateways", 40, 0.55, -1, calm},
+		{"loaded, 8 gateways", 8, 0.85, -1, calm},
+		{"three in ten notes lost, 8 gateways", 8, 0.55, 0.3, calm},
+		{"gateways killed, 8", 8, 0.55, -1, func(length time.Duration) (all []trial.Fault) {
+			for i := range 6 {
+				all = append(all, trial.Fault{At: at(length, 0.1+0.13*float64(i)), For: 500 * time.Millisecond, Kind: trial.Kill, N: i})
+			}
+			return all
+		}},
+		{"cold servers, 8 gateways", 8, 0.55, -1, func(length time.Duration) (all []trial.Fault) {
+			for i := range 3 {
+				all = append(all, trial.Fault{At: at(length, 0.1+0.25*float64(i)), For: 1500 * time.Millisecond, Kind: trial.Down, N: 3 * i})
+			}
+			return all
+		}},
+		{"register silent and a server down, 8 gateways", 8, 0.55, -1, func(length time.Duration) []trial.Fault {
+			return []trial.Fault{{At: at(length, 0.1), For: at(length, 0.5), Kind: trial.SilentAt},
+				{At: at(length, 0.2), For: 1500 * time.Millisecond, Kind: trial.Down, N: 2}}
+		}},
+	}
+}
+
+// Row is what a pairing came to.
+type Row struct {
+	Name     string     `json:"name"`
+	Service  [2]float64 `json:"service"` // real, emulated
+	Refused  [2]float64 `json:"refused"` // part of the first tries
+	P50      [2]float64 `json:"p50_ms"`
+	Beyond   [2]float64 `json:"over_quota_share"`
+	Gap      float64    `json:"service_gap"`
+	Within   bool       `json:"within"` // service within 0.02, refusals (or 0.01 of all) and p50 within 15%
+	Breaches int        `json:"broken"`
+}
+
+const (
+	serviceWithin = 0.02
+	othersWithin  = 0.15
+	refusedLeast  = 0.01 // of the first tries: a difference so small is none
+	atOnce        = 3    // real worlds on one machine
+)
+
+// Run plays all pairings. A rule that is broken in either rig is a miss; a difference is told.
+func Run(ctx context.Context, seed uint64, length time.Duration, progress io.Writer) (*trial.Figures, error) {
+	bin, remove, err := lab.BuildAside(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer remove()
+	pairings := Pairings()
+	rows, errs := make([]Row, len(pairings)), make([]error, len(pairings))
+	f := trial.NewFigures("calibrate", seed)
+	began := time.Now()
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	room := make(chan struct{}, atOnce)
+	for i, p := range pairings {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			room <- struct{}{}
+			defer func() { <-room }()
+			real, model, err := play(ctx, p, seed, length, bin)
+			if errs[i] = err; err != nil {
+				return
+			}
+			rows[i] = compare(p.Name, real, model)
+			mu.Lock()
+			defer mu.Unlock()
+			fmt.Fprintf(progress, "%-46s service %.3f, emulated %.3f; refused %.3f, %.3f; p50 %.0f, %.0f ms; within %t\n", p.Name,
+				rows[i].Service[0], rows[i].Service[1], rows[i].Refused[0], rows[i].Refused[1], rows[i].P50[0], rows[i].P50[1], rows[i].Within)
+			for k, side := range []*trial.Figures{real, model} {
+				for rule, n := range side.Broken {
+					f.Broken[rule] += n
+				}
+				if !side.OK {
+					f.Miss(fmt.Sprintf("%s, %s: %v", p.Name, [2]string{"real", "emulated"}[k], side.Why))
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	if err := errors.Join(errs...); err != nil {
+		return nil, err
+	}
+	worst, within := 0.0, 0
+	for _, r := range rows {
+		worst = max(worst, math.Abs(r.Gap))
+		if r.Within {
+			within++
+		}
+	}
+	f.Seconds = time.Since(began).Seconds()
+	f.Extra["pairings"], f.Extra["within"], f.Extra["of"], f.Extra["service_gap_most"] = rows, within, len(rows), worst
+	return f, nil
+}
+
+const servers = 12
+
+func play(ctx context.Context, p Pairing, seed uint64, length time.Duration, bin string) (real, model *trial.Figures, err error) {
+	faults := p.Faults(length)
+	real, err = lab.Play(ctx, lab.PlayOptions{Seed: seed, Gateways: p.Gateways, Servers: servers, Load: p.Load, For: length,
+		NoteLoss: p.NoteLoss, Faults: faults, Bin: bin})
+	if err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", p.Name, err)
+	}
+	model, err = sim.RunFigures(sim.Options{Seed: seed, Gateways: p.Gateways, Servers: servers, Load: p.Load, For: length,
+		NoteLoss: p.NoteLoss, Faults: faults})
+	return real, model, err
+}
+
+func compare(name string, real, model *trial.Figures) Row {
+	r := Row{Name: name}
+	for i, f := range []*trial.Figures{real, model} {
+		r.Service[i], r.P50[i] = f.Service, f.P50
+		r.Refused[i] = float64(f.Refused) / float64(max(1, f.Asked))
+		if sent, ok := f.Extra["sent_units"].(float64); ok && sent > 0 {
+			r.Beyond[i] = f.Over / sent
+		}
+		for _, n := range f.Broken {
+			r.Breaches += n
+		}
+	}
+	near := func(x [2]float64, least float64) bool {
+		d := math.Abs(x[0] - x[1])
+		return d <= least || d <= othersWithin*max(x[0], x[1])
+	}
+	r.Gap = r.Service[0] - r.Service[1]
+	r.Within = math.Abs(r.Gap) <= serviceWithin && near(r.Refused, refusedLeast) && near(r.P50, 0)
+	return r
+}
--- a/internal/lab/auth.go
+++ b/internal/lab/auth.go
@@ -38,7 +38,7 @@
 // RunAuth runs three gateways that ask an authenticator which stalls, flaps, errs
 // and crashes, beside three that ask nobody.
 func RunAuth(ctx context.Context, seed uint64, length time.Duration, progress io.Writer) (*trial.Figures, error) {
-	bin, remove, err := buildAside(ctx)
+	bin, remove, err := BuildAside(ctx)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/consulrun.go
+++ b/internal/lab/consulrun.go
@@ -34,7 +34,7 @@
 // Consul says nothing any more, beside gateways whose Consul goes on.
 func RunConsul(ctx context.Context, o ConsulOptions, progress io.Writer) (*trial.Figures, error) {
 	if o.Bin == "" {
-		bin, remove, err := buildAside(ctx)
+		bin, remove, err := BuildAside(ctx)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -43,7 +43,7 @@
 		o.Load = 0.55
 	}
 	if o.Bin == "" {
-		bin, remove, err := buildAside(ctx)
+		bin, remove, err := BuildAside(ctx)
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/internal/lab/play.go
@@ -0,0 +1,107 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"syscall"
+	"time"
+
+	"mothcleat/internal/trial"
+)
+
+// PlayOptions say what world is played and what goes wrong in it.
+type PlayOptions struct {
+	Seed              uint64
+	Gateways, Servers int
+	Load              float64
+	For               time.Duration
+	NoteLoss          float64 // below 0: the site's
+	Faults            []trial.Fault
+	Bin               string // of the gateway; "": it is built
+}
+
+// Play plays one world with a list of faults in real processes. Clocks that are off,
+// half-cut notes and restarts from a state are the emulator's alone.
+func Play(ctx context.Context, o PlayOptions) (*trial.Figures, error) {
+	w, err := NewWorld(ctx, Options{Seed: o.Seed, Gateways: o.Gateways, Servers: o.Servers, Load: o.Load, Bin: o.Bin,
+		Operators: recordText, Log: io.Discard, Change: func(s *trial.Site) {
+			if o.NoteLoss >= 0 {
+				s.NoteLoss = o.NoteLoss
+			}
+		}})
+	if err != nil {
+		return nil, err
+	}
+	defer w.Close()
+	asking, cancel := context.WithTimeout(ctx, o.For)
+	defer cancel()
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var errs error
+	for _, f := range o.Faults {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if !sleep(asking, f.At) {
+				return
+			}
+			if err := w.befall(f); err != nil {
+				mu.Lock()
+				errs = errors.Join(errs, fmt.Errorf("%v: %w", f, err))
+				mu.Unlock()
+			}
+		}()
+	}
+	w.Clients.Run(asking)
+	wg.Wait()
+	stop, cancel := context.WithTimeout(context.Background(), readyWithin)
+	defer cancel()
+	if err := errors.Join(errs, w.Stop(stop)); err != nil {
+		return nil, err
+	}
+	f := w.figures("play")
+	f.Extra["sent_units"] = trial.SentUnits(w.Record)
+	return f, nil
+}
+
+// befall has a fault happen and waits until it is over, also past the end of the asking.
+func (w *World) befall(f trial.Fault) error {
+	g, sv := w.Gateways[f.N%len(w.Gateways)], w.Servers[f.N%len(w.Servers)]
+	over := func() { time.Sleep(f.For) }
+	switch f.Kind {
+	case trial.Kill:
+		if err := g.Signal(syscall.SIGKILL); err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), readyWithin)
+		defer cancel()
+		if err := g.Gone(ctx); err != nil {
+			return err
+		}
+		over()
+		return w.start(ctx, g)
+	case trial.Down:
+		w.KillServer(sv)
+		over()
+		return w.StartServer(sv)
+	case trial.Drained:
+		w.DrainServer(sv)
+		over()
+		w.tell(sv, phaseReady, w.upSince(sv), false)
+	case trial.SilentAt:
+		w.Register.Silence(true)
+		over()
+		w.Register.Silence(false)
+	case trial.Slow, trial.Errors, trial.Hang, trial.Resets:
+		sv.SetFault(map[trial.FaultKind]Fault{trial.Slow: {Slow: f.X}, trial.Errors: {Errors: f.X},
+			trial.Hang: {Hang: true}, trial.Resets: {Reset: f.X}}[f.Kind])
+		over()
+		sv.SetFault(Fault{})
+	default:
+		return errors.New("this rig can't play it")
+	}
+	return nil
+}
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -32,9 +32,9 @@
 	return bin, nil
 }
 
-// buildAside is Build into a folder of its own, for several worlds of one run;
+// BuildAside is Build into a folder of its own, for several worlds of one run;
 // remove takes it away.
-func buildAside(ctx context.Context) (bin string, remove func(), err error) {
+func BuildAside(ctx context.Context) (bin string, remove func(), err error) {
 	dir, err := os.MkdirTemp("", "mothcleat-bin-")
 	if err != nil {
 		return "", nil, err
--- a/internal/lab/quota.go
+++ b/internal/lab/quota.go
@@ -42,7 +42,7 @@
 		o.Sizes = QuotaSizes
 	}
 	if o.Bin == "" {
-		bin, remove, err := buildAside(ctx)
+		bin, remove, err := BuildAside(ctx)
 		if err != nil {
 			return nil, err
 		}
@@ -91,7 +91,7 @@
 
 func runQuotaWorld(ctx context.Context, o QuotaOptions, gateways int, progress io.Writer) (quotaRow, *trial.Figures, error) {
 	w, err := NewWorld(ctx, Options{Seed: o.Seed, Gateways: gateways, Servers: 12, Load: o.Load, Bin: o.Bin,
-		Spread: o.Spread, Operators: recordText, Log: progress})
+		Change: func(s *trial.Site) { s.SpreadAll(o.Spread) }, Operators: recordText, Log: progress})
 	if err != nil {
 		return quotaRow{}, nil, err
 	}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -33,7 +33,7 @@
 	Prepare   func(w *World, g *Gateway) error // writes further files into a gateway's folder; nil: none
 	Consul    bool                             // the register is Consul, with an agent for each gateway
 	Operators string                           // text of the operators' file, %DIR% being the gateway's folder; "": none
-	Spread    int                              // of every customer; 0: as the site draws it
+	Change    func(s *trial.Site)              // what is other than drawn; nil: nothing
 	Log       io.Writer
 }
 
@@ -64,7 +64,9 @@
 		o.Servers = 10
 	}
 	w = &World{Site: trial.NewSite(o.Seed, o.Gateways, o.Servers, o.Load), Record: trial.NewRecord(), options: o}
-	w.Site.SpreadAll(o.Spread)
+	if o.Change != nil {
+		o.Change(w.Site)
+	}
 	if w.Dir, err = os.MkdirTemp("", "mothcleat-lab-"); err != nil {
 		return nil, err
 	}
--- a/internal/trial/audit.go
+++ b/internal/trial/audit.go
@@ -254,6 +254,9 @@
 	}
 	for i := range rec.Boots {
 		b := &rec.Boots[i]
+		if b.Untold {
+			continue
+		}
 		if b.Fell > 0 {
 			v.breach(Cold, b.Fell, "%s fell over %v after its start", b.Server, b.Fell-b.At)
 		}
--- a/internal/trial/record.go
+++ b/internal/trial/record.go
@@ -105,6 +105,7 @@
 	Cold   bool // it starts cold; else it has been up for long
 	At     time.Duration
 	Fell   time.Duration // when it was overrun; 0: it was not
+	Untold bool          // a third and more of that by gateways that had not been told of its start: no breach
 }
 
 // Record is all that was seen in one run. The Add methods may be called
--- a/internal/trial/site.go
+++ b/internal/trial/site.go
@@ -94,9 +94,23 @@
 // Between draws evenly from a span.
 func Between(r *rand.Rand, a, b float64) float64 { return a + (b-a)*r.Float64() }
 
-// NewSite draws a site. The ranges are those that the operators have published;
-// load is the part of what the servers can do that is asked inside the quotas.
+// Draw says what site is drawn.
+type Draw struct {
+	Seed              uint64
+	Gateways, Servers int
+	Load              float64 // the part of what the servers can do that is asked inside the quotas
+	PerSecond         float64 // requests inside the quotas: work is lighter or heavier for it; 0: as drawn
+	Customers         int     // plans are larger or smaller for it, about; 0: as drawn
+}
+
+// NewSite draws a site of the operators' own size.
 func NewSite(seed uint64, gateways, servers int, load float64) *Site {
+	return Draw{Seed: seed, Gateways: gateways, Servers: servers, Load: load}.Site()
+}
+
+// Site draws a site. The ranges are those that the operators have published.
+func (d Draw) Site() *Site {
+	seed, gateways, servers, load := d.Seed, d.Gateways, d.Servers, d.Load
 	r := rand.New(rand.NewPCG(seed, 0x51))
 	s := &Site{
 		Classes: []Class{
@@ -114,6 +128,9 @@
 		ColdFrom: 0.15, ColdTime: 16 * time.Second, FallMultiple: 4, FallSpan: time.Second, DrainGrace: 2 * time.Second,
 		NoteLoss: 0.06, RegisterLag: 2 * time.Second, Retries: 3, Shift: 15 * time.Second, MaxAttempts: 3,
 	}
+	if d.Customers > 0 {
+		s.scalePlans(d)
+	}
 	const most = 4 // units of the largest request
 	for i, burst := range [][2]float64{{3.2, 5.8}, {3.5, 6}, {1.3, 2.8}} {
 		p := &s.Plans[i]
@@ -136,6 +153,12 @@
 		capacity += cores * speed
 	}
 	s.PerSecond = load * capacity / work
+	if d.PerSecond > 0 {
+		for i := range s.Classes {
+			s.Classes[i].Work = time.Duration(float64(s.Classes[i].Work) * s.PerSecond / d.PerSecond)
+		}
+		s.PerSecond = d.PerSecond
+	}
 	for i, p := range s.Plans {
 		for want := p.Share * s.PerSecond * units; want > 0; {
 			use := Between(r, 0.15, 0.7)
@@ -163,6 +186,31 @@
 	}
 }
 
+// scalePlans makes the plans so large that about so many customers use what is asked
+// inside the quotas: each uses some 0.47 of its rate.
+func (s *Site) scalePlans(d Draw) {
+	work, units, capacity := 0.0, 0.0, 0.0
+	for _, c := range s.Classes {
+		work += c.Share * c.Work.Seconds()
+		units += c.Share * (c.Least + c.Most) / 2
+	}
+	for i := range s.Servers {
+		cores, speed := s.Machine(i)
+		capacity += cores * speed
+	}
+	perSecond := d.Load * capacity / work
+	if d.PerSecond > 0 {
+		perSecond = d.PerSecond
+	}
+	customers := 0.0
+	for _, p := range s.Plans {
+		customers += p.Share * perSecond * units / (0.55 * p.Rate)
+	}
+	for i := range s.Plans {
+		s.Plans[i].Rate *= customers / float64(d.Customers)
+	}
+}
+
 // Machine is the size of a server: cores and their speed.
 func (s *Site) Machine(i int) (cores, speed float64) {
 	if i%2 == 0 {
--- /dev/null
+++ b/sim/search_test.go
@@ -0,0 +1,144 @@
+package sim
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"runtime"
+	"testing"
+	"time"
+
+	"mothcleat/internal/trial"
+)
+
+// Schedules that once broke a rule, or came near, break none.
+func TestKeptSchedules(t *testing.T) {
+	files, err := filepath.Glob("testdata/schedules/*.json")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no schedules: %v", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			raw, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s, err := ParseSchedule(raw)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if rule, what, _, err := s.Play(); err != nil || rule != "" {
+				t.Errorf("%s: %s, %v", rule, what, err)
+			}
+		})
+	}
+}
+
+// The search finds nothing in the program as it is, and the same on one core and on all.
+func TestSearchFindsNothingAndTheSameOnAnyCores(t *testing.T) {
+	const schedules = 64
+	first, err := Search(context.Background(), 7, schedules)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range first.Findings {
+		t.Errorf("%s: %s\n%s", f.Rule, f.What, f.Schedule)
+	}
+	if first.Schedules != schedules || first.States < 20 {
+		t.Errorf("%d schedules, %d states", first.Schedules, first.States)
+	}
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	again, err := Search(context.Background(), 7, schedules)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again.States != first.States || len(again.Findings) != len(first.Findings) {
+		t.Errorf("%d states on one core, %d on all", again.States, first.States)
+	}
+}
+
+// broken is a world whose model breaks a rule whatever the gateways do: a server comes
+// back cold under their load, and the register is said to have told of it.
+func broken() Schedule {
+	s := RandomSchedule(rand.New(rand.NewPCG(1, 1)))
+	s.Gateways, s.Servers, s.Load, s.For, s.Spread = 3, 3, 0.9, 8*time.Second, 0
+	return s
+}
+
+// What is shrunk still plays, has no more than it had, and is the same each time; faults
+// that the breach does not need are left out, kills of gateways among them.
+func TestShrinkLeavesWhatIsNeeded(t *testing.T) {
+	s := broken()
+	s.Faults = []trial.Fault{{At: time.Second, For: 300 * time.Millisecond, Kind: trial.Kill, N: 1},
+		{At: 2 * time.Second, For: time.Second, Kind: trial.Slow, N: 1, X: 3},
+		{At: 3 * time.Second, For: 400 * time.Millisecond, Kind: trial.Kill, N: 2}}
+	// The breach looked for: some request is lost with a killed gateway.
+	lost := func(s Schedule) bool {
+		w, err := New(s.Options)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.Run()
+		return trial.Audit(w.Site, w.Record).KilledUnanswered > 0
+	}
+	if !lost(s) {
+		t.Fatal("nothing was lost with the killed gateways: the test shows nothing")
+	}
+	short := s.shrink(lost)
+	if !lost(short) {
+		t.Error("what was shrunk breaks nothing any more")
+	}
+	kills := 0
+	for _, f := range short.Faults {
+		if f.Kind == trial.Kill {
+			kills++
+		}
+	}
+	if len(short.Faults) != 1 || kills != 1 || short.For > s.For {
+		t.Errorf("shrunk to %s", short)
+	}
+	if again := s.shrink(lost); again.String() != short.String() {
+		t.Errorf("shrunk otherwise the second time: %s", again)
+	}
+}
+
+// A schedule survives being written down.
+func TestScheduleAsText(t *testing.T) {
+	r := rand.New(rand.NewPCG(5, 5))
+	for range 50 {
+		s := RandomSchedule(r)
+		again, err := ParseSchedule([]byte(s.String()))
+		if err != nil || again.String() != s.String() {
+			t.Fatalf("%v: %s, then %s", err, s, again)
+		}
+	}
+	for _, text := range []string{"", "{", `{"gateways":0}`, `{"gateways":2,"load":1,"for":1,"faults":[{"kind":"earthquake"}]}`} {
+		if _, err := ParseSchedule([]byte(text)); err == nil {
+			t.Errorf("%q is taken for a schedule", text)
+		}
+	}
+}
+
+// The clock of a process that starts is an hour behind, or two seconds ahead; notes are
+// cut between two halves for long and heal; a thousand gateways start at once before cold
+// servers. The rules hold.
+func TestHardCases(t *testing.T) {
+	hour := trial.Fault{At: 2 * time.Second, For: 100 * time.Millisecond, Kind: trial.ClockOff, N: 1, X: -3600}
+	ahead := trial.Fault{At: 3 * time.Second, For: 100 * time.Millisecond, Kind: trial.ClockOff, N: 0, X: 2}
+	down := func(n int) trial.Fault {
+		return trial.Fault{At: 4 * time.Second, For: 1500 * time.Millisecond, Kind: trial.Down, N: n}
+	}
+	for name, o := range map[string]Options{
+		"clocks":                {Gateways: 3, Load: 0.6, For: 10 * time.Second, NoteLoss: -1, State: true, Faults: []trial.Fault{hour, ahead, down(1)}},
+		"cut for five minutes":  {Gateways: 6, Servers: 4, Load: 0.5, For: 320 * time.Second, NoteLoss: -1, Faults: []trial.Fault{{At: 5 * time.Second, For: 300 * time.Second, Kind: trial.Cut, N: 2}}},
+		"a thousand, all new":   {Gateways: 1000, Servers: 200, Load: 0.4, For: 3 * time.Second, NoteLoss: -1},
+		"servers down together": {Gateways: 12, Load: 0.4, For: 12 * time.Second, NoteLoss: -1, Faults: []trial.Fault{down(0), down(2), down(4), down(6)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			o.Seed = 9
+			play(t, o)
+		})
+	}
+}
