--- a/decide/decide.go
+++ b/decide/decide.go
@@ -521,8 +521,14 @@
 		// No earlier figure to take off: what the peer thinks is left bounds it, and what
 		// it took since it last told anybody is not yet known here.
 		left, fresh := e.left*c.store.cap-(c.taken-c.told), c.store.level-units(min(e.taken, e.fresh))
-		if left = math.Min(left, fresh); g.wide(c) && e.left == 1 {
+		switch {
+		case c.kept: // of a former life, less a lease: who has lived all along knows better
+			c.kept, c.store.level = false, math.Max(left, c.store.level)
+			left = math.Max(left, fresh)
+		case h.known || g.wide(c) && e.left == 1: // it has started anew: what it holds to be left tells less
 			left = fresh
+		default:
+			left = math.Min(left, fresh)
 		}
 		c.store.level = math.Max(0, math.Min(c.store.level, left))
 		c.others.add(g.now, c.window, units(e.fresh))
--- a/decide/quota_test.go
+++ b/decide/quota_test.go
@@ -254,3 +254,40 @@
 		}
 	}
 }
+
+// A gateway that was restored from a state holds a lease less than there is; a peer that
+// has lived all along tells it, and is not made to hold less itself.
+func TestAPeerKnowsBetterThanAState(t *testing.T) {
+	a, b := pair(t)
+	a.serve(0, 0, 9, 2)
+	tellAll(a, b)
+	b.serve(0, 0, 9, 1)
+	tellAll(b, a)
+	s := a.Save(a.at, false)
+	set := settings()
+	f := &fake{}
+	g, err := New(set, 99, f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{Gateway: g, fake: f, t: t, at: a.at + second/10}
+	if err := g.Restore(r.at, 10*second, &s); err != nil {
+		t.Fatal(err)
+	}
+	g.Members(r.at, Cached, members(4))
+	whole, _, _ := b.Holds(9)
+	if low, _, _ := g.Holds(9); low > whole-1 {
+		t.Fatalf("the restored gateway holds %g, the one that lived %g: no lease is taken off", low, whole)
+	}
+	tellAll(r, b)
+	b.refill(b.customers[9])
+	if after, _, _ := b.Holds(9); after < whole-1e-6 {
+		t.Errorf("the one that lived holds %g, %g before the other started anew", after, whole)
+	}
+	b.serve(0, 0, 9, 1)
+	tellAll(b, r)
+	now, _, _ := b.Holds(9)
+	if got, _, _ := g.Holds(9); math.Abs(got-now) > 0.3 {
+		t.Errorf("the restored gateway holds %g once it has heard, the other %g", got, now)
+	}
+}
--- a/decide/snapshot.go
+++ b/decide/snapshot.go
@@ -203,6 +203,7 @@
 	}
 	c.ceiling.level = math.Max(0, filled(k.Ceiling+lease, c.ceiling.rate, c.ceiling.cap, age)-lease)
 	c.store.at, c.ceiling.at = g.now, g.now
+	c.kept = g.pooled && c.spread > 1
 	g.mark(c) // peers are to hear what is left, as of one that has just started
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -32,6 +32,7 @@
 	metered       fading    // units asked here over the meter's period
 	part          float64   // from the meter; 0: no reading yet
 	open          int       // attempts out
+	kept          bool      // its store is a former life's, and no peer has told of it since
 	tell          int       // how often its use is still to be told
 	spent         float64   // units that have gone from its banks, in all
 	leased        float64   // up to how many the state kept last allows for,
