--- a/decide/decide.go
+++ b/decide/decide.go
@@ -866,7 +866,7 @@
 	if g.now > g.woke {
 		grace.add(float64(q.Grace), learnOne)
 	} else if grace.v-float64(q.Grace)+g.base[q.Class].v > float64(g.set.Classes[q.Class].Aim) {
-		g.refuse(q.ID, 0, WhyLate) // it came while this gateway stood still, and no answer is in time any more
+		g.refuse(q.ID, 0, WhyLate) // it came while this gateway stood still: too late for any answer
 		return
 	}
 	plan := &g.set.Plans[q.Plan]
