lab: one way to build the gateway for several worlds; dead code out

Cause: three scenarios built the binary with the same lines, sim.Each was used by nothing, and a field of the stand-in counter was never read.

Change: buildIfNone; the two others are gone.

--- a/internal/lab/consulrun.go
+++ b/internal/lab/consulrun.go
@@ -33,14 +33,11 @@
 // register. Quote servers drain and restart in both. With Silent nothing changes but that
 // Consul says nothing any more, beside gateways whose Consul goes on.
 func RunConsul(ctx context.Context, o ConsulOptions, progress io.Writer) (*trial.Figures, error) {
-	if o.Bin == "" {
-		bin, remove, err := BuildAside(ctx)
-		if err != nil {
-			return nil, err
-		}
-		defer remove()
-		o.Bin = bin
+	remove, err := buildIfNone(ctx, &o.Bin)
+	if err != nil {
+		return nil, err
 	}
+	defer remove()
 	var figures [2]*trial.Figures
 	var errs [2]error
 	var wg sync.WaitGroup
--- a/internal/lab/counter.go
+++ b/internal/lab/counter.go
@@ -21,7 +21,6 @@
 	rand  *rand.Rand
 	names map[string]*count
 	down  bool
-	delay time.Duration
 	calls int
 }
 
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -42,14 +42,11 @@
 	if o.Load == 0 {
 		o.Load = 0.55
 	}
-	if o.Bin == "" {
-		bin, remove, err := BuildAside(ctx)
-		if err != nil {
-			return nil, err
-		}
-		defer remove()
-		o.Bin = bin
+	remove, err := buildIfNone(ctx, &o.Bin)
+	if err != nil {
+		return nil, err
 	}
+	defer remove()
 	type world struct {
 		name  string
 		o     FleetOptions
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -47,6 +47,15 @@
 	return bin, remove, nil
 }
 
+// buildIfNone is BuildAside where no binary is named yet.
+func buildIfNone(ctx context.Context, bin *string) (remove func(), err error) {
+	if *bin != "" {
+		return func() {}, nil
+	}
+	*bin, remove, err = BuildAside(ctx)
+	return remove, err
+}
+
 // Gateway is one instance: the real program, started as a process, and started
 // again under its name and address as often as a scenario wants.
 type Gateway struct {
--- a/internal/lab/quota.go
+++ b/internal/lab/quota.go
@@ -41,14 +41,11 @@
 	if len(o.Sizes) == 0 {
 		o.Sizes = QuotaSizes
 	}
-	if o.Bin == "" {
-		bin, remove, err := BuildAside(ctx)
-		if err != nil {
-			return nil, err
-		}
-		defer remove()
-		o.Bin = bin
+	remove, err := buildIfNone(ctx, &o.Bin)
+	if err != nil {
+		return nil, err
 	}
+	defer remove()
 	rows, figures, errs := make([]quotaRow, len(o.Sizes)), make([]*trial.Figures, len(o.Sizes)), make([]error, len(o.Sizes))
 	var wg sync.WaitGroup
 	for i, n := range o.Sizes {
--- a/sim/run.go
+++ b/sim/run.go
@@ -1,11 +1,6 @@
 package sim
 
 import (
-	"context"
-	"fmt"
-	"io"
-	"runtime"
-	"sync"
 	"time"
 
 	"mothcleat/internal/trial"
@@ -31,37 +26,3 @@
 	f.Extra["notes_in_a_second_most"] = w.Notes.MostIn
 	return f, nil
 }
-
-// Each plays worlds over all cores and hands out their figures in the order of the
-// options. Every run has one goroutine, and shares nothing with others.
-func Each(ctx context.Context, options []Options, progress io.Writer) ([]*trial.Figures, error) {
-	figures, errs := make([]*trial.Figures, len(options)), make([]error, len(options))
-	var wg sync.WaitGroup
-	var mu sync.Mutex
-	done, began := 0, time.Now()
-	room := make(chan struct{}, runtime.GOMAXPROCS(0))
-	for i, o := range options {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			room <- struct{}{}
-			defer func() { <-room }()
-			if errs[i] = ctx.Err(); errs[i] != nil {
-				return
-			}
-			figures[i], errs[i] = RunFigures(o)
-			mu.Lock()
-			defer mu.Unlock()
-			done++
-			left := time.Duration(float64(time.Since(began)) / float64(done) * float64(len(options)-done))
-			fmt.Fprintf(progress, "%d of %d worlds played, %v to go\n", done, len(options), left.Round(time.Second))
-		}()
-	}
-	wg.Wait()
-	for _, err := range errs {
-		if err != nil {
-			return nil, err
-		}
-	}
-	return figures, nil
-}
