sim: random kills and restarts are faults like others; a site's totals counted once

Cause: on rereading, the emulator ended and restarted gateways and servers in two places, the site summed up its work and capacity twice, and a count of tries on their way lay in the register.

Change: the random ones go through the code that plays a fault; Site.totals; the count is the world's. Behaviour is as it was.

--- a/internal/trial/site.go
+++ b/internal/trial/site.go
@@ -142,16 +142,7 @@
 	corporate.CeilingRate, corporate.CeilingBurst = times*corporate.Rate, times*corporate.Burst
 	corporate.CeilingSlack = max(0.1*corporate.CeilingBurst, most)
 
-	work, units := 0.0, 0.0
-	for _, c := range s.Classes {
-		work += c.Share * c.Work.Seconds()
-		units += c.Share * (c.Least + c.Most) / 2
-	}
-	capacity := 0.0
-	for i := range servers {
-		cores, speed := s.Machine(i)
-		capacity += cores * speed
-	}
+	work, units, capacity := s.totals()
 	s.PerSecond = load * capacity / work
 	if d.PerSecond > 0 {
 		for i := range s.Classes {
@@ -186,10 +177,9 @@
 	}
 }
 
-// scalePlans makes the plans so large that about so many customers use what is asked
-// inside the quotas: each uses some 0.47 of its rate.
-func (s *Site) scalePlans(d Draw) {
-	work, units, capacity := 0.0, 0.0, 0.0
+// totals are the mean work of a request in core seconds, the mean units that it takes,
+// and what all servers can do, in cores of speed 1.
+func (s *Site) totals() (work, units, capacity float64) {
 	for _, c := range s.Classes {
 		work += c.Share * c.Work.Seconds()
 		units += c.Share * (c.Least + c.Most) / 2
@@ -198,6 +188,13 @@
 		cores, speed := s.Machine(i)
 		capacity += cores * speed
 	}
+	return work, units, capacity
+}
+
+// scalePlans makes the plans so large that about so many customers use what is asked
+// inside the quotas: each uses some 0.47 of its rate.
+func (s *Site) scalePlans(d Draw) {
+	work, units, capacity := s.totals()
 	perSecond := d.Load * capacity / work
 	if d.PerSecond > 0 {
 		perSecond = d.PerSecond
--- a/sim/around.go
+++ b/sim/around.go
@@ -57,12 +57,11 @@
 
 // register tells gateways of the servers, some time after it happened.
 type register struct {
-	w       *World
-	rand    *rand.Rand
-	known   [][]decide.Member // by gateway
-	last    map[[2]int]int64  // when a gateway hears what was told last of a server: news keep their order
-	silent  int64             // it tells nothing until then
-	waiting int               // tries of clients that pause before the next
+	w      *World
+	rand   *rand.Rand
+	known  [][]decide.Member // by gateway
+	last   map[[2]int]int64  // when a gateway hears what was told last of a server: news keep their order
+	silent int64             // it tells nothing until then
 }
 
 func (r *register) begin(gateways int) {
@@ -204,9 +203,9 @@
 	}
 	g.front.failing = 0
 	t.Sent = w.at()
-	w.register.waiting++
+	w.waiting++
 	w.after(w.clientNet(), func() {
-		w.register.waiting--
+		w.waiting--
 		if !g.up {
 			t.Reset = true
 			q.end(&t, trial.Ended, 0)
@@ -242,9 +241,9 @@
 	if c.Unsafe && k != trial.Refused && k != trial.Unsent || c.Keyed && w.now+(pause+q.wait).Microseconds() > q.began+c.Window.Microseconds() {
 		return
 	}
-	w.register.waiting++
+	w.waiting++
 	w.after(pause.Microseconds(), func() {
-		w.register.waiting--
+		w.waiting--
 		q.send()
 	})
 }
--- a/sim/world.go
+++ b/sim/world.go
@@ -96,6 +96,7 @@
 	notes    *notes
 	held     map[*server]map[uint64]*attempt
 	sends    uint64
+	waiting  int      // tries on their way, and clients that pause before the next
 	broken   []string // promises that modules broke towards their hosts
 	nextTry  uint64
 	ends     int64
@@ -226,7 +227,7 @@
 	for _, g := range w.gateways {
 		n += len(g.open)
 	}
-	return n + w.register.waiting
+	return n + w.waiting
 }
 
 // hold and settle keep what is out at a server, for its end to reset.
@@ -260,7 +261,7 @@
 	return n
 }
 
-// faults plans what goes wrong.
+// faults plans what goes wrong at random.
 func (w *World) faults() {
 	r := rand.New(rand.NewPCG(w.o.Seed, 0xca05))
 	every := func(mean time.Duration, do func()) {
@@ -281,23 +282,13 @@
 		if !g.up {
 			return
 		}
-		g.kill()
-		w.after(300_000+r.Int64N(700_000), func() {
-			if err := g.start(g.kept); err != nil {
-				panic(err) // its settings were good before
-			}
-		})
+		w.gatewayFault(g, trial.Fault{Kind: trial.Restart}, 300_000+r.Int64N(700_000))
 	})
 	every(w.o.Restarts, func() {
 		sv := w.servers[r.IntN(len(w.servers))]
 		if !sv.up {
 			return
 		}
-		sv.kill()
-		w.register.tell(sv, decide.Left)
-		w.after(1_000_000+r.Int64N(2_000_000), func() {
-			sv.start(true)
-			w.register.tell(sv, decide.Ready)
-		})
+		w.serverFault(sv, trial.Fault{Kind: trial.Down}, 1_000_000+r.Int64N(2_000_000))
 	})
 }
