A door for operators with figures and a drain; the platform's listening socket

Design: what a process takes, keeps and says of itself is decided by a module without I/O, lifecycle; internal/door holds the callers, internal/figures counts. Calls go to the loop ahead of queued work, so figures are exact when told. Not taken: figures as atomics read by the door beside the loop (they would not agree with one another within one answer), and closing all connections when a drain is told (the front sends here for 0.3 s more, each close would only open another). A drained connection ends with its next answer, which no request can cross; those that nobody uses end after 1.5 s.

Ruled out: that the callers who stay silent cost a call; 24 are kept, the oldest makes room.

--- a/cmd/mothcleat/run.go
+++ b/cmd/mothcleat/run.go
@@ -100,6 +100,15 @@
 		}
 		s.Keeper = keeper
 	}
+	if given, err := inherited(os.Getenv); err != nil {
+		return err
+	} else if given != nil {
+		s.Listen = func(string) (net.Listener, error) { return given, nil }
+		if p.settings.HandOver.On {
+			p.log.Warn("hand-over: the platform holds the clients' socket, and replaces processes itself; handover.on is passed over")
+		}
+		return nil
+	}
 	if !p.settings.HandOver.On {
 		return nil
 	}
--- /dev/null
+++ b/decide/view.go
@@ -0,0 +1,17 @@
+package decide
+
+// Servers tells how many backends discovery lists, and how many of those this gateway
+// sends nothing, or single trials only: they drain, or are left out. It is for those who
+// look on, and changes nothing.
+func (g *Gateway) Servers() (listed, avoided int) {
+	for _, b := range g.backends {
+		if !b.listed || b.State == Left {
+			continue
+		}
+		listed++
+		if b.State != Ready || b.down || b.errs >= sickShare {
+			avoided++
+		}
+	}
+	return listed, avoided
+}
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -276,7 +276,13 @@
 		bs.close(c)
 		return false
 	} else if n < len(b) {
+		c.out.whole = nil
+		if a.r != nil {
+			c.out.whole = &l.tally.Sends
+		}
 		c.out.send(b[n:], len(b))
+	} else if a.r != nil {
+		l.tally.Sends.Add(1)
 	}
 	c.a, a.conn = a, c
 	return true
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -95,7 +95,7 @@
 		used: now,
 	}
 	cs.conns[c] = true
-	if l.drain.closing {
+	if l.life.Closed(now) {
 		// It was accepted just before the end: what it sends is not taken.
 		go c.read(l)
 		c.end(l)
@@ -204,6 +204,7 @@
 	cmd    command
 	size   int    // bytes that it holds
 	reply  []byte // at once, without the module
+	ping   bool   // it asks whether requests may be sent here
 	bad    bool   // it was no good command
 	last   bool   // the connection's framing is lost
 	left   bool   // the client has gone
@@ -247,7 +248,7 @@
 		}
 		e.cmd = cmd
 	case bytes.EqualFold(args[0], ping):
-		e.reply = pong
+		e.ping = true
 	case auth && (bytes.EqualFold(args[0], authCommand) || bytes.EqualFold(args[0], helloCommand)):
 		e.identify(args)
 	default:
@@ -268,6 +269,11 @@
 		c.credential = e.credential
 	}
 	l.open++
+	if e.ping {
+		e.reply = l.pong()
+	} else if e.reply == nil {
+		r.known, r.class = true, e.cmd.what.Class
+	}
 	if e.reply == nil && l.names[r.name] != nil {
 		// Two open requests of one id can't be told apart behind this gateway.
 		e.reply, e.bad = refusal(errors.New("id: that request is open")), true
@@ -322,7 +328,7 @@
 		c.surplus = !cs.evict(l, c)
 	}
 	full = full || l.cfg.Host.MaxOpen > 0 && l.open > l.cfg.Host.MaxOpen || l.held >= l.cfg.MemoryMB<<20/4
-	if !full && !c.surplus && !l.drain.answered && !l.drain.handed {
+	if !full && !c.surplus && l.life.Takes(l.now()) {
 		return nil
 	}
 	c.ending = c.ending || c.surplus
@@ -355,11 +361,20 @@
 	if !c.gone && !c.out.send(out, unread) {
 		l.later(left{c})
 	}
-	if c.ending && len(c.line) == 0 {
+	if len(c.line) == 0 && (c.ending || l.life.EndsBusy(l.now())) {
+		c.ending = true
 		c.finish(l)
 	}
 }
 
+// pong answers those who choose among gateways.
+func (l *Loop) pong() []byte {
+	if yes, why := l.life.Serves(); !yes {
+		return refusal(errors.New(why))
+	}
+	return pong
+}
+
 // end lets a connection end: between requests now, else after its last answer.
 func (c *client) end(l *Loop) {
 	if c.ending || c.gone {
@@ -428,5 +443,7 @@
 		}
 	}
 	c.line = nil
-	l.drain.check(l)
+	if l.life.Stopping() {
+		l.step()
+	}
 }
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -28,6 +28,8 @@
 	MemoryMB  int
 	Sockets   int
 
+	Management string // where operators call; "": nowhere
+
 	PeerListen string
 	Peers      []netip.AddrPort // by number, this gateway's own among them
 	Counter    string
@@ -56,6 +58,7 @@
 		MemoryMB int `json:"memory_mb"`
 		Sockets  int `json:"sockets"`
 	} `json:"limits"`
+	Management string          `json:"management"`
 	PeerListen string          `json:"peer_listen"`
 	Peers      []string        `json:"peers"`
 	Counter    string          `json:"counter"`
@@ -79,7 +82,7 @@
 	}
 	c := Config{
 		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery,
-		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
+		Management: f.Management, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
 		PeerListen: f.PeerListen, Counter: f.Counter, Known: f.Known,
 	}
 	if c.MemoryMB <= 0 {
@@ -123,11 +126,10 @@
 	case c.Settings.Counter && !c.Settings.Peers && c.Counter == "":
 		return errors.New("configuration: counter: missing")
 	}
-	addresses := map[string]string{"discovery": c.Discovery, "counter": c.Counter}
-	if c.Counter == "" {
-		delete(addresses, "counter")
-	}
-	for name, address := range addresses {
+	for name, address := range map[string]string{"discovery": c.Discovery, "counter": c.Counter, "management": c.Management} {
+		if address == "" {
+			continue // discovery is there
+		}
 		if _, _, err := net.SplitHostPort(address); err != nil {
 			return fmt.Errorf("configuration: %s: %w", name, err)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"mothcleat/decide"
+	"mothcleat/internal/figures"
 	"mothcleat/internal/registry"
+	"mothcleat/lifecycle"
 )
 
 const (
@@ -36,6 +38,9 @@
 	l.lastState()
 	l.refusals.flush(l)
 	l.stopAsk()
+	if l.door != nil {
+		l.door.Close()
+	}
 	_ = l.clients.listener.Close()
 	if l.peers.conn != nil {
 		_ = l.peers.conn.Close()
@@ -49,6 +54,7 @@
 		events: make(chan event, queued), urgents: make(chan event, 16),
 		requests: map[uint64]*request{}, names: map[uint64]*request{}, timer: time.NewTimer(time.Hour),
 		counter: newCounter(&cfg), survival: newSurvival(cfg.Survival),
+		life: lifecycle.New(lifecycle.Defaults()), tally: figures.New(cfg.Host.Classes),
 	}
 	l.timer.Stop()
 	source := registry.Source(registry.NewPlatform(cfg.Discovery, cfg.Settings.AskMembers, log))
@@ -86,6 +92,11 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	l.clients.listener = listener.(*net.TCPListener)
+	if err := l.openDoor(); err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	l.tally.Loaded.Add(1)
 	if cfg.Survival.Keeper != nil && !cfg.Survival.Successor {
 		l.restore()
 	}
@@ -118,6 +129,9 @@
 func (sweep) due(l *Loop) {
 	l.clients.sweep(l)
 	l.backends.sweep(l)
+	if l.life.Draining() || l.life.Stopping() {
+		l.step() // connections end one by one
+	}
 	l.refusals.flush(l)
 	l.at(l.now()+sweepEvery, sweep{})
 }
@@ -138,6 +152,7 @@
 // serveClients has clients and notes taken in from now on.
 func (l *Loop) serveClients() {
 	l.log.Info("ready", "listen", l.clients.listener.Addr().String(), "backends", len(l.backends.byNumber))
+	l.life.Ready()
 	go l.clients.accept(l)
 }
 
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -9,7 +9,10 @@
 	"time"
 
 	"mothcleat/decide"
+	"mothcleat/internal/door"
+	"mothcleat/internal/figures"
 	"mothcleat/internal/forwardauth"
+	"mothcleat/lifecycle"
 )
 
 // margin is how long before the client stops waiting a request is ended: its
@@ -74,7 +77,10 @@
 	authOn    atomic.Bool       // for those who read commands
 	asking    context.Context   // of the calls that it makes
 	stopAsk   context.CancelFunc
-	drain     drain
+	life      *lifecycle.Process
+	steps     steps
+	tally     *figures.Tally
+	door      *door.Door // nil: no address is given
 	accepting bool
 	done      bool
 }
--- /dev/null
+++ b/internal/gateway/operate.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+
+	"mothcleat/internal/door"
+	"mothcleat/internal/figures"
+)
+
+// openDoor has operators' calls answered, where the configuration gives them an address.
+func (l *Loop) openDoor() (err error) {
+	if l.cfg.Management == "" {
+		return nil
+	}
+	if l.door, err = door.Open(l.cfg.Management, l.call, l.log); err != nil {
+		return fmt.Errorf("management: %w", err)
+	}
+	return nil
+}
+
+// call has the loop answer an operator's call, ahead of all queued work.
+func (l *Loop) call(ctx context.Context, name, _ string) string {
+	e := call{name, make(chan string, 1)}
+	select {
+	case l.urgents <- e:
+	case <-ctx.Done():
+		return "fail busy\n"
+	}
+	select {
+	case answer := <-e.answer:
+		return answer
+	case <-ctx.Done():
+		return "fail busy\n"
+	}
+}
+
+// call is a line from an operator.
+type call struct {
+	name   string
+	answer chan string
+}
+
+func (c call) handle(l *Loop) {
+	answer := "ok\n"
+	switch c.name {
+	case "check":
+		if yes, why := l.life.Serves(); !yes {
+			answer = "fail " + why + "\n"
+		}
+	case "vars":
+		answer = string(append(l.tally.Append(nil, l.figures()), "eof\n"...))
+	case "drain-on":
+		l.log.Info("drain: on", "open", l.open, "connections", len(l.clients.conns))
+		l.life.Drain(l.now())
+		l.step()
+	case "drain-off":
+		l.log.Info("drain: off")
+		l.life.Resume()
+	default:
+		answer = fmt.Sprintf("fail unknown call %.32q; check, vars, drain-on or drain-off\n", c.name)
+	}
+	c.answer <- answer
+}
+
+// figures are those that are read off at the moment.
+func (l *Loop) figures() figures.Now {
+	now := figures.Now{Current: l.open}
+	now.Size, now.Unhealthy = l.module.Servers()
+	return now
+}
+
+// tell counts how a request ended, by what its answer begins with.
+func (r *request) tell(t *figures.Tally, reply []byte) {
+	switch {
+	case !r.known:
+	case len(reply) > 4 && string(reply[:5]) == "-BUSY":
+		t.End(r.class, figures.Deferred)
+	case len(reply) > 0 && reply[0] == '-':
+		t.End(r.class, figures.Errored)
+	default:
+		t.End(r.class, figures.Answered)
+	}
+}
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -66,7 +66,7 @@
 	switch {
 	case v == authz.Deny:
 		l.answer(r, denied)
-	case v == authz.Pass && !l.drain.handed:
+	case v == authz.Pass && l.life.Takes(l.now()):
 		now := l.now()
 		what.Grace = max(0, r.deadline-now)
 		l.module.Request(now, what)
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -29,6 +29,7 @@
 		case <-c.Reload:
 			cfg, err := c.Read()
 			if err != nil {
+				l.tally.Invalid.Add(1)
 				l.log.Error("reload: the old configuration stays", "error", err)
 				continue
 			}
@@ -66,6 +67,7 @@
 	if err := l.setAuth(e.cfg.Auth); err != nil {
 		l.log.Error("reload: asking an authenticator stays as it was", "error", err)
 	}
+	l.tally.Loaded.Add(1)
 	l.survival.every = max(50_000, e.cfg.Survival.Every.Microseconds())
 }
 
@@ -74,6 +76,7 @@
 	for name, changed := range map[string]bool{
 		"name":        c.Name != other.Name,
 		"listen":      c.Listen != other.Listen,
+		"management":  c.Management != other.Management,
 		"peer_listen": c.PeerListen != other.PeerListen,
 		"peers":       !slices.Equal(c.Peers, other.Peers),
 		"limits":      c.MemoryMB != other.MemoryMB || c.Sockets != other.Sockets,
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -18,7 +18,9 @@
 	attempts int // made so far
 	out      int // of those, without an outcome
 	answered bool
-	reply    []byte          // waits in the client's line for its turn
+	reply    []byte // waits in the client's line for its turn
+	known    bool   // it could be read: its class is known
+	class    int
 	name     uint64          // the id that the client gave
 	asks     *decide.Request // it waits for a verdict on whether it may go on; nil: not so
 	backstop *timer
@@ -45,6 +47,7 @@
 		return
 	}
 	r.reply = reply
+	r.tell(l.tally, reply)
 	l.held += len(reply)
 	l.close(r)
 	r.client.flush(l)
--- a/internal/gateway/sender.go
+++ b/internal/gateway/sender.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 )
 
@@ -15,7 +16,9 @@
 	mu   sync.Mutex
 	rest []byte
 	busy bool // a goroutine is writing
-	fin  bool // ends the sending after the rest
+
+	whole *atomic.Int64 // counts what was written whole with it, of what send could not; nil: nobody counts
+	fin   bool          // ends the sending after the rest
 }
 
 func newSender(conn *net.TCPConn) *sender {
@@ -71,6 +74,8 @@
 	if err == nil && n < len(b) {
 		s.rest, s.busy = append(s.rest, b[n:]...), true
 		go s.write()
+	} else if err == nil && s.whole != nil {
+		s.whole.Add(1)
 	}
 	return true // a broken connection is the reader's to find
 }
@@ -89,7 +94,9 @@
 			return
 		}
 		s.mu.Unlock()
-		_, _ = s.conn.Write(b) // as above
+		if _, err := s.conn.Write(b); err == nil && s.whole != nil {
+			s.whole.Add(1)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/steps.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"mothcleat/decide"
+)
+
+// untilReady is how long a start waits for discovery before it serves with the
+// list it was given.
+const untilReady decide.Time = 500_000
+
+// steps carries out what the lifecycle decides.
+type steps struct {
+	shut      bool // no connection is accepted any more
+	abandoned bool
+	at        decide.Time // when it is asked again; 0: nothing is due
+}
+
+// stop begins a planned shutdown.
+type stop struct{}
+
+func (stop) handle(l *Loop) {
+	if l.life.Stopping() {
+		return
+	}
+	l.log.Info("stopping", "open", l.open)
+	l.life.Stop(l.now())
+	l.step()
+	l.step()
+}
+
+// step does what has become due and asks to be called again.
+func (l *Loop) step() {
+	now := l.now()
+	if l.life.Closed(now) && !l.steps.shut {
+		l.steps.shut = true
+		_ = l.clients.listener.Close()
+	}
+	for c := range l.clients.conns {
+		if len(c.line) == 0 && l.life.EndsIdle(now, c.used) {
+			c.end(l)
+		}
+	}
+	if l.life.Abandons(now) && !l.steps.abandoned {
+		// What SIGKILL would find unanswered would be lost.
+		l.steps.abandoned = true
+		l.failAll()
+	}
+	if l.life.Over(now, l.open, len(l.clients.conns)) {
+		l.done = true
+	}
+	if next, ok := l.life.Next(now); ok && (l.steps.at <= now || next < l.steps.at) {
+		l.steps.at = next
+		l.at(next, stepping{})
+	}
+}
+
+type stepping struct{}
+
+func (stepping) due(l *Loop) { l.step() }
+
+// failAll answers all that is still open.
+func (l *Loop) failAll() {
+	now := l.now()
+	for _, r := range l.requests {
+		if !r.answered {
+			l.answer(r, failed)
+			l.module.Gone(now, r.id)
+		}
+	}
+}
--- a/internal/gateway/survive.go
+++ b/internal/gateway/survive.go
@@ -206,16 +206,14 @@
 type handedOver struct{}
 
 func (handedOver) handle(l *Loop) {
-	if l.drain.handed {
+	if l.life.Parted() {
 		return
 	}
-	l.drain.handed = true
+	l.life.Part()
 	l.log.Info("handed over", "open", l.open)
-	_ = l.clients.listener.Close()
 	if l.peers.conn != nil {
 		_ = l.peers.conn.Close() // the notes are for the new one
 	}
 	l.lastState()
 	stop{}.handle(l)
-	drainStep{closing: true}.due(l)
 }
--- a/internal/gateway/survive_test.go
+++ b/internal/gateway/survive_test.go
@@ -210,8 +210,8 @@
 func TestConnectionAcceptedAtTheCloseIsEnded(t *testing.T) {
 	d := newFakeDiscovery(t)
 	l := unstarted(t, d)
+	l.life.Part()
 	stop{}.handle(l)
-	drainStep{closing: true}.due(l)
 	here, there := pipe(t)
 	l.clients.room <- struct{}{}
 	connected{here}.handle(l)
