A newer process takes over state, notes' socket and clients' connections

Design: the processes meet at a Unix socket in TMPDIR. When the newer one could serve it asks; the older one pauses, gives its state and the notes' socket, and waits for the word that they were taken in; only then it parts, and passes each client's connection on between two requests, with what was read of it. A newer process that dies before its word changes nothing.

Ruled out in the tests: that a reader amid a command loses its bytes (a lock decides between reading on and parting); that a kept command's time starts anew (its age travels with it).

--- a/cmd/mothcleat/run.go
+++ b/cmd/mothcleat/run.go
@@ -21,6 +21,7 @@
 	"mothcleat/internal/gateway"
 	"mothcleat/internal/operators"
 	"mothcleat/internal/state"
+	"mothcleat/internal/succession"
 )
 
 // program is one process of the gateway.
@@ -104,6 +105,7 @@
 		return err
 	} else if given != nil {
 		s.Listen = func(string) (net.Listener, error) { return given, nil }
+		s.Meet = succession.Path(os.TempDir(), cfg.Name)
 		if p.settings.HandOver.On {
 			p.log.Warn("hand-over: the platform holds the clients' socket, and replaces processes itself; handover.on is passed over")
 		}
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -46,6 +46,7 @@
 	room     chan struct{} // a place for each connection that may be open
 	most     int           // connections that are served; those beyond are refused
 	conns    map[*client]bool
+	goOn     chan struct{} // has accepting go on after a pause; closed: it is over
 }
 
 // client is one connection from the front.
@@ -65,6 +66,7 @@
 
 	credential *forwardauth.Credential // of the last AUTH
 	used       decide.Time             // when it last sent a command, or was opened
+	share      share                   // what its passing on to a newer process needs
 }
 
 // accept posts new connections. Over its share it waits: the rest stays in the
@@ -76,6 +78,13 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) { // paused
+			<-cs.room
+			if _, ok := <-cs.goOn; !ok {
+				return
+			}
+			continue
+		}
 		if err != nil { // such as a shortage of descriptors: the next may do better
 			<-cs.room
 			l.log.Warn("accept", "error", err)
@@ -95,6 +104,11 @@
 		used: now,
 	}
 	cs.conns[c] = true
+	if l.heirs.passes() {
+		c.share.parted = true // it was not read from
+		l.pass(c)
+		return
+	}
 	if l.life.Closed(now) {
 		// It was accepted just before the end: what it sends is not taken.
 		go c.read(l)
@@ -152,12 +166,21 @@
 // but where a line is full, so a close is seen while requests are out. A client
 // that says nothing, or begins a command and does not end it, is cut off.
 func (c *client) read(l *Loop) {
-	in := resp.NewReader(c.conn)
-	first := time.Now().Add(firstWithin)
-	_ = c.conn.SetReadDeadline(first)
-	for spoken := false; ; {
+	in := resp.NewReader(c.source())
+	spoken := c.asked > 0 // it came from the process before
+	if !spoken {
+		c.share.until(c.conn, time.Now().Add(firstWithin))
+	}
+	for {
 		e := taken{client: c}
 		err := in.Await()
+		if !c.share.begin() {
+			if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+				l.post(partedFrom{c, in.Rest()})
+				return
+			}
+			break
+		}
 		if err != nil {
 			break
 		}
@@ -171,9 +194,7 @@
 		if !e.bad {
 			spoken = true
 		}
-		if spoken {
-			_ = c.conn.SetReadDeadline(time.Time{})
-		}
+		c.share.end(c.conn, spoken)
 		select {
 		case c.room <- struct{}{}:
 		case <-c.done:
@@ -202,13 +223,14 @@
 	client *client
 	at     decide.Time
 	cmd    command
-	size   int    // bytes that it holds
-	reply  []byte // at once, without the module
-	ping   bool   // it asks whether requests may be sent here
-	bad    bool   // it was no good command
-	last   bool   // the connection's framing is lost
-	left   bool   // the client has gone
-	full   bool   // there is no room to keep it
+	raw    [][]byte // as it came
+	size   int      // bytes that it holds
+	reply  []byte   // at once, without the module
+	ping   bool     // it asks whether requests may be sent here
+	bad    bool     // it was no good command
+	last   bool     // the connection's framing is lost
+	left   bool     // the client has gone
+	full   bool     // there is no room to keep it
 
 	credential *forwardauth.Credential // what the client gave of itself, for what follows
 }
@@ -216,7 +238,7 @@
 // take reads one command.
 func (e *taken) take(l *Loop, in *resp.Reader) {
 	args, err := in.ReadCommand()
-	e.at = l.clock.now()
+	e.at = e.client.share.came(l.clock.now())
 	switch {
 	case errors.Is(err, resp.ErrTooLarge):
 		e.reply, e.bad = refusal(err), true
@@ -227,12 +249,13 @@
 	case err != nil:
 		e.left = true
 	default:
+		e.raw = args
 		e.read(&l.cfg, args, l.authOn.Load())
 		e.size = size(e.cmd.args)
 		if l.coming.Add(int64(e.size)) > int64(l.cfg.MemoryMB)<<20/8 {
 			// What waits for the loop counts too: it must not grow with what comes.
 			l.coming.Add(-int64(e.size))
-			e.cmd.args, e.size, e.full = nil, 0, true
+			e.cmd.args, e.raw, e.size, e.full = nil, nil, 0, true
 		}
 	}
 }
@@ -257,12 +280,21 @@
 }
 
 func (e taken) handle(l *Loop) {
-	c, now := e.client, l.now()
+	c := e.client
 	l.coming.Add(-int64(e.size))
 	if c.gone || c.ended || c.barred.Load() {
 		<-c.room
 		return // it crossed the end of the connection: the client sends it again
 	}
+	if l.keeps(e) {
+		return
+	}
+	l.takeIn(e)
+}
+
+// takeIn takes in a command.
+func (l *Loop) takeIn(e taken) {
+	c, now := e.client, l.now()
 	r := &request{client: c, args: e.cmd.args, wait: e.cmd.wait, name: e.cmd.name}
 	c.line, c.used = append(c.line, r), now
 	if e.credential != nil {
@@ -365,6 +397,7 @@
 		c.ending = true
 		c.finish(l)
 	}
+	l.pass(c)
 }
 
 // pong answers those who choose among gateways.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,7 @@
 		l.door.Close()
 	}
 	_ = l.clients.listener.Close()
+	l.heirs.end()
 	if l.peers.conn != nil {
 		_ = l.peers.conn.Close()
 	}
@@ -57,6 +58,7 @@
 		life: lifecycle.New(lifecycle.Defaults()), tally: figures.New(cfg.Host.Classes),
 	}
 	l.timer.Stop()
+	l.askBefore()
 	source := registry.Source(registry.NewPlatform(cfg.Discovery, cfg.Settings.AskMembers, log))
 	if cfg.Register != nil {
 		var err error
@@ -73,14 +75,19 @@
 	share := (cfg.Sockets - otherFiles/2) * 2 / 5
 	l.backends = newBackends(&cfg, share)
 	l.clients = &clients{
-		most: share, room: make(chan struct{}, share+max(4, share/4)), conns: map[*client]bool{},
+		most: share, room: make(chan struct{}, share+max(4, share/4)), conns: map[*client]bool{}, goOn: make(chan struct{}, 1),
 	}
 	var err error
 	if l.module, err = decide.New(cfg.Settings, cfg.Seed, l); err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
 	l.recordRefusals(cfg.Refusals)
-	if l.peers, err = newPeers(&cfg, log); err != nil {
+	if l.heirs.before == nil {
+		l.peers, err = newPeers(&cfg, log)
+	} else {
+		l.peers = peersWithout(&cfg, log)
+	}
+	if err != nil {
 		return nil, err
 	}
 	listen := cfg.Survival.Listen
@@ -97,7 +104,7 @@
 		return nil, err
 	}
 	l.tally.Loaded.Add(1)
-	if cfg.Survival.Keeper != nil && !cfg.Survival.Successor {
+	if cfg.Survival.Keeper != nil && !l.survival.Successor {
 		l.restore()
 	}
 	return l, nil
@@ -129,7 +136,7 @@
 func (sweep) due(l *Loop) {
 	l.clients.sweep(l)
 	l.backends.sweep(l)
-	if l.life.Draining() || l.life.Stopping() {
+	if l.life.Draining() || l.life.Stopping() || l.heirs.passes() {
 		l.step() // connections end one by one
 	}
 	l.refusals.flush(l)
@@ -142,11 +149,14 @@
 		return
 	}
 	l.accepting = true
-	if l.survival.Ready == nil {
+	switch {
+	case l.heirs.before != nil:
+		go l.inherit()
+	case l.survival.Ready != nil:
+		go l.takeOver()
+	default:
 		l.serveClients()
-		return
 	}
-	go l.takeOver()
 }
 
 // serveClients has clients and notes taken in from now on.
@@ -154,6 +164,7 @@
 	l.log.Info("ready", "listen", l.clients.listener.Addr().String(), "backends", len(l.backends.byNumber))
 	l.life.Ready()
 	go l.clients.accept(l)
+	l.meet()
 }
 
 // readyAnyway ends the wait for discovery, which may be down for long.
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -79,6 +79,7 @@
 	stopAsk   context.CancelFunc
 	life      *lifecycle.Process
 	steps     steps
+	heirs     heirs
 	tally     *figures.Tally
 	door      *door.Door // nil: no address is given
 	accepting bool
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"os"
 )
 
 const noteMost = 256 // bytes in a datagram between gateways
@@ -18,8 +19,13 @@
 	log   *slog.Logger
 }
 
+// peersWithout is without a socket, so far.
+func peersWithout(cfg *Config, log *slog.Logger) *peers {
+	return &peers{addrs: cfg.Peers, self: cfg.Settings.Self, log: log}
+}
+
 func newPeers(cfg *Config, log *slog.Logger) (*peers, error) {
-	p := &peers{addrs: cfg.Peers, self: cfg.Settings.Self, log: log}
+	p := peersWithout(cfg, log)
 	if !cfg.Settings.Peers {
 		return p, nil
 	}
@@ -62,10 +68,10 @@
 	for i, a := range p.addrs {
 		number[a] = i
 	}
-	buf := make([]byte, noteMost+1)
+	buf, conn := make([]byte, noteMost+1), p.conn
 	for {
-		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
-		if errors.Is(err, net.ErrClosed) {
+		n, from, err := conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) { // closed, or paused
 			return
 		}
 		peer, ok := number[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
--- a/internal/gateway/permit_test.go
+++ b/internal/gateway/permit_test.go
@@ -274,7 +274,7 @@
 		"deadline": func(l *Loop, r *request) { backstop{r}.due(l) },
 		"drain":    func(l *Loop, _ *request) { l.failAll() },
 		"handed": func(l *Loop, _ *request) {
-			l.life.Part() // what comes now is told to come again
+			l.life.Part(false) // what comes now is told to come again
 		},
 	} {
 		for _, first := range []bool{true, false} {
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -34,8 +34,10 @@
 	if l.life.Closed(now) && !l.steps.shut {
 		l.steps.shut = true
 		_ = l.clients.listener.Close()
+		close(l.clients.goOn)
 	}
 	for c := range l.clients.conns {
+		l.pass(c) // one that takes its answers slowly was not idle before
 		if len(c.line) == 0 && l.life.EndsIdle(now, c.used) {
 			c.end(l)
 		}
--- /dev/null
+++ b/internal/gateway/succeed_test.go
@@ -0,0 +1,225 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"mothcleat/internal/resp"
+	"mothcleat/internal/succession"
+)
+
+// held is a clients' socket as a platform holds it for the processes of one gateway.
+type held struct {
+	file *os.File
+	meet string
+}
+
+func hold(t testing.TB) *held {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	t.Cleanup(func() { f.Close() })
+	return &held{f, filepath.Join(t.TempDir(), "meet")}
+}
+
+// process starts a process of the gateway.
+func (h *held) process(t testing.TB, d *fakeDiscovery) *rig {
+	t.Helper()
+	cfg := configure(t, d, func(f map[string]any) {
+		f["management"] = "127.0.0.1:0"
+		f["settings"] = json.RawMessage(strings.Replace(settingsText, `"second-copies":true`, `"second-copies":false`, 1))
+	})
+	cfg.Survival.Meet = h.meet
+	cfg.Survival.Listen = func(string) (net.Listener, error) { return net.FileListener(h.file) }
+	r := begin(t, cfg)
+	h.ready(t, r)
+	return r
+}
+
+// ready waits until a process says that it can serve.
+func (h *held) ready(t testing.TB, r *rig) {
+	t.Helper()
+	for end := time.Now().Add(patience); operator(t, r, "check") != "ok\n"; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the process does not get ready")
+		}
+	}
+}
+
+// nextOf waits for a command with an id: copies of others may come between.
+func (b *fakeBackend) nextOf(t testing.TB, id int) *backendCall {
+	t.Helper()
+	for {
+		if call := b.next(t); string(call.args[2]) == fmt.Sprintf("%016x", id) {
+			return call
+		}
+	}
+}
+
+// once sends a request that must not run twice: no copy of it follows.
+func (c *testClient) once(id int) {
+	c.t.Helper()
+	c.send("API.WRITE", "0000000000000007", fmt.Sprintf("%016x", id), "c=once,t=team,d=60000,units=1,spread=1,first=0", "x")
+}
+
+const tinyFields = "c=lookup,t=tiny,d=60000,units=1,spread=1,first=0"
+
+// A newer process takes the place of one that serves: no connection ends, what was open
+// is answered by the old one, what stood behind it and half a command by the new one, which
+// knows what was taken.
+func TestANewerProcessTakesOver(t *testing.T) {
+	b := newBackend(t)
+	d := newFakeDiscovery(t, b.entry("s-1", "Ready"))
+	h := hold(t)
+	old := h.process(t, d)
+	idle, busy, half, empty := old.client(t), old.client(t), old.client(t), old.client(t)
+	idle.send("PING")
+	idle.want("+PONG")
+	empty.send("API.READ", "0000000000000009", "0000000000000002", tinyFields)
+	b.next(t).serve(t, "tiny")
+	empty.value("tiny")
+	busy.once(1)
+	open := b.next(t)
+	busy.once(2) // behind the open one
+	behind := b.next(t)
+	command := string(resp.AppendBulk(resp.AppendBulk(resp.AppendBulk(resp.AppendBulk(resp.AppendArray(nil, 4), []byte("API.READ")),
+		[]byte("0000000000000007")), []byte("0000000000000011")), []byte("c=lookup,t=team,d=60000,units=1,spread=1,first=0")))
+	half.raw(command[:40])
+
+	next := h.process(t, d)
+	if got := operator(t, old, "check"); got != "fail handed over\n" {
+		t.Errorf("check of the old process: %q", got)
+	}
+	idle.send("PING")
+	idle.want("+PONG")
+	half.raw(command[40:])
+	b.nextOf(t, 0x11).serve(t, "half")
+	half.value("half")
+	empty.send("API.READ", "0000000000000009", "0000000000000012", tinyFields)
+	if line := empty.line(); !strings.HasPrefix(line, "-BUSY") {
+		t.Errorf("answer %q: the newer process does not know what was taken", line)
+	}
+	busy.lookup(6, "60000")
+	behind.serve(t, "behind")
+	open.serve(t, "open")
+	busy.value("open")
+	busy.value("behind")
+	b.nextOf(t, 6).serve(t, "six")
+	busy.value("six")
+	figures := vars(t, next)
+	if figures["answered.lookup"] != 2 || figures["deferred.lookup"] != 1 || figures["passed_in"] < 4 {
+		t.Errorf("figures of the newer process: %v", figures)
+	}
+	if figures := vars(t, old); figures["answered.once"] != 2 || figures["current"] != 0 {
+		t.Errorf("figures of the old process: %v", figures)
+	}
+	old.stop()
+	wait(t, old.ended, "the end of the old process")
+	idle.send("PING")
+	idle.want("+PONG")
+}
+
+// A chain of processes, each replacing the one before under requests: every request of every
+// client gets its one answer.
+func TestAChainOfProcessesAnswersAll(t *testing.T) {
+	b := newBackend(t)
+	d := newFakeDiscovery(t, b.entry("s-1", "Ready"))
+	h := hold(t)
+	now := h.process(t, d)
+	go func() {
+		for call := range b.got {
+			call.serve(t, string(call.args[2]))
+		}
+	}()
+	stop := make(chan struct{})
+	done := make(chan error, 6)
+	for n := range cap(done) {
+		c := now.client(t)
+		go func() {
+			for i := 1; ; i++ {
+				select {
+				case <-stop:
+					done <- nil
+					return
+				default:
+				}
+				for k := range 1 + n%3 { // some of them in pipelines
+					c.lookup(n<<20|i<<4|k, "60000")
+				}
+				for k := range 1 + n%3 {
+					id := fmt.Sprintf("%016x", n<<20|i<<4|k)
+					head, value := c.line(), ""
+					if strings.HasPrefix(head, "-BUSY") {
+						continue // an answer like others: the quota is one for all processes
+					}
+					if value = c.line(); head != "$16" || value != id {
+						done <- fmt.Errorf("client %d: answer %q %q to %s", n, head, value, id)
+						return
+					}
+				}
+			}
+		}()
+	}
+	for range 4 {
+		next := h.process(t, d)
+		now.stop()
+		wait(t, now.ended, "the end of a process that was replaced")
+		now = next
+	}
+	close(stop)
+	for range cap(done) {
+		if err := wait(t, done, "a client"); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// A newer process that dies before it has taken over leaves the old one serving, with what
+// came meanwhile.
+func TestANewerProcessThatDiesChangesNothing(t *testing.T) {
+	b := newBackend(t)
+	d := newFakeDiscovery(t, b.entry("s-1", "Ready"))
+	h := hold(t)
+	old := h.process(t, d)
+	c := old.client(t)
+	c.send("PING")
+	c.want("+PONG")
+	for round := range 3 {
+		before, err := succession.Ask(h.meet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := before.Take(); err != nil {
+			t.Fatal(err)
+		}
+		c.lookup(round+1, "60000") // while nobody knows who is to take it
+		before.Close()
+		b.next(t).serve(t, "kept")
+		c.value("kept")
+	}
+	other := old.client(t)
+	other.send("PING")
+	other.want("+PONG")
+	next := h.process(t, d) // and one that lives takes over all the same
+	other.send("PING")
+	other.want("+PONG")
+	c.lookup(9, "60000")
+	b.next(t).serve(t, "next")
+	c.value("next")
+	if n := vars(t, next)["answered.lookup"]; n != 1 {
+		t.Errorf("the newer process answered %d requests, want 1", n)
+	}
+}
--- a/internal/gateway/survive.go
+++ b/internal/gateway/survive.go
@@ -33,6 +33,10 @@
 	// when Ready is called, and then stores its last state.
 	Successor bool
 	Ready     func() error // nil: nobody waits for it
+
+	// Meet is where a process finds the one before it, and is found by the one after; "":
+	// it looks for none. docs/fleet.md tells more.
+	Meet string
 }
 
 // lastStateWithin is how long a successor waits for the last state of the process
@@ -209,7 +213,7 @@
 	if l.life.Parted() {
 		return
 	}
-	l.life.Part()
+	l.life.Part(false)
 	l.log.Info("handed over", "open", l.open)
 	if l.peers.conn != nil {
 		_ = l.peers.conn.Close() // the notes are for the new one
--- a/internal/gateway/survive_test.go
+++ b/internal/gateway/survive_test.go
@@ -210,7 +210,7 @@
 func TestConnectionAcceptedAtTheCloseIsEnded(t *testing.T) {
 	d := newFakeDiscovery(t)
 	l := unstarted(t, d)
-	l.life.Part()
+	l.life.Part(false)
 	stop{}.handle(l)
 	here, there := pipe(t)
 	l.clients.room <- struct{}{}
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -178,6 +178,12 @@
 // Buffered is how many bytes were read that belong to no message yet.
 func (r *Reader) Buffered() int { return r.in.Buffered() }
 
+// Rest is a copy of the bytes that were read and belong to no message yet.
+func (r *Reader) Rest() []byte {
+	b, _ := r.in.Peek(r.in.Buffered())
+	return bytes.Clone(b)
+}
+
 // Reply is what came back for a command.
 type Reply struct {
 	Kind  byte   // '+', '-', ':', '$' or '*'
--- /dev/null
+++ b/internal/succession/succession.go
@@ -0,0 +1,353 @@
+// Package succession carries what a process leaves to the one that takes its place: what
+// it knows, its socket for notes, and its clients' connections, over a Unix socket in a
+// folder that both see.
+//
+// A process that starts calls Ask. Where one serves already, it waits until it could
+// serve itself, and calls Take. The one before pauses, gives its estate, and waits for the
+// word that it was taken in. From that word on it takes nothing more, and passes its clients'
+// connections on one by one, as they come to stand between two requests. If the word does
+// not come it serves on as if nothing had been.
+//
+// The socket carries messages of a kind byte and a body: 'T' take, 'S' a piece of the
+// state, 'E' its end with the socket for notes if there is one, 'K' taken in, 'C' a client's
+// connection with a head as JSON, 'M' more of what was read from it. Descriptors
+// travel with 'E' and 'C'.
+package succession
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	piece     = 32 << 10 // bytes of a message at most
+	stateMost = 64 << 20 // bytes of a state that is taken in
+	restMost  = 24 << 20 // bytes read from one connection that are taken in
+	stepTime  = 2 * time.Second
+)
+
+// ErrNone tells that no process serves before this one.
+var ErrNone = errors.New("succession: no process before this one")
+
+// Path is where the processes of a gateway meet in a folder.
+func Path(folder, name string) string {
+	return filepath.Join(folder, fmt.Sprintf("mothcleat-%x.sock", name))
+}
+
+// Estate is what a process knows and holds once for all its clients.
+type Estate struct {
+	State []byte
+	Notes *net.UDPConn // nil: there is none
+}
+
+// Client is a client's connection between two requests, or with some behind it that were
+// read and not taken.
+type Client struct {
+	Conn *net.TCPConn
+	Head Head
+	Rest []byte // what was read from it and belongs to no request yet taken
+}
+
+// Head tells of a connection what its next holder can't see.
+type Head struct {
+	Asked  int   `json:"asked"`            // well-formed commands it has brought
+	Kept   int   `json:"kept,omitempty"`   // commands that are whole in Rest,
+	AgeUS  int64 `json:"age_us,omitempty"` // and how long ago the first of them came
+	Length int   `json:"length,omitempty"` // of Rest
+
+	User   string `json:"user,omitempty"` // of the last AUTH
+	Secret string `json:"secret,omitempty"`
+	Named  bool   `json:"named,omitempty"`
+	Known  bool   `json:"known,omitempty"` // there was one
+}
+
+// link is one side of the socket.
+type link struct {
+	conn *net.UnixConn
+	buf  []byte
+}
+
+// write sends a message, with a descriptor if carry is not nil.
+func (l *link) write(kind byte, body []byte, carry syscall.Conn) error {
+	_ = l.conn.SetWriteDeadline(time.Now().Add(stepTime))
+	message := append([]byte{kind}, body...)
+	if carry == nil {
+		_, err := l.conn.Write(message)
+		return err
+	}
+	raw, err := carry.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var sent error
+	if err := raw.Control(func(fd uintptr) {
+		_, _, sent = l.conn.WriteMsgUnix(message, syscall.UnixRights(int(fd)), nil)
+	}); err != nil {
+		return err
+	}
+	return sent
+}
+
+// read gets a message. The descriptor with it, if any, is the caller's; the body
+// is valid until the next read.
+func (l *link) read() (kind byte, body []byte, carried *os.File, err error) {
+	if l.buf == nil {
+		l.buf = make([]byte, piece+1)
+	}
+	oob := make([]byte, syscall.CmsgSpace(4*4))
+	n, oobn, _, _, err := l.conn.ReadMsgUnix(l.buf, oob)
+	if err != nil {
+		return 0, nil, nil, err
+	}
+	if n == 0 {
+		return 0, nil, nil, io.EOF
+	}
+	if oobn > 0 {
+		messages, err := syscall.ParseSocketControlMessage(oob[:oobn])
+		if err != nil {
+			return 0, nil, nil, err
+		}
+		for _, m := range messages {
+			fds, err := syscall.ParseUnixRights(&m)
+			if err != nil {
+				continue
+			}
+			for _, fd := range fds {
+				syscall.CloseOnExec(fd)
+				if carried != nil {
+					_ = syscall.Close(fd)
+					continue
+				}
+				carried = os.NewFile(uintptr(fd), "carried")
+			}
+		}
+	}
+	return l.buf[0], l.buf[1:n], carried, nil
+}
+
+// Before is the process that serves before this one. Its methods belong to one goroutine.
+type Before struct{ link }
+
+// Ask looks for the process before. ErrNone: there is none, or none that answers.
+func Ask(path string) (*Before, error) {
+	conn, err := net.DialUnix("unixpacket", nil, &net.UnixAddr{Name: path, Net: "unixpacket"})
+	if err != nil {
+		return nil, ErrNone
+	}
+	return &Before{link{conn: conn}}, nil
+}
+
+// Take tells the process before that this one could serve, and gets what it leaves.
+// Until Accepted it goes on if this process ends.
+func (b *Before) Take() (Estate, error) {
+	var e Estate
+	if err := b.write('T', nil, nil); err != nil {
+		return e, fmt.Errorf("succession: %w", err)
+	}
+	_ = b.conn.SetReadDeadline(time.Now().Add(stepTime))
+	for {
+		kind, body, carried, err := b.read()
+		switch {
+		case err != nil:
+			return e, fmt.Errorf("succession: %w", err)
+		case kind == 'S' && len(e.State)+len(body) <= stateMost:
+			e.State = append(e.State, body...)
+		case kind == 'E':
+			if carried == nil {
+				return e, nil
+			}
+			defer carried.Close()
+			conn, err := net.FilePacketConn(carried)
+			if err != nil {
+				return e, fmt.Errorf("succession: the socket for notes: %w", err)
+			}
+			notes, ok := conn.(*net.UDPConn)
+			if !ok {
+				_ = conn.Close()
+				return e, errors.New("succession: the socket for notes is of another kind")
+			}
+			e.Notes = notes
+			return e, nil
+		default:
+			return e, fmt.Errorf("succession: a message %q amid the state", kind)
+		}
+	}
+}
+
+// Accepted gives the word that the estate was taken in.
+func (b *Before) Accepted() error { return b.write('K', nil, nil) }
+
+// Clients calls f for each connection that the process before passes on, until it has
+// passed all, or has ended. What can't be used is closed.
+func (b *Before) Clients(f func(Client)) error {
+	defer b.conn.Close()
+	_ = b.conn.SetReadDeadline(time.Time{})
+	for {
+		c, err := b.client()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("succession: %w", err)
+		}
+		if c.Conn != nil {
+			f(c)
+		}
+	}
+}
+
+func (b *Before) client() (c Client, err error) {
+	kind, body, carried, err := b.read()
+	if err != nil {
+		return c, err
+	}
+	if kind != 'C' || carried == nil {
+		return c, fmt.Errorf("a message %q where a connection was due", kind)
+	}
+	defer carried.Close()
+	if err := json.Unmarshal(body, &c.Head); err != nil {
+		return c, err
+	}
+	if c.Head.Length < 0 || c.Head.Length > restMost || c.Head.Kept < 0 {
+		return c, fmt.Errorf("%d bytes that were read", c.Head.Length)
+	}
+	for len(c.Rest) < c.Head.Length {
+		kind, more, _, err := b.read()
+		if err != nil {
+			return c, err
+		}
+		if kind != 'M' || len(c.Rest)+len(more) > c.Head.Length {
+			return c, fmt.Errorf("a message %q amid what was read", kind)
+		}
+		c.Rest = append(c.Rest, more...)
+	}
+	conn, err := net.FileConn(carried)
+	if err != nil {
+		return c, nil // it broke on the way: its other side knows
+	}
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		_ = conn.Close()
+		return c, errors.New("a connection of another kind")
+	}
+	c.Conn = tcp
+	return c, nil
+}
+
+// Close gives up: the process before serves on if Accepted was not called.
+func (b *Before) Close() { _ = b.conn.Close() }
+
+// Line is where processes that come after this one ask.
+type Line struct{ listener *net.UnixListener }
+
+// Listen has newer processes find this one at a path from now on, whoever was found
+// there before.
+func Listen(path string) (*Line, error) {
+	next := fmt.Sprintf("%s.%d", path, os.Getpid())
+	_ = os.Remove(next)
+	l, err := net.ListenUnix("unixpacket", &net.UnixAddr{Name: next, Net: "unixpacket"})
+	if err != nil {
+		return nil, fmt.Errorf("succession: %w", err)
+	}
+	l.SetUnlinkOnClose(false) // by then a newer process may be found there
+	if err := os.Rename(next, path); err != nil {
+		_ = l.Close()
+		_ = os.Remove(next)
+		return nil, fmt.Errorf("succession: %w", err)
+	}
+	return &Line{l}, nil
+}
+
+// Close has nobody find this process any more.
+func (l *Line) Close() { _ = l.listener.Close() }
+
+// Serve calls take for each newer process that could serve, from a goroutine of its
+// own, until Close.
+func (l *Line) Serve(take func(*After)) {
+	for {
+		conn, err := l.listener.AcceptUnix()
+		if err != nil {
+			return
+		}
+		go func() {
+			a := &After{link: link{conn: conn}}
+			kind, _, carried, err := a.read()
+			if carried != nil {
+				_ = carried.Close()
+			}
+			if err != nil || kind != 'T' {
+				_ = conn.Close()
+				return
+			}
+			take(a)
+		}()
+	}
+}
+
+// After is the process that takes this one's place.
+type After struct {
+	link
+	once sync.Once
+}
+
+// Give gives the estate, and waits for the word that it was taken in. After an error the
+// newer process has not taken over, and has been cut off.
+func (a *After) Give(e Estate) (err error) {
+	defer func() {
+		if err != nil {
+			a.Close()
+			err = fmt.Errorf("succession: %w", err)
+		}
+	}()
+	for state := e.State; len(state) > 0; {
+		n := min(len(state), piece)
+		if err := a.write('S', state[:n], nil); err != nil {
+			return err
+		}
+		state = state[n:]
+	}
+	var carry syscall.Conn
+	if e.Notes != nil {
+		carry = e.Notes
+	}
+	if err := a.write('E', nil, carry); err != nil {
+		return err
+	}
+	_ = a.conn.SetReadDeadline(time.Now().Add(stepTime))
+	kind, _, _, err := a.read()
+	if err == nil && kind != 'K' {
+		err = fmt.Errorf("a message %q where the word was due", kind)
+	}
+	return err
+}
+
+// Pass passes a connection on. It stays open here, too, until the caller closes it.
+func (a *After) Pass(c Client) error {
+	c.Head.Length = len(c.Rest)
+	head, err := json.Marshal(c.Head)
+	if err != nil {
+		return fmt.Errorf("succession: %w", err)
+	}
+	if err := a.write('C', head, c.Conn); err != nil {
+		return fmt.Errorf("succession: %w", err)
+	}
+	for rest := c.Rest; len(rest) > 0; {
+		n := min(len(rest), piece)
+		if err := a.write('M', rest[:n], nil); err != nil {
+			return fmt.Errorf("succession: %w", err)
+		}
+		rest = rest[n:]
+	}
+	return nil
+}
+
+// Close ends the succession: nothing more is passed on.
+func (a *After) Close() { a.once.Do(func() { _ = a.conn.Close() }) }
--- /dev/null
+++ b/internal/succession/succession_test.go
@@ -0,0 +1,197 @@
+package succession
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const patience = 30 * time.Second
+
+// meet is a process before and one after, which has asked and called Take.
+func meet(t *testing.T, give func(*After)) *Before {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "s")
+	line, err := Listen(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(line.Close)
+	go line.Serve(give)
+	b, err := Ask(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	return b
+}
+
+// connections are a pair of ends.
+func connections(t *testing.T) (*net.TCPConn, net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	there, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	here, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { here.Close(); there.Close() })
+	_ = there.SetDeadline(time.Now().Add(patience))
+	return here.(*net.TCPConn), there
+}
+
+func TestEstateAndConnections(t *testing.T) {
+	for seed := range uint64(8) {
+		r := rand.New(rand.NewPCG(seed, 3))
+		state := make([]byte, r.IntN(5*piece))
+		rests := make([][]byte, 20)
+		for i := range state {
+			state[i] = byte(r.Uint32())
+		}
+		notes, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer notes.Close()
+		var theirs []net.Conn
+		var mine []*net.TCPConn
+		for i := range rests {
+			rests[i] = bytes.Repeat([]byte{byte(i + 1)}, r.IntN(3)*r.IntN(3*piece))
+			here, there := connections(t)
+			mine, theirs = append(mine, here), append(theirs, there)
+		}
+		b := meet(t, func(a *After) {
+			if err := a.Give(Estate{State: state, Notes: notes}); err != nil {
+				t.Error(err)
+				return
+			}
+			for i, c := range mine {
+				if err := a.Pass(Client{Conn: c, Head: Head{Asked: i, User: "u", Known: true}, Rest: rests[i]}); err != nil {
+					t.Error(err)
+				}
+				c.Close()
+			}
+			a.Close()
+		})
+		e, err := b.Take()
+		if err != nil || !bytes.Equal(e.State, state) || e.Notes.LocalAddr().String() != notes.LocalAddr().String() {
+			t.Fatalf("seed %d: state of %d bytes for %d, notes %v, %v", seed, len(e.State), len(state), e.Notes, err)
+		}
+		if err := b.Accepted(); err != nil {
+			t.Fatal(err)
+		}
+		n := 0
+		if err := b.Clients(func(c Client) {
+			if c.Head.Asked != n || !bytes.Equal(c.Rest, rests[n]) || c.Head.User != "u" {
+				t.Errorf("seed %d: connection %d: head %+v, %d bytes, %d wanted", seed, n, c.Head, len(c.Rest), len(rests[n]))
+			}
+			if _, err := c.Conn.Write([]byte{byte(n)}); err != nil {
+				t.Error(err)
+			}
+			c.Conn.Close()
+			got, err := io.ReadAll(theirs[n])
+			if err != nil || len(got) != 1 || got[0] != byte(n) {
+				t.Errorf("seed %d: connection %d carried %v, %v", seed, n, got, err)
+			}
+			n++
+		}); err != nil {
+			t.Fatal(err)
+		}
+		if n != len(rests) {
+			t.Fatalf("seed %d: %d connections of %d", seed, n, len(rests))
+		}
+		e.Notes.Close()
+	}
+}
+
+// TestNoWordNoSuccession has the newer process end before, or say something else than, its
+// word: the one before must learn that it serves on.
+func TestNoWordNoSuccession(t *testing.T) {
+	for name, end := range map[string]func(*Before){
+		"dies":     func(b *Before) { b.Close() },
+		"nonsense": func(b *Before) { _ = b.write('Z', nil, nil) },
+	} {
+		given := make(chan error, 1)
+		b := meet(t, func(a *After) { given <- a.Give(Estate{State: []byte("x")}) })
+		if _, err := b.Take(); err != nil {
+			t.Fatal(name, err)
+		}
+		end(b)
+		select {
+		case err := <-given:
+			if err == nil {
+				t.Errorf("%s: taken for a succession", name)
+			}
+		case <-time.After(patience):
+			t.Fatal(name, ": the process before waits on")
+		}
+	}
+}
+
+// TestNobodyBefore asks where nobody is, where somebody was, and where two were.
+func TestNobodyBefore(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s")
+	if _, err := Ask(path); !errors.Is(err, ErrNone) {
+		t.Errorf("an empty folder: %v", err)
+	}
+	first, err := Listen(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := Listen(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first.Close() // the older one ends later: the newer one must still be found
+	b, err := Ask(path)
+	if err != nil {
+		t.Fatal("the second process is not found: ", err)
+	}
+	b.Close()
+	second.Close()
+	if _, err := Ask(path); !errors.Is(err, ErrNone) {
+		t.Errorf("a path left by a dead process: %v", err)
+	}
+}
+
+// TestForeignMessages feeds a newer process what no process of this program says.
+func TestForeignMessages(t *testing.T) {
+	_, there := connections(t)
+	for name, talk := range map[string]func(*After){
+		"a kind amid the state": func(a *After) { _ = a.write('C', []byte("{}"), nil) },
+		"an end at once":        func(a *After) { a.Close() },
+		"another descriptor":    func(a *After) { _ = a.write('E', nil, there.(syscall.Conn)) },
+	} {
+		b := meet(t, talk)
+		if e, err := b.Take(); err == nil {
+			t.Errorf("%s: taken for an estate %+v", name, e)
+		}
+	}
+	for name, head := range map[string]string{"no JSON": "{", "too long": `{"length":99999999}`, "negative": `{"length":-1}`} {
+		here, _ := connections(t)
+		b := meet(t, func(a *After) {
+			_ = a.write('E', nil, nil)
+			_ = a.write('C', []byte(head), here)
+			a.Close()
+		})
+		if _, err := b.Take(); err != nil {
+			t.Fatal(name, err)
+		}
+		if err := b.Clients(func(c Client) { t.Errorf("%s: a connection %+v", name, c.Head) }); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -47,7 +47,9 @@
 	stopping bool
 	stopAt   Time
 
+	paused bool // a newer process is being given all
 	parted bool
+	passes bool // and its connections are passed on
 
 	emptied bool // was without work at a time after it closed
 	emptyAt Time
@@ -76,9 +78,16 @@
 	}
 }
 
-// Part takes note that a newer process takes all that is new from now on. There is no
-// way back.
-func (p *Process) Part() { p.parted = true }
+// Pause has nothing more decided on until Part or Unpause: a newer process is being given
+// all that this one knows.
+func (p *Process) Pause() { p.paused = true }
+
+// Unpause takes note that the newer process did not take over.
+func (p *Process) Unpause() { p.paused = false }
+
+// Part takes note that a newer process takes all that is new from now on, and whether
+// connections are passed on to it. There is no way back.
+func (p *Process) Part(passes bool) { p.paused, p.parted, p.passes = false, true, passes }
 
 // Parted tells whether a newer process has taken over.
 func (p *Process) Parted() bool { return p.parted }
@@ -112,19 +121,25 @@
 // Takes tells whether requests are still decided on here. What comes otherwise is the
 // newer process's, or comes again.
 func (p *Process) Takes(now Time) bool {
-	return !p.parted && !(p.stopping && now-p.stopAt >= p.set.AnswerFor)
+	return !p.paused && !p.parted && !(p.stopping && now-p.stopAt >= p.set.AnswerFor)
+}
+
+// ends tells whether connections end because the process does. Those that are to be passed
+// on have some time for it.
+func (p *Process) ends(now Time) bool {
+	return p.stopping && (now-p.stopAt >= p.set.AcceptFor || p.parted && !p.passes)
 }
 
 // EndsBusy tells whether a connection ends with the answer after which it has no
 // request open.
 func (p *Process) EndsBusy(now Time) bool {
-	return p.stopping && now-p.stopAt >= p.set.AcceptFor || p.draining && now-p.drainAt >= p.set.Settle
+	return p.ends(now) || p.draining && now-p.drainAt >= p.set.Settle
 }
 
 // EndsIdle tells whether a connection without a request, last used or opened at a time,
 // ends now.
 func (p *Process) EndsIdle(now, used Time) bool {
-	if p.stopping && now-p.stopAt >= p.set.AcceptFor {
+	if p.ends(now) {
 		return true
 	}
 	return p.draining && now-p.drainAt >= p.set.IdleAfter && now-used >= p.set.Speak
--- a/lifecycle/lifecycle_test.go
+++ b/lifecycle/lifecycle_test.go
@@ -89,7 +89,7 @@
 				draining = false
 			case 3:
 				if r.IntN(3) == 0 {
-					p.Part()
+					p.Part(r.IntN(2) == 0)
 					parted = true
 				}
 			case 4:
