Values over 64 KiB are passed on as they come

They were taken for answers that can't be read: each failed its attempt and left its sound backend out for errors, and a third of the tries were refused with room in the quota.

Design: the reader of a backend's connection reads up to the value's first byte; the request is decided then, and a goroutine of the client's sender copies the rest through one buffer of 32 KiB, so what is slow holds up its own connection alone. The line of answers waits for it. Not taken: splice (two descriptors a value, of 384), and holding values whole up to a budget (what is over it would have to wait for 2 s or more, which loses it). A value that its backend breaks off ends the client's connection: the client can tell.

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -54,6 +54,9 @@
 	since  decide.Time  // idle since
 	read   atomic.Int64 // bytes that have come
 	used   int64        // those of them that belong to the answers taken in
+	in     *resp.Reader // the receiver's, or of who copies a long value
+	long   *longValue   // that is under way on it; nil: none
+	copied chan error   // how the copying of a long value ended
 }
 
 // Read counts what comes, for the connection's reader.
@@ -212,7 +215,7 @@
 		}
 		return
 	}
-	c := &backendConn{b: b, conn: e.conn, out: newSender(e.conn)}
+	c := &backendConn{b: b, conn: e.conn, out: newSender(e.conn), copied: make(chan error, 1)}
 	if e.address != b.address {
 		bs.close(c)
 		bs.connect(l, b)
@@ -320,12 +323,20 @@
 // can't be told apart any more.
 func (c *backendConn) receive(l *Loop) {
 	in := resp.NewReader(c)
+	c.in = in
 	for {
 		e := replied{c: c}
+		var long resp.Long
 		if e.err = in.Await(); e.err == nil {
 			_ = c.conn.SetReadDeadline(time.Now().Add(wholeWithin))
-			e.reply, e.err = in.ReadReply()
+			e.reply, long, e.err = in.ReadReplyHead()
 			_ = c.conn.SetReadDeadline(time.Time{})
+			if e.err == nil && long.Size > 0 {
+				if !c.receiveLong(l, long) {
+					return
+				}
+				continue
+			}
 			e.spoilt = errors.Is(e.err, resp.ErrProtocol) || errors.Is(e.err, os.ErrDeadlineExceeded)
 		}
 		e.used, e.more = c.read.Load()-int64(in.Buffered()), in.Buffered() > 0
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -25,8 +25,8 @@
 	lingerLost  = 200_000           // after an error that ends the connection,
 	lingerMost  = 10                // and so many times longer while it takes answers slowly
 
-	firstWithin   = 2200 * time.Millisecond // for a connection's first command, whole
-	commandWithin = 2 * time.Second         // for any other, from its first byte
+	firstWithin   = 2800 * time.Millisecond // for a connection's first command, whole
+	commandWithin = 2600 * time.Millisecond // for any other, from its first byte
 	mostErrors    = 5                       // bad commands in a row that a connection may send
 	idleMost      = 8_000_000               // without a request, after which a connection is closed,
 	onceMost      = 3_000_000               // one that has asked only once,
@@ -375,7 +375,7 @@
 func (c *client) flush(l *Loop) {
 	var out []byte
 	n := 0
-	for n < len(c.line) && c.line[n].answered {
+	for n < len(c.line) && c.line[n].answered && c.line[n].long == nil {
 		if out == nil {
 			out = c.line[n].reply
 		} else {
@@ -386,13 +386,18 @@
 		n++
 		<-c.room
 	}
+	if n > 0 {
+		c.line = slices.Delete(c.line, 0, n)
+		if len(out) > 0 && !c.gone && !c.out.send(out, unread) {
+			l.later(left{c})
+		}
+	}
+	if len(c.line) > 0 && c.line[0].long != nil {
+		c.line[0].long.begin(c)
+	}
 	if n == 0 {
 		return
 	}
-	c.line = slices.Delete(c.line, 0, n)
-	if !c.gone && !c.out.send(out, unread) {
-		l.later(left{c})
-	}
 	if len(c.line) == 0 && (c.ending || l.life.EndsBusy(l.now())) {
 		c.ending = true
 		c.finish(l)
@@ -469,6 +474,11 @@
 	now := l.now()
 	for _, r := range c.line {
 		l.held -= len(r.reply)
+		if r.long != nil {
+			r.long.abandon(l)
+			r.long = nil
+			l.forget(r)
+		}
 		if !r.answered {
 			l.close(r)
 			l.module.Gone(now, r.id)
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -18,8 +18,9 @@
 	attempts int // made so far
 	out      int // of those, without an outcome
 	answered bool
-	reply    []byte // waits in the client's line for its turn
-	known    bool   // it could be read: its class is known
+	long     *longValue // is its answer, in place of a reply; nil: none
+	reply    []byte     // waits in the client's line for its turn
+	known    bool       // it could be read: its class is known
 	class    int
 	name     uint64          // the id that the client gave
 	asks     *decide.Request // it waits for a verdict on whether it may go on; nil: not so
@@ -57,8 +58,13 @@
 // close takes note that a request has its final answer, or needs none any more.
 func (l *Loop) close(r *request) {
 	r.answered = true
-	l.unasked(r)
 	l.open--
+	l.settled(r)
+}
+
+// settled takes note that nothing is to be done for a request's answer any more.
+func (l *Loop) settled(r *request) {
+	l.unasked(r)
 	l.cancel(r.backstop)
 	r.backstop = nil
 	if l.names[r.name] == r {
@@ -68,7 +74,7 @@
 
 // forget drops a request that nothing waits for any more.
 func (l *Loop) forget(r *request) {
-	if r.answered && r.out == 0 && l.requests[r.id] == r {
+	if r.answered && r.out == 0 && r.long == nil && l.requests[r.id] == r {
 		delete(l.requests, r.id)
 		l.held -= size(r.args)
 	}
--- a/internal/gateway/sender.go
+++ b/internal/gateway/sender.go
@@ -15,7 +15,8 @@
 
 	mu   sync.Mutex
 	rest []byte
-	busy bool // a goroutine is writing
+	busy bool   // a goroutine is writing
+	then func() // writes what comes next by itself, after the rest
 
 	whole *atomic.Int64 // counts what was written whole with it, of what send could not; nil: nobody counts
 	fin   bool          // ends the sending after the rest
@@ -85,6 +86,12 @@
 		s.mu.Lock()
 		b := s.rest
 		s.rest = nil
+		if f := s.then; len(b) == 0 && f != nil {
+			s.then = nil
+			s.mu.Unlock()
+			f()
+			continue
+		}
 		if len(b) == 0 {
 			s.busy = false
 			if s.fin {
@@ -100,6 +107,18 @@
 	}
 }
 
+// stream has f write to the connection by itself, once all before is written, from another
+// goroutine. What is sent meanwhile waits for its end.
+func (s *sender) stream(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.then = f
+	if !s.busy {
+		s.busy = true
+		go s.write()
+	}
+}
+
 // end ends the sending after what was sent. The reading goes on until the other
 // side has closed, so that no answer is lost with a reset.
 func (s *sender) end() {
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -22,6 +22,7 @@
 	MaxCommand = MaxValue + 4096 // bytes in all values of a command
 	MaxArgs    = 16              // values in one command or array that are kept
 	maxCount   = 1024            // values in one that is passed over for its size
+	MaxLong    = 16 << 20        // bytes in a value that is passed on as it comes
 	maxSkip    = 1 << 20         // bytes in a value that is passed over
 	step       = 4096            // bytes that a buffer is taken ahead of what has come
 )
@@ -194,9 +195,58 @@
 
 // ReadReply reads one reply: at most an array of plain values. With an error
 // comes what was read whole of an array before it.
-func (r *Reader) ReadReply() (Reply, error) { return r.reply(true) }
+func (r *Reader) ReadReply() (Reply, error) { return r.reply(true, nil) }
 
-func (r *Reader) reply(arrays bool) (Reply, error) {
+// Long is a value of over MaxValue bytes that stands first in an array. It has not been
+// read: Copy does it, and then Tail.
+type Long struct {
+	Size int // bytes; 0: there is no such value
+	tail int // values behind it
+}
+
+// ReadReplyHead is ReadReply but for a long value: it reads up to the value's first byte, and
+// waits for that one.
+func (r *Reader) ReadReplyHead() (re Reply, long Long, err error) {
+	re, err = r.reply(true, &long)
+	if err == nil && long.Size > 0 {
+		err = midway(r.Await())
+	}
+	return re, long, err
+}
+
+// Copy passes a long value on as it comes, through a buffer, which bounds what is held of
+// it. Before each write and read it calls onward, which may set deadlines.
+func (r *Reader) Copy(to io.Writer, long Long, buf []byte, onward func()) error {
+	for left := long.Size; left > 0; {
+		onward()
+		n, err := r.in.Read(buf[:min(len(buf), left)])
+		if n > 0 {
+			left -= n
+			if _, err := to.Write(buf[:n]); err != nil {
+				return err
+			}
+		}
+		if err != nil && left > 0 {
+			return midway(err)
+		}
+	}
+	return nil
+}
+
+// Tail reads past what stands behind a long value: the other values of its array.
+func (r *Reader) Tail(long Long) error {
+	if err := r.crlf(); err != nil {
+		return midway(err)
+	}
+	for range long.tail {
+		if _, err := r.reply(false, nil); err != nil {
+			return midway(err)
+		}
+	}
+	return nil
+}
+
+func (r *Reader) reply(arrays bool, long *Long) (Reply, error) {
 	head, err := r.line()
 	if err != nil {
 		return Reply{}, err
@@ -210,10 +260,18 @@
 		re.Text = bytes.Clone(head[1:])
 		return re, nil
 	case '$':
-		size, err := length(head[1:], -1, MaxValue)
+		most := MaxValue
+		if long != nil && !arrays {
+			most = MaxLong
+		}
+		size, err := length(head[1:], -1, most)
 		if err != nil {
 			return re, err
 		}
+		if size > MaxValue {
+			long.Size = size
+			return re, nil
+		}
 		if size < 0 {
 			re.Null = true
 			return re, nil
@@ -228,12 +286,20 @@
 			return re, malformed("unexpected array")
 		}
 		re.Null = n < 0
-		for range n {
-			item, err := r.reply(false)
+		for i := range n {
+			first := long
+			if i > 0 {
+				first = nil
+			}
+			item, err := r.reply(false, first)
 			if err != nil {
 				return re, midway(err)
 			}
 			re.Items = append(re.Items, item)
+			if first != nil && first.Size > 0 {
+				first.tail = n - 1
+				break
+			}
 		}
 		return re, nil
 	}
