Pace of discovery calls: longer watches in a fleet, fewer calls when turned away

Change: membership/pace.go decides, without I/O, how long a watch waits (by the number of gateways), how calls that failed are spread, and how much less often a gateway comes that was turned away. A 503 keeps the version: a watch costs discovery less than a list. Fleets of up to six gateways watch as before. Not taken: polling at a fixed rate (all that changes would come late everywhere, also where there is room).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"mothcleat/internal/figures"
 	"mothcleat/internal/registry"
 	"mothcleat/lifecycle"
+	"mothcleat/membership"
 )
 
 const (
@@ -59,7 +60,8 @@
 	}
 	l.timer.Stop()
 	l.askBefore()
-	source := registry.Source(registry.NewPlatform(cfg.Discovery, cfg.Settings.AskMembers, log))
+	source := registry.Source(registry.NewPlatform(cfg.Discovery, cfg.Settings.AskMembers,
+		membership.NewPace(cfg.Settings.Gateways, cfg.Seed), log))
 	if cfg.Register != nil {
 		var err error
 		if source, err = cfg.Register(&cfg, log); err != nil {
--- a/internal/registry/platform.go
+++ b/internal/registry/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -10,15 +11,15 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"mothcleat/membership"
 )
 
 const (
-	watchWait  = 2 * time.Second        // short: a watch that hangs hides all news until it is given up
-	watchSlack = time.Second            // for an answer after the wait is over
-	listWait   = 2 * time.Second        // for the whole list, which comes at once
-	retryAfter = 100 * time.Millisecond // after a call that failed
-	tooSoon    = 50 * time.Millisecond  // for a watch that tells nothing
-	mostList   = 8 << 20                // bytes
+	watchSlack = time.Second           // for an answer after the wait is over
+	listWait   = 2 * time.Second       // for the whole list, which comes at once
+	tooSoon    = 50 * time.Millisecond // for a watch that tells nothing
+	mostList   = 8 << 20               // bytes
 )
 
 const mostHeader = 16 << 10 // bytes of an answer's header
@@ -31,14 +32,15 @@
 	asks    bool          // discovery tells only who asks
 	start   chan struct{} // closed when the list is to be followed
 	once    bool
+	pace    *membership.Pace
 	log     *slog.Logger
 }
 
 // NewPlatform makes a source at an address. Asks: discovery tells only who asks,
-// so it is followed only after Follow.
-func NewPlatform(address string, asks bool, log *slog.Logger) *Platform {
+// so it is followed only after Follow. The pace is the source's own.
+func NewPlatform(address string, asks bool, pace *membership.Pace, log *slog.Logger) *Platform {
 	d := &Platform{
-		address: address, moved: make(chan string, 1), log: log,
+		address: address, moved: make(chan string, 1), log: log, pace: pace,
 		client: &http.Client{
 			// No redirect is followed: only the addresses of the configuration are called.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -96,6 +98,12 @@
 	}
 }
 
+// errTurnedAway tells that discovery has no room for a call: what was heard of it still
+// counts, and the watch can go on from there, which costs it less than a whole list.
+var errTurnedAway = errors.New("turned away")
+
+func micros(t membership.Time) time.Duration { return time.Duration(t) * time.Microsecond }
+
 // watch watches for changes; at first and after a break it takes the whole list.
 func (d *Platform) watch(ctx context.Context, tell func(News), url string) {
 	version := ""
@@ -112,12 +120,15 @@
 			return
 		}
 		if err != nil {
-			version = ""
-			d.log.Warn("discovery", "error", err)
+			if !errors.Is(err, errTurnedAway) {
+				version = ""
+			}
+			again := micros(d.pace.Failed(errors.Is(err, errTurnedAway)))
+			d.log.Warn("discovery", "error", err, "again_ms", again.Milliseconds())
 			if d.asks {
 				tell(News{Kind: Unheard})
 			}
-			pause(retryAfter)
+			pause(again)
 			continue
 		}
 		if version != "" && len(list.Members) == 0 && time.Since(called) < tooSoon {
@@ -129,6 +140,9 @@
 			kind = Whole
 		}
 		tell(News{kind, list.Members})
+		if gap := d.pace.Worked(); gap > 0 {
+			pause(micros(gap))
+		}
 	}
 }
 
@@ -151,8 +165,9 @@
 func (d *Platform) get(ctx context.Context, url, version string) (list List, err error) {
 	wait := listWait
 	if version != "" {
-		url += fmt.Sprintf("?index=%s&wait=%d", version, watchWait.Milliseconds())
-		wait = watchWait + watchSlack
+		watch := micros(d.pace.Watch())
+		url += fmt.Sprintf("?index=%s&wait=%d", version, watch.Milliseconds())
+		wait = watch + watchSlack
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -166,6 +181,9 @@
 		return list, fmt.Errorf("discovery call: %w", err)
 	}
 	defer res.Body.Close()
+	if res.StatusCode == http.StatusServiceUnavailable {
+		return list, fmt.Errorf("discovery call: %w", errTurnedAway)
+	}
 	if res.StatusCode != http.StatusOK {
 		return list, fmt.Errorf("discovery call: status %s", res.Status)
 	}
--- a/internal/registry/platform_test.go
+++ b/internal/registry/platform_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"mothcleat/membership"
 )
 
 const patience = 30 * time.Second
@@ -81,7 +83,7 @@
 func TestPlatformTakesTheWholeListAfterABreak(t *testing.T) {
 	address, calls := script(t, `{"revision":4,"complete":true,"members":[{"id":"a"}]}`, `{"revision":5,"members":[{"id":"b"}]}`,
 		`!500`, `{"revision":7,"complete":true,"members":[]}`, `{"revision":8,"members":[{"id`, `{"revision":9,"complete":true,"members":[]}`, `hang`)
-	told := follow(t, NewPlatform(address, false, quiet()))
+	told := follow(t, NewPlatform(address, false, membership.NewPace(1, 7), quiet()))
 	for _, want := range []Kind{Whole, Changed, Whole, Whole} {
 		if n := next(t, told); n.Kind != want {
 			t.Errorf("%+v, want kind %d", n, want)
@@ -97,7 +99,7 @@
 // Where it tells only who asks, nothing is called before Follow, and a failure is told.
 func TestPlatformThatIsAsked(t *testing.T) {
 	address, calls := script(t, `!503`)
-	p := NewPlatform(address, true, quiet())
+	p := NewPlatform(address, true, membership.NewPace(1, 7), quiet())
 	told := follow(t, p)
 	if len(calls) > 0 {
 		t.Error("called before it was to be followed")
@@ -113,7 +115,7 @@
 func TestPlatformMoves(t *testing.T) {
 	old, calls := script(t, `{"revision":4,"complete":true,"members":[{"id":"old"}]}`, `hang`)
 	moved, _ := script(t, `{"revision":1,"complete":true,"members":[{"id":"new"}]}`, `hang`)
-	p := NewPlatform(old, false, quiet())
+	p := NewPlatform(old, false, membership.NewPace(1, 7), quiet())
 	told := follow(t, p)
 	next(t, told)
 	for range 2 {
--- /dev/null
+++ b/membership/pace.go
@@ -0,0 +1,73 @@
+package membership
+
+import "math/rand/v2"
+
+// Pace decides how often a fleet's gateways ask a register that has room for so many calls
+// only: for how long a watch waits, and when to come again after a call that failed. It does
+// no I/O. One goroutine at a time.
+type Pace struct {
+	gateways int
+	rand     *rand.Rand
+	fails    int
+	gap      Time // between an answer and the next call; 0 where there is room
+}
+
+// A register that all ask at once answers none; but what it has to tell binds even who did
+// not hear it, so the waits are bounded.
+const (
+	watchLeast   = 2_000_000  // a watch that hangs hides all news until it is given up
+	watchEach    = 300_000    // more for each gateway: so many watches of all begin in a time
+	watchMost    = 20_000_000 // a watch waits
+	againFirst   = 100_000    // after a call that failed,
+	againMost    = 3_000_000  // doubled with each in a row; of that, half is chance
+	againAtLeast = 50_000
+
+	gapEach  = 60_000    // a gap's least, for each gateway, once a call was turned away,
+	gapMost  = 5_000_000 // doubled with each further one up to this,
+	gapHeals = 0.85      // and less by this with each that was answered
+)
+
+// NewPace makes the pace of one of so many gateways; chance comes from a seed of its own.
+func NewPace(gateways int, seed uint64) *Pace {
+	return &Pace{gateways: gateways, rand: rand.New(rand.NewPCG(seed, 0x9ace))}
+}
+
+// Watch is how long a watch may wait.
+func (p *Pace) Watch() Time {
+	wait := max(watchLeast, min(watchMost, Time(p.gateways)*watchEach))
+	if wait == watchLeast {
+		return wait
+	}
+	// Watches that began together would end together.
+	return max(watchLeast, wait-Time(p.rand.Float64()*float64(wait/4)))
+}
+
+// Worked takes note of a call that was answered, and tells when to make the next: at once
+// where there is room, as a watch goes on only then without a break.
+func (p *Pace) Worked() (after Time) {
+	p.fails = 0
+	if p.gap == 0 {
+		return 0
+	}
+	if p.gap = Time(float64(p.gap) * gapHeals); p.gap < Time(p.gateways)*gapEach/4 {
+		p.gap = 0
+	}
+	return p.about(p.gap)
+}
+
+// about is a time about another, by chance.
+func (p *Pace) about(t Time) Time { return t*3/4 + Time(p.rand.Float64()*float64(t/2)) }
+
+// Failed takes note of one that was not, and tells when to come again. Turned away, the
+// register has too little room for how often all come: each comes less often for a while.
+func (p *Pace) Failed(turnedAway bool) (after Time) {
+	if turnedAway {
+		p.gap = min(gapMost, max(2*p.gap, Time(p.gateways)*gapEach))
+	}
+	wait := Time(againMost)
+	if p.fails < 10 {
+		wait = min(againMost, Time(againFirst)<<p.fails)
+	}
+	p.fails++
+	return max(againAtLeast, p.about(p.gap), wait/2+Time(p.rand.Float64()*float64(wait/2)))
+}
--- /dev/null
+++ b/membership/pace_test.go
@@ -0,0 +1,76 @@
+package membership
+
+import "testing"
+
+// TestPaceRecovers plays a register that answers so many calls a second to a fleet that
+// all fail at once: all must be served soon, and the register must not be held down by
+// those who come again.
+func TestPaceRecovers(t *testing.T) {
+	const perSecond = 20 // a fleet that came again each 100 ms would ask for up to 480
+	for _, gateways := range []int{1, 3, 8, 24, 48} {
+		for seed := range uint64(20) {
+			paces, due := make([]*Pace, gateways), make([]Time, gateways)
+			for i := range paces {
+				paces[i] = NewPace(gateways, seed<<8|uint64(i))
+				due[i] = paces[i].Failed(true)
+			}
+			served, tokens, calls := 0, 0.0, 0
+			now := Time(0)
+			for ; served < gateways; now += 1000 {
+				if now > 30_000_000 {
+					t.Fatalf("%d gateways, seed %d: %d of them are served after 30 s", gateways, seed, served)
+				}
+				tokens = min(perSecond, tokens+perSecond/1000.0)
+				for i := range due {
+					if due[i] < 0 || due[i] > now {
+						continue
+					}
+					calls++
+					// a call that is turned away costs the register half of one it serves
+					if tokens -= 0.5; tokens >= 0.5 {
+						tokens -= 0.5
+						due[i] = -1
+						served++
+						paces[i].Worked()
+					} else {
+						tokens = max(tokens, -perSecond)
+						due[i] = now + paces[i].Failed(true)
+					}
+				}
+			}
+			if calls > 30*gateways {
+				t.Errorf("%d gateways, seed %d: %d calls", gateways, seed, calls)
+			}
+		}
+	}
+}
+
+// TestPaceBounds holds the waits against what a drain leaves time for.
+func TestPaceBounds(t *testing.T) {
+	for gateways := range 200 {
+		p := NewPace(gateways, 7)
+		if w := p.Watch(); w < 2_000_000 || w > 20_000_000 || gateways <= 6 && w != 2_000_000 {
+			t.Fatalf("a watch of %d gateways waits %d us", gateways, w)
+		}
+		last := Time(0)
+		for n := range 100 {
+			after := p.Failed(n%2 == 0)
+			if after < 50_000 || after > 6_250_000 {
+				t.Fatalf("failure %d: again after %d us", n+1, after)
+			}
+			last = after
+		}
+		if last < 1_500_000 {
+			t.Fatalf("after 100 failures: again after %d us", last)
+		}
+		for range 60 {
+			p.Worked()
+		}
+		if after := p.Worked(); after != 0 {
+			t.Fatalf("a register with room: the next watch after %d us", after)
+		}
+		if after := p.Failed(false); after > 100_000 {
+			t.Fatalf("the first failure after successes: again after %d us", after)
+		}
+	}
+}
