Fleet: kept connections go before fresh ones; slow writers are kept in a crowd

Change: in fleets of over six gateways a backend not sent to for 10 s costs more, by how seldom each gets a request; a cold one excepted. A connection that has brought a byte of its command within 0.8 s does not make room.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -75,6 +75,8 @@
 	learnOne   = 0.1         // and of one backend
 	zoneWeight = 5.0         // turns the price of crossing zones into load
 	paceTime   = 4 * second  // over which the pace of sends is taken
+	keptFor    = 10 * second // after which a backend may have closed its idle connections
+	freshPrice = 1.0         // a handshake as load, where no backend gets more than one request in that time
 	fewTry     = 6           // so many gateways may try a backend at once that only an old list names;
 	tryApart   = second / 30 // of more, each further one adds so much to the time over which they begin
 	surely     = 2.0         // an answer within so many mean times shows that it is warm
@@ -724,6 +726,12 @@
 	if g.set.HintsTell && b.Hint > 0 {
 		cost /= b.Hint
 	}
+	if g.set.Gateways > fewTry && (b.sentAt == 0 || g.now-b.sentAt > keptFor) && g.share(b) == 1 {
+		// It needs a handshake, which costs it work. In a large fleet each gateway sends a
+		// backend a request now and then only: nearly every one would pay for a handshake.
+		each := g.pace.get(g.now, paceTime) * float64(keptFor) / float64(paceTime)
+		cost *= 1 + freshPrice/(1+each)
+	}
 	return cost
 }
 
@@ -944,6 +952,7 @@
 		b.quiet = g.awake
 	}
 	b.out++
+	b.sentAt = g.now
 	r.c.open++
 	if g.share(b) < 1 {
 		b.cold.level--
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1103,3 +1103,38 @@
 		t.Errorf("given up after %d, want %d", got, want)
 	}
 }
+
+// In a large fleet each gateway sends a backend a request now and then only: it must not pay
+// for a handshake with nearly every one. In a small one all backends are used evenly.
+func TestFewBackendsServeASlowGatewayOfManyThere(t *testing.T) {
+	for _, c := range []struct{ gateways, least, most int }{{36, 2, 8}, {3, 20, 24}} {
+		used := map[uint32]bool{}
+		set := settings()
+		set.Gateways = c.gateways
+		g, err := New(set, 5, &fake{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := &rig{Gateway: g, fake: g.do.(*fake), t: t, at: start}
+		g.Members(start, Whole, members(24))
+		for i := range 60 {
+			r.at += second
+			r.Timer(r.at, 0)
+			// two at once now and then
+			one, ok := r.ask(0, 1, uint64(2*i), 1)
+			two, both := uint64(0), false
+			if i%3 == 0 {
+				two, both = r.ask(0, 1, uint64(2*i+1), 1)
+			}
+			for _, id := range []uint64{one, two} {
+				if (id == one && ok) || (id == two && both) {
+					used[r.requests[id].attempts[0].b.Backend] = true
+					r.end(id, OK, true)
+				}
+			}
+		}
+		if len(used) < c.least || len(used) > c.most {
+			t.Errorf("%d gateways: %d of 24 backends are used, %d to %d wanted", c.gateways, len(used), c.least, c.most)
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -115,6 +115,7 @@
 	down    bool    // left out until a trial succeeds
 	silent  bool    // down for answering nothing, or for resets alone: its process runs on
 	left    Time    // when it was last left out
+	sentAt  Time    // when it was last sent something; 0: never
 	wait    Time    // before the next trial
 	trialAt Time
 	queue   float64 // as reported
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -31,6 +31,7 @@
 	idleMost      = 8_000_000               // without a request, after which a connection is closed,
 	onceMost      = 3_000_000               // one that has asked only once,
 	idleLeast     = 2_000_000               // and any, where places are short
+	halted        = 800_000                 // without a byte amid a command, after which no more is waited for
 	settled       = 100_000                 // age of a connection that might have spoken by now
 )
 
@@ -66,6 +67,8 @@
 
 	credential *forwardauth.Credential // of the last AUTH
 	used       decide.Time             // when it last sent a command, or was opened
+	heard      atomic.Int64            // when its last byte came
+	amid       atomic.Bool             // a command is on its way
 	share      share                   // what its passing on to a newer process needs
 }
 
@@ -133,10 +136,10 @@
 	}
 	var least *client
 	for c := range cs.conns {
-		if c == asking || c.ending || len(c.line) > 0 || now-c.used < spared[c.worth()] {
+		if c == asking || c.ending || len(c.line) > 0 || c.writes(now) || now-c.lately() < spared[c.worth()] {
 			continue
 		}
-		if least == nil || c.worth() < least.worth() || c.worth() == least.worth() && c.used < least.used {
+		if least == nil || c.worth() < least.worth() || c.worth() == least.worth() && c.lately() < least.lately() {
 			least = c
 		}
 	}
@@ -147,6 +150,14 @@
 	return true
 }
 
+// lately is when a connection last brought anything, or was opened: one that writes its
+// command slowly is not one that says nothing.
+func (c *client) lately() decide.Time { return max(c.used, c.heard.Load()) }
+
+// writes tells whether a client is writing a command, however slowly: to close it would
+// lose that request, where an idle one loses nothing. One that halted half way is not.
+func (c *client) writes(now decide.Time) bool { return c.amid.Load() && now-c.heard.Load() < halted }
+
 // worth ranks a connection by what it has asked: nothing, once, or more.
 func (c *client) worth() int { return min(c.asked, 2) }
 
@@ -166,7 +177,7 @@
 // but where a line is full, so a close is seen while requests are out. A client
 // that says nothing, or begins a command and does not end it, is cut off.
 func (c *client) read(l *Loop) {
-	in := resp.NewReader(c.source())
+	in := resp.NewReader(&listening{c.source(), c, l.clock})
 	spoken := c.asked > 0 // it came from the process before
 	if !spoken {
 		c.share.until(c.conn, time.Now().Add(firstWithin))
@@ -187,7 +198,9 @@
 		if spoken {
 			_ = c.conn.SetReadDeadline(time.Now().Add(commandWithin))
 		}
+		c.amid.Store(true)
 		e.take(l, in)
+		c.amid.Store(false)
 		if e.left {
 			break
 		}
--- a/internal/gateway/clients_test.go
+++ b/internal/gateway/clients_test.go
@@ -161,3 +161,34 @@
 		t.Errorf("timers, requests, ids, bytes, open: %s", got)
 	}
 }
+
+// In a crowd those that say nothing, or halted half way, make room; one that is writing its
+// command, however slowly, does not: its request would be lost.
+func TestSlowWritersAreKeptInACrowd(t *testing.T) {
+	l := unstarted(t, newFakeDiscovery(t))
+	now := l.now()
+	make := func(used, heard decide.Time, amid bool) *client {
+		here, _ := pipe(t)
+		c := &client{conn: here, out: newSender(here), room: make(chan struct{}, 1), done: make(chan struct{}), used: used}
+		c.heard.Store(heard)
+		c.amid.Store(amid)
+		l.clients.room <- struct{}{}
+		l.clients.conns[c] = true
+		return c
+	}
+	slow := make(now-2_000_000, now, true)
+	halted := make(now-3_000_000, now-2_500_000, true)
+	silent := make(now-2_700_000, 0, false)
+	drips := make(now-1_000_000, now-200_000, false) // between two pieces, its command whole
+	for i, want := range []*client{silent, halted, drips} {
+		if !l.clients.evict(l, nil) {
+			t.Fatalf("nobody makes room, %d connections left", len(l.clients.conns))
+		}
+		if !want.gone {
+			t.Fatalf("eviction %d: slow %v, halted %v, silent %v, drips %v", i, slow.gone, halted.gone, silent.gone, drips.gone)
+		}
+	}
+	if l.clients.evict(l, nil) || slow.gone {
+		t.Error("a request on its way was cut off for want of places")
+	}
+}
--- a/internal/gateway/succeed.go
+++ b/internal/gateway/succeed.go
@@ -416,6 +416,21 @@
 	return s.ageAt - s.age
 }
 
+// listening takes note of when something comes from a client.
+type listening struct {
+	from  io.Reader
+	c     *client
+	clock clock
+}
+
+func (r *listening) Read(b []byte) (int, error) {
+	n, err := r.from.Read(b)
+	if n > 0 {
+		r.c.heard.Store(r.clock.now())
+	}
+	return n, err
+}
+
 // source is where a client's commands are read from.
 func (c *client) source() io.Reader {
 	if len(c.share.rest) == 0 {
