--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -167,7 +167,7 @@
 	}
 	now := l.now()
 	for c := range cs.conns {
-		if now-c.used > [...]decide.Time{idleMost, onceMost, idleMost}[c.worth()] && len(c.line) == 0 && !c.ending {
+		if now-c.lately() > [...]decide.Time{idleMost, onceMost, idleMost}[c.worth()] && len(c.line) == 0 && !c.ending {
 			c.drop(l)
 		}
 	}
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -38,7 +38,7 @@
 	}
 	for c := range l.clients.conns {
 		l.pass(c) // one that takes its answers slowly was not idle before
-		if len(c.line) == 0 && l.life.EndsIdle(now, c.used) {
+		if len(c.line) == 0 && l.life.EndsIdle(now, c.lately()) {
 			c.end(l)
 		}
 	}
