--- a/cmd/lab/real.go
+++ b/cmd/lab/real.go
@@ -49,6 +49,23 @@
 	})
 }
 
+func (b *bench) upgrade() *cobra.Command {
+	return b.play("upgrade", "gateways replaced by processes started beside them, on sockets that the rig holds, and emptied by their doors", time.Minute,
+		func(c *cobra.Command) (func() error, player) {
+			o, f := lab.UpgradeOptions{}, c.Flags()
+			f.IntVar(&o.Instances, "instances", 4, "gateways, 1 to 200")
+			f.BoolVar(&o.Kills, "kills", true, "some new processes are killed amid the taking over")
+			f.Float64Var(&o.Load, "load", 0.55, "part of what the servers can do that is asked inside the quotas")
+			check := func() error {
+				return errors.Join(within("instances", o.Instances, 1, 200), within("load", o.Load, 0.01, 2))
+			}
+			return check, func(ctx context.Context, seed uint64, length time.Duration) (*trial.Figures, error) {
+				o.Seed, o.For = seed, length
+				return lab.RunUpgrade(ctx, o, b.progress)
+			}
+		})
+}
+
 func (b *bench) quota() *cobra.Command {
 	return b.play("quota", "the same requests to fleets of several sizes: how much of its quota a customer gets", 30*time.Second, func(c *cobra.Command) (func() error, player) {
 		o, f := lab.QuotaOptions{}, c.Flags()
--- a/internal/lab/fleet_test.go
+++ b/internal/lab/fleet_test.go
@@ -178,3 +178,21 @@
 		}
 	}
 }
+
+// Gateways replaced by processes beside them, some of which are killed amid it, and emptied by
+// their doors, in small.
+func TestUpgradeKeepsTheRules(t *testing.T) {
+	if !HasGo() {
+		t.Skip("no Go to build the gateway with")
+	}
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+	defer cancel()
+	f, err := RunUpgrade(ctx, UpgradeOptions{Seed: 3, Instances: 3, For: 12 * time.Second, Load: 0.4, Kills: true}, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !f.OK || f.Taken == 0 || f.InTime == 0 {
+		t.Error(f.Line())
+	}
+}
--- a/internal/lab/front.go
+++ b/internal/lab/front.go
@@ -34,6 +34,7 @@
 	mu      sync.Mutex
 	idle    []*frontConn
 	down    bool
+	emptied bool      // operators empty it: it is dealt nothing, but on connections that stay open
 	failing time.Time // since when nothing answers there; zero: it does
 	notice  time.Duration
 }
@@ -74,7 +75,28 @@
 	e := f.entries[g]
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return !e.down
+	return !e.down && !e.emptied
+}
+
+// empty takes note that a gateway is being emptied, or is back.
+func (f *front) empty(g int, on bool) {
+	e := f.entries[g]
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.emptied = on
+}
+
+// open is how many kept connections to a gateway it has not ended.
+func (f *front) open(g int) (n int) {
+	e := f.entries[g]
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, c := range e.idle {
+		if c.open() {
+			n++
+		}
+	}
+	return n
 }
 
 // refused takes note that nothing listens at a gateway: it is seen as down some
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -67,9 +67,11 @@
 	args    []string
 	rec     *trial.Record
 	config  func(*Gateway) map[string]any
+	held    *os.File // the clients' socket, where the rig holds it; nil: the process listens
 
 	mu      sync.Mutex
-	pid     int // 0: none runs
+	pid     int    // 0: none runs
+	doorAt  string // where operators call the process that serves; "": nowhere
 	older   []int
 	rss     int           // the most seen, in kB
 	began   time.Duration // when the process now running was started
@@ -144,32 +146,58 @@
 	if err := g.Configure(); err != nil {
 		return err
 	}
-	out, err := os.OpenFile(filepath.Join(g.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.pid != 0 {
+		return errors.New("gateway: runs")
+	}
+	pid, err := g.launch()
 	if err != nil {
 		return err
 	}
+	g.pid, g.wanted, g.began = pid, true, g.rec.Now()
+	g.rec.AddLife(g.Number, trial.Started)
+	return nil
+}
+
+// launch starts a process with the configuration as it is written.
+func (g *Gateway) launch() (pid int, err error) {
+	out, err := os.OpenFile(filepath.Join(g.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return 0, err
+	}
 	defer out.Close()
 	cmd := exec.Command(g.bin, g.args...)
 	cmd.Dir = g.dir
 	cmd.Env = append(os.Environ(), "RELAY_CONFIG="+filepath.Join(g.dir, "config.json"), "TMPDIR="+g.dir)
 	cmd.Stdout, cmd.Stderr = out, out
+	if g.held != nil {
+		cmd.ExtraFiles = []*os.File{g.held} // is descriptor 3
+		cmd.Env = append(cmd.Env, "RELAY_INHERITED_FD=3")
+	}
 	// Nothing may outlive the rig, whatever ends it.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.pid != 0 {
-		return errors.New("gateway: runs")
-	}
 	if err := startLocked(cmd); err != nil {
-		return fmt.Errorf("gateway %d: %w", g.Number, err)
+		return 0, fmt.Errorf("gateway %d: %w", g.Number, err)
 	}
-	g.pid, g.wanted, g.began = cmd.Process.Pid, true, g.rec.Now()
-	g.rec.AddLife(g.Number, trial.Started)
 	go func() {
 		_ = cmd.Wait() // how it ended is in its log
 		g.ended(cmd.Process.Pid)
 	}()
-	return nil
+	return cmd.Process.Pid, nil
+}
+
+// hold has the rig hold the clients' socket, as a platform does, and gives the gateway a door.
+func (g *Gateway) hold() error {
+	l, err := net.Listen("tcp", g.Address)
+	if err != nil {
+		return err
+	}
+	defer l.Close()
+	if g.held, err = l.(*net.TCPListener).File(); err != nil {
+		return err
+	}
+	return g.newDoor()
 }
 
 // startLocked starts a command from a thread that lives as long as the rig: the
--- /dev/null
+++ b/internal/lab/upgrade.go
@@ -0,0 +1,335 @@
+package lab
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"mothcleat/internal/trial"
+)
+
+// UpgradeOptions say how gateways are replaced under load and emptied.
+type UpgradeOptions struct {
+	Seed      uint64
+	Instances int
+	For       time.Duration
+	Load      float64
+	Kills     bool   // some of the new processes are killed amid the taking over
+	Bin       string // of the gateway; "": it is built
+}
+
+// RunUpgrade has the rig hold the clients' sockets, as a platform does, and replaces one
+// gateway after another by a process started beside it, empties some by their doors, and kills
+// some of the new processes at a random moment of their start.
+func RunUpgrade(ctx context.Context, o UpgradeOptions, progress io.Writer) (*trial.Figures, error) {
+	remove, err := buildIfNone(ctx, &o.Bin)
+	if err != nil {
+		return nil, err
+	}
+	defer remove()
+	w, err := NewWorld(ctx, Options{Seed: o.Seed, Gateways: o.Instances, Servers: 12, Load: o.Load, Bin: o.Bin, Operators: recordText,
+		Held: true, Log: progress})
+	if err != nil {
+		return nil, err
+	}
+	defer w.Close()
+	asking, cancel := context.WithTimeout(ctx, o.For)
+	defer cancel()
+	w.progress(asking, progress, o.For)
+	u := &upgrades{w: w, o: o, did: map[string]int{}}
+	var wg sync.WaitGroup
+	for _, g := range w.Gateways {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			u.treat(asking, g, rand.New(rand.NewPCG(o.Seed, uint64(0x0b9+g.Number))))
+		}()
+	}
+	w.Clients.Run(asking)
+	wg.Wait()
+	stop, cancel := context.WithTimeout(context.Background(), readyWithin)
+	defer cancel()
+	if err := w.Stop(stop); err != nil {
+		u.fail(err)
+	}
+	f := w.figures("upgrade")
+	u.figures(f)
+	return f, nil
+}
+
+// upgrades is what was done to a world's gateways, and what was seen of it.
+type upgrades struct {
+	w *World
+	o UpgradeOptions
+
+	mu       sync.Mutex
+	did      map[string]int
+	errs     []error
+	passed   int             // clients' connections given to new processes, by their own figures
+	readyIn  []time.Duration // of new processes
+	heldOpen int             // connections 4 s after a drain began
+	killedAt []int           // gateways whose new process was killed after it had taken over
+}
+
+func (u *upgrades) fail(err error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.errs = append(u.errs, err)
+}
+
+func (u *upgrades) count(what string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.did[what]++
+}
+
+// treat does one thing after another to a gateway.
+func (u *upgrades) treat(ctx context.Context, g *Gateway, r *rand.Rand) {
+	for sleep(ctx, time.Duration(trial.Between(r, 0.5, 4)*float64(time.Second))) {
+		var err error
+		switch n := r.IntN(10); {
+		case n < 2:
+			err = u.drain(ctx, g)
+		case n < 5 && u.o.Kills:
+			err = u.kill(ctx, g, time.Duration(r.Float64()*float64(15*time.Millisecond)))
+		default:
+			err = u.replace(g)
+		}
+		if err != nil {
+			u.fail(fmt.Errorf("gateway %d: %w", g.Number, err))
+			return
+		}
+	}
+}
+
+// replace has a new process take the place of the one that serves.
+func (u *upgrades) replace(g *Gateway) error {
+	began := u.w.Record.Now()
+	next, err := g.beside()
+	if err != nil {
+		return err
+	}
+	for g.door(next.door, "check") != "ok" {
+		if u.w.Record.Now()-began > readyWithin {
+			return fmt.Errorf("the new process is not ready\n%s", g.tail())
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	u.mu.Lock()
+	u.readyIn = append(u.readyIn, u.w.Record.Now()-began)
+	u.mu.Unlock()
+	old := g.succeed(next)
+	// The old one has answered what it had when it says so, and goes when told.
+	if err := syscall.Kill(old.pid, syscall.SIGTERM); err != nil {
+		return err
+	}
+	for end := time.Now().Add(readyWithin); alive(old.pid); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			return errors.New("the old process does not end")
+		}
+	}
+	if n, err := strconv.Atoi(g.figure(next.door, "passed_in")); err == nil {
+		u.mu.Lock()
+		u.passed += n
+		u.mu.Unlock()
+	}
+	u.count("replaced")
+	return nil
+}
+
+// kill starts a new process and kills it some time later. If it had not taken over, the
+// one that serves goes on; else the gateway has crashed, and is started anew.
+func (u *upgrades) kill(ctx context.Context, g *Gateway, after time.Duration) error {
+	next, err := g.beside()
+	if err != nil {
+		return err
+	}
+	time.Sleep(after)
+	_ = syscall.Kill(next.pid, syscall.SIGKILL)
+	for alive(next.pid) {
+		time.Sleep(time.Millisecond)
+	}
+	serving := g.now()
+	answer := ""
+	for end := time.Now().Add(readyWithin); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		answer = g.door(serving.door, "check")
+		if answer == "ok" || answer == "fail handed over" {
+			break
+		}
+	}
+	switch answer {
+	case "ok":
+		u.count("killed before it took over")
+		return nil
+	case "fail handed over":
+		// What the dead process held is lost with it, as with any that is killed.
+		u.count("killed after it had taken over")
+		if err := g.Signal(syscall.SIGKILL); err != nil {
+			return err
+		}
+		wait, cancel := context.WithTimeout(context.Background(), readyWithin)
+		defer cancel()
+		if err := g.Gone(wait); err != nil {
+			return err
+		}
+		return u.w.start(wait, g)
+	}
+	return fmt.Errorf("a new process was killed after %v, and the old one says %q", after, answer)
+}
+
+// drain empties a gateway by its door. Who deals out requests asks each 0.1 s, and sends
+// for 0.2 s more; kept connections stay in use as long as they are open.
+func (u *upgrades) drain(ctx context.Context, g *Gateway) error {
+	door := g.now().door
+	if got := g.door(door, "drain-on"); got != "ok" {
+		return fmt.Errorf("drain-on: %q", got)
+	}
+	time.Sleep(300 * time.Millisecond)
+	u.w.Clients.front.empty(g.Number, true)
+	time.Sleep(3700 * time.Millisecond)
+	held := u.w.Clients.front.open(g.Number)
+	u.mu.Lock()
+	u.heldOpen += held
+	u.mu.Unlock()
+	if got := g.door(door, "drain-off"); got != "ok" {
+		return fmt.Errorf("drain-off: %q", got)
+	}
+	u.w.Clients.front.empty(g.Number, false)
+	u.count("drained")
+	return nil
+}
+
+// figures adds what was done and how the gateways took it.
+func (u *upgrades) figures(f *trial.Figures) {
+	refused, _ := refusals(u.w.Record)
+	crossed, resets := 0, 0
+	for _, t := range u.w.Record.Tries {
+		if t.Closed > 0 {
+			crossed++
+		}
+		if t.Reset {
+			resets++
+		}
+	}
+	f.Extra["done"], f.Extra["connections_passed"] = u.did, u.passed
+	f.Extra["refused_connections"], f.Extra["crossed_a_close"], f.Extra["resets"] = refused, crossed, resets
+	f.Extra["held_after_drain"] = u.heldOpen
+	f.Extra["ready_ms_p99"] = trial.Quantile(u.readyIn, 0.99)
+	f.Extra["sent_units"] = trial.SentUnits(u.w.Record)
+	if u.heldOpen > 0 {
+		f.Miss(fmt.Sprintf("%d connections were open 4 s after a drain began", u.heldOpen))
+	}
+	if refused > 0 {
+		f.Miss(fmt.Sprintf("%d connections found a closed port, which the rig holds open", refused))
+	}
+	if u.did["replaced"]+u.did["drained"] == 0 {
+		f.Miss("nothing was done")
+	}
+	for _, err := range u.errs[:min(len(u.errs), 3)] {
+		f.Miss(err.Error())
+	}
+}
+
+// process is one of a gateway's processes.
+type process struct {
+	pid  int
+	door string
+}
+
+// now is the process that serves.
+func (g *Gateway) now() process {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return process{g.pid, g.doorAt}
+}
+
+// beside starts a process beside the one that serves: the same but for its door.
+func (g *Gateway) beside() (process, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.pid == 0 {
+		return process{}, errors.New("gateway: does not run")
+	}
+	was := g.doorAt
+	if err := g.newDoor(); err != nil {
+		return process{}, err
+	}
+	next := process{door: g.doorAt}
+	err := g.Configure()
+	if err == nil {
+		next.pid, err = g.launch()
+	}
+	g.doorAt = was
+	return next, err
+}
+
+// succeed takes note that another process serves now, and gives the one before.
+func (g *Gateway) succeed(next process) (old process) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sample()
+	old = process{g.pid, g.doorAt}
+	g.pid, g.doorAt, g.began = next.pid, next.door, g.rec.Now()
+	g.older = append(g.older[:0], old.pid)
+	g.rec.AddLife(g.Number, trial.Handed)
+	g.rec.AddLife(g.Number, trial.Ready)
+	return old
+}
+
+// newDoor finds an address for the next process's door.
+func (g *Gateway) newDoor() error {
+	host, _, err := net.SplitHostPort(g.Address)
+	if err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+	if err != nil {
+		return err
+	}
+	g.doorAt = l.Addr().String()
+	return l.Close()
+}
+
+// door calls a process's door: the first line of the answer, or why there is none.
+func (g *Gateway) door(address, call string) string {
+	all, err := callDoor(address, call)
+	if err != nil {
+		return err.Error()
+	}
+	line, _, _ := strings.Cut(all, "\n")
+	return line
+}
+
+// figure is one figure of a process.
+func (g *Gateway) figure(address, name string) string {
+	all, _ := callDoor(address, "vars")
+	for line := range strings.SplitSeq(all, "\n") {
+		if value, ok := strings.CutPrefix(line, "gateway."+name+"="); ok {
+			return value
+		}
+	}
+	return ""
+}
+
+func callDoor(address, call string) (string, error) {
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(2 * time.Second))
+	if _, err := io.WriteString(c, call+"\n"); err != nil {
+		return "", err
+	}
+	b, err := io.ReadAll(bufio.NewReader(c))
+	return string(b), err
+}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -31,6 +31,7 @@
 	Load      float64                          // part of what the servers can do that is asked inside the quotas
 	Bin       string                           // of the gateway; "": it is built
 	Prepare   func(w *World, g *Gateway) error // writes further files into a gateway's folder; nil: none
+	Held      bool                             // the rig holds the clients' sockets, and gateways have doors
 	Consul    bool                             // the register is Consul, with an agent for each gateway
 	Operators string                           // text of the operators' file, %DIR% being the gateway's folder; "": none
 	Change    func(s *trial.Site)              // what is other than drawn; nil: nothing
@@ -125,6 +126,11 @@
 				return w, err
 			}
 		}
+		if o.Held {
+			if err := g.hold(); err != nil {
+				return w, err
+			}
+		}
 		g.config = w.configuration
 		w.Gateways = append(w.Gateways, g)
 		peers = append(peers, netip.MustParseAddrPort(g.Peer))
@@ -162,7 +168,8 @@
 		known = memberList{Members: []member{}} // it names servers otherwise
 	}
 	return map[string]any{
-		"name": fmt.Sprintf("n%d", g.Number), "listen": g.Address,
+		"management": g.doorAt,
+		"name":       fmt.Sprintf("n%d", g.Number), "listen": g.Address,
 		"discovery": w.Register.agents[g.Number].address, "seed": trial.Hex16(w.options.Seed*1e6 + uint64(time.Now().UnixNano())),
 		"limits":      map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": 1024},
 		"peer_listen": g.Peer, "peers": w.Notes.peers(g.Number), "peers_all": "127.0.0.1:9",
