A third process while the first ends; folders deeper than a socket's address

Cause: a TMPDIR of over some 100 bytes would have left every new version starting cold, and it was not shown what three processes do. Change: the meeting point is reached by way of its folder's descriptor, its name is a hash of the gateway's. Tests: a folder of 200 bytes, three processes of which the second ends first.

--- a/internal/gateway/succeed_test.go
+++ b/internal/gateway/succeed_test.go
@@ -187,6 +187,41 @@
 	}
 }
 
+// A third process that comes while the first still answers what it had takes the second's
+// place; the first is left to its end, and what it has is answered.
+func TestAThirdProcessWhileTheFirstEnds(t *testing.T) {
+	b := newBackend(t)
+	h := hold(t)
+	d := newFakeDiscovery(t, b.entry("s-1", "Ready"))
+	first := h.process(t, d)
+	c, other := first.client(t), first.client(t)
+	other.send("PING")
+	other.want("+PONG")
+	c.once(1)
+	open := b.next(t)
+	second := h.process(t, d)
+	third := h.process(t, d)
+	for _, r := range []*rig{first, second} {
+		if got := operator(t, r, "check"); got != "fail handed over\n" {
+			t.Errorf("check of a process that was replaced: %q", got)
+		}
+	}
+	other.send("PING")
+	other.want("+PONG")
+	open.serve(t, "open")
+	c.value("open")
+	second.stop() // before the first, whose connection it still waits for
+	wait(t, second.ended, "the end of the second process")
+	first.stop()
+	wait(t, first.ended, "the end of the first process")
+	other.lookup(2, "60000")
+	b.nextOf(t, 2).serve(t, "third")
+	other.value("third")
+	if n := vars(t, third)["answered.lookup"]; n != 1 {
+		t.Errorf("the third process answered %d requests, want 1", n)
+	}
+}
+
 // A newer process that dies before it has taken over leaves the old one serving, with what
 // came meanwhile.
 func TestANewerProcessThatDiesChangesNothing(t *testing.T) {
--- a/internal/succession/succession.go
+++ b/internal/succession/succession.go
@@ -18,6 +18,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"net"
 	"os"
@@ -39,7 +40,26 @@
 
 // Path is where the processes of a gateway meet in a folder.
 func Path(folder, name string) string {
-	return filepath.Join(folder, fmt.Sprintf("mothcleat-%x.sock", name))
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name)) // names may be longer than a file's may be
+	return filepath.Join(folder, fmt.Sprintf("mothcleat-%016x.sock", h.Sum64()))
+}
+
+// addressMost is how long a socket's address may be; the folder of temporary files may be deeper.
+const addressMost = 100
+
+// address gives a path as a socket's address that is short enough: by way of the folder's
+// descriptor where it is not. done lets go of that.
+func address(path string) (a *net.UnixAddr, done func(), err error) {
+	if len(path) <= addressMost {
+		return &net.UnixAddr{Name: path, Net: "unixpacket"}, func() {}, nil
+	}
+	dir, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return nil, nil, err
+	}
+	short := fmt.Sprintf("/proc/self/fd/%d/%s", dir.Fd(), filepath.Base(path))
+	return &net.UnixAddr{Name: short, Net: "unixpacket"}, func() { _ = dir.Close() }, nil
 }
 
 // Estate is what a process knows and holds once for all its clients.
@@ -138,7 +158,12 @@
 
 // Ask looks for the process before. ErrNone: there is none, or none that answers.
 func Ask(path string) (*Before, error) {
-	conn, err := net.DialUnix("unixpacket", nil, &net.UnixAddr{Name: path, Net: "unixpacket"})
+	to, done, err := address(path)
+	if err != nil {
+		return nil, ErrNone
+	}
+	defer done()
+	conn, err := net.DialUnix("unixpacket", nil, to)
 	if err != nil {
 		return nil, ErrNone
 	}
@@ -253,7 +278,12 @@
 func Listen(path string) (*Line, error) {
 	next := fmt.Sprintf("%s.%d", path, os.Getpid())
 	_ = os.Remove(next)
-	l, err := net.ListenUnix("unixpacket", &net.UnixAddr{Name: next, Net: "unixpacket"})
+	at, done, err := address(next)
+	if err != nil {
+		return nil, fmt.Errorf("succession: %w", err)
+	}
+	defer done()
+	l, err := net.ListenUnix("unixpacket", at)
 	if err != nil {
 		return nil, fmt.Errorf("succession: %w", err)
 	}
--- a/internal/succession/succession_test.go
+++ b/internal/succession/succession_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -143,7 +145,16 @@
 
 // TestNobodyBefore asks where nobody is, where somebody was, and where two were.
 func TestNobodyBefore(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "s")
+	nobodyBefore(t, filepath.Join(t.TempDir(), "s"))
+	deep := filepath.Join(t.TempDir(), strings.Repeat("deep/", 40)) // longer than a socket's address
+	if err := os.MkdirAll(deep, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	nobodyBefore(t, Path(deep, strings.Repeat("name", 100)))
+}
+
+func nobodyBefore(t *testing.T, path string) {
+	t.Helper()
 	if _, err := Ask(path); !errors.Is(err, ErrNone) {
 		t.Errorf("an empty folder: %v", err)
 	}
