--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -40,9 +40,6 @@
 // End counts a request of a class that has ended.
 func (t *Tally) End(class int, how End) { t.ended[class][how]++ }
 
-// Ended is how many requests of a class have ended in a way.
-func (t *Tally) Ended(class int, how End) int64 { return t.ended[class][how] }
-
 // Now is what the gateway has at the moment.
 type Now struct {
 	Current   int // requests taken and not ended
