succession: a head with a long credential is read whole

Cause: found on rereading. A head is JSON; a credential of 8 KiB that it escapes takes 48 KiB, the reader's buffer held 32: the head was cut, and every connection passed on after it was lost. Change: the buffer holds 96 KiB; states and what was read go in pieces of 32 KiB as before. Result: TestLongestCredential fails without it (0 connections) and passes with it.

--- a/internal/succession/succession.go
+++ b/internal/succession/succession.go
@@ -29,7 +29,8 @@
 )
 
 const (
-	piece     = 32 << 10 // bytes of a message at most
+	piece     = 32 << 10 // bytes of a state or of what was read in a message
+	largest   = 96 << 10 // and of any message: a head may hold a long credential, escaped
 	stateMost = 64 << 20 // bytes of a state that is taken in
 	restMost  = 24 << 20 // bytes read from one connection that are taken in
 	stepTime  = 2 * time.Second
@@ -120,7 +121,7 @@
 // is valid until the next read.
 func (l *link) read() (kind byte, body []byte, carried *os.File, err error) {
 	if l.buf == nil {
-		l.buf = make([]byte, piece+1)
+		l.buf = make([]byte, largest)
 	}
 	oob := make([]byte, syscall.CmsgSpace(4*4))
 	n, oobn, _, _, err := l.conn.ReadMsgUnix(l.buf, oob)
--- a/internal/succession/succession_test.go
+++ b/internal/succession/succession_test.go
@@ -119,6 +119,34 @@
 	}
 }
 
+// TestLongestCredential passes on a connection whose credential is as long as any, of bytes
+// that JSON writes with six each.
+func TestLongestCredential(t *testing.T) {
+	here, _ := connections(t)
+	secret := strings.Repeat("<", 8<<10)
+	b := meet(t, func(a *After) {
+		_ = a.write('E', nil, nil)
+		if err := a.Pass(Client{Conn: here, Head: Head{Known: true, Secret: secret}, Rest: []byte("rest")}); err != nil {
+			t.Error(err)
+		}
+		a.Close()
+	})
+	if _, err := b.Take(); err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	err := b.Clients(func(c Client) {
+		n++
+		if c.Head.Secret != secret || string(c.Rest) != "rest" {
+			t.Errorf("a secret of %d bytes and %q", len(c.Head.Secret), c.Rest)
+		}
+		c.Conn.Close()
+	})
+	if err != nil || n != 1 {
+		t.Errorf("%d connections, %v", n, err)
+	}
+}
+
 // TestNoWordNoSuccession has the newer process end before, or say something else than, its
 // word: the one before must learn that it serves on.
 func TestNoWordNoSuccession(t *testing.T) {
