gateway: one way to begin a connection; over without a step through all

Cause: found on rereading. Connections accepted and passed in were made and begun by two copies of the same steps; a stop was stepped twice; and each connection that left a stopping gateway had all others looked at, where only the question whether it is over was due. Change: newClient and begin serve both; over is apart from step. Behaviour is the same.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -101,27 +101,35 @@
 type connected struct{ conn *net.TCPConn }
 
 func (e connected) handle(l *Loop) {
-	cs, now := l.clients, l.now()
-	c := &client{
-		conn: e.conn, out: newSender(e.conn), room: make(chan struct{}, pipelined), done: make(chan struct{}),
+	cs := l.clients
+	if l.begin(newClient(e.conn, l.now())) && len(cs.conns) > cs.most {
+		cs.evict(l, nil)
+	}
+}
+
+func newClient(conn *net.TCPConn, now decide.Time) *client {
+	return &client{
+		conn: conn, out: newSender(conn), room: make(chan struct{}, pipelined), done: make(chan struct{}),
 		used: now,
 	}
-	cs.conns[c] = true
+}
+
+// begin has a new connection read, where requests are still taken on one; else it goes to
+// the newer process, or ends.
+func (l *Loop) begin(c *client) bool {
+	l.clients.conns[c] = true
 	if l.heirs.passes() {
 		c.share.parted = true // it was not read from
 		l.pass(c)
-		return
+		return false
 	}
-	if l.life.Closed(now) {
+	go c.read(l)
+	if l.life.Closed(l.now()) {
 		// It was accepted just before the end: what it sends is not taken.
-		go c.read(l)
 		c.end(l)
-		return
-	}
-	if len(cs.conns) > cs.most {
-		cs.evict(l, nil)
+		return false
 	}
-	go c.read(l)
+	return true
 }
 
 // evict closes the connection that matters least, if one may be closed: first
@@ -500,6 +508,6 @@
 	}
 	c.line = nil
 	if l.life.Stopping() {
-		l.step()
+		l.over()
 	}
 }
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -1,8 +1,6 @@
 package gateway
 
-import (
-	"mothcleat/decide"
-)
+import "mothcleat/decide"
 
 // untilReady is how long a start waits for discovery before it serves with the
 // list it was given.
@@ -25,7 +23,6 @@
 	l.log.Info("stopping", "open", l.open)
 	l.life.Stop(l.now())
 	l.step()
-	l.step()
 }
 
 // step does what has become due and asks to be called again.
@@ -47,6 +44,13 @@
 		l.steps.abandoned = true
 		l.failAll()
 	}
+	l.over()
+}
+
+// over ends the gateway once nothing is open any more, and has step called when something
+// changes by the passing of time.
+func (l *Loop) over() {
+	now := l.now()
 	if l.life.Over(now, l.open, len(l.clients.conns)) {
 		l.done = true
 	}
--- a/internal/gateway/succeed.go
+++ b/internal/gateway/succeed.go
@@ -162,27 +162,15 @@
 
 func (e passedIn) handle(l *Loop) {
 	head, now := &e.from.Head, l.now()
-	c := &client{
-		conn: e.from.Conn, out: newSender(e.from.Conn), room: make(chan struct{}, pipelined), done: make(chan struct{}),
-		used: now, asked: head.Asked,
-	}
+	c := newClient(e.from.Conn, now)
+	c.asked = head.Asked
 	if head.Known {
 		c.credential = &forwardauth.Credential{User: head.User, Secret: head.Secret, Named: head.Named}
 	}
 	c.share.rest, c.share.old, c.share.age = e.from.Rest, head.Kept, head.AgeUS
 	c.share.ageAt = now
 	l.tally.PassedIn.Add(1)
-	l.clients.conns[c] = true
-	switch {
-	case l.heirs.passes():
-		c.share.parted = true
-		l.pass(c)
-	case l.life.Closed(now):
-		go c.read(l)
-		c.end(l)
-	default:
-		go c.read(l)
-	}
+	l.begin(c)
 }
 
 // heirReady tells that a newer process could serve. It is given all that this one knows;
--- a/internal/gateway/survive.go
+++ b/internal/gateway/survive.go
@@ -35,7 +35,7 @@
 	Ready     func() error // nil: nobody waits for it
 
 	// Meet is where a process finds the one before it, and is found by the one after; "":
-	// it looks for none. docs/fleet.md tells more.
+	// it looks for none. docs/daily.md tells more.
 	Meet string
 }
 
