store: log, sealed index, recovery and compaction of an embedded store

Quota counts, exported use and kept state need a store that survives a crash with all that it promised. store/ is a log of batches with a record checksum each, sealed sorted index runs with a filter and a first key a block, a persistent treap over what the index does not have yet, a manifest, and a mark of what was synced that tells a torn tail from damage.

--- /dev/null
+++ b/store/filter.go
@@ -0,0 +1,43 @@
+package store
+
+// filter tells which keys an index run surely does not hold: a Bloom filter with 10 bits
+// and 7 probes a key, of which it takes some 0.8% of the absent ones for present.
+type filter []byte
+
+const (
+	filterBits   = 10
+	filterProbes = 7
+)
+
+func newFilter(keys int) filter { return make(filter, (keys*filterBits+7)/8+1) }
+
+// hash is FNV-1a with a finisher, as the filter in a file must mean the same to every process.
+func hash(key []byte) uint64 {
+	h := uint64(14695981039346656037)
+	for _, c := range key {
+		h = (h ^ uint64(c)) * 1099511628211
+	}
+	h = (h ^ h>>32) * 0x9e3779b97f4a7c15
+	return h ^ h>>29
+}
+
+// bit is the place of a probe.
+func (f filter) bit(h uint64, probe int) uint64 {
+	return (h>>32 + uint64(probe)*(h&0xffffffff|1)) % (uint64(len(f)) * 8)
+}
+
+func (f filter) add(h uint64) {
+	for i := range filterProbes {
+		bit := f.bit(h, i)
+		f[bit>>3] |= 1 << (bit & 7)
+	}
+}
+
+func (f filter) has(h uint64) bool {
+	for i := range filterProbes {
+		if bit := f.bit(h, i); f[bit>>3]&(1<<(bit&7)) == 0 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/store/fs.go
@@ -0,0 +1,128 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// FS is the folder that a store lives in, as wide as the store needs. DirFS gives the
+// real one.
+type FS interface {
+	Create(name string) (File, error)                  // for reading and writing; an old file is emptied
+	Open(name string, write bool) (File, error)        // fs.ErrNotExist if there is none
+	Rename(from, to string) error                      // replaces what is there
+	Remove(name string) error                          // its open files stay readable
+	List() ([]string, error)                           // names of all files
+	Sync() error                                       // of the folder: what was created, renamed and removed
+	Lock(shared bool) (unlock func() error, err error) // ErrLocked if another has it
+}
+
+// File is one open file.
+type File interface {
+	io.ReaderAt
+	io.WriterAt
+	io.Closer
+	Sync() error
+	Truncate(size int64) error
+	Size() (int64, error)
+}
+
+type dirFS struct{ dir string }
+
+// DirFS is the folder at a path. It is made, with its name synced, if it is not there and create
+// is set; the folder above must exist.
+func DirFS(dir string, create bool) (FS, error) {
+	if create {
+		if err := os.Mkdir(dir, 0o700); err == nil {
+			if err := syncDir(filepath.Dir(dir)); err != nil {
+				return nil, err
+			}
+		} else if !errors.Is(err, os.ErrExist) {
+			return nil, err
+		}
+	}
+	info, err := os.Stat(dir)
+	if err == nil && !info.IsDir() {
+		err = fmt.Errorf("%s is no folder", dir)
+	}
+	return dirFS{dir}, err
+}
+
+func (d dirFS) path(name string) string { return filepath.Join(d.dir, name) }
+
+func (d dirFS) Create(name string) (File, error) {
+	f, err := os.OpenFile(d.path(name), os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	return osFile{f}, nil
+}
+
+func (d dirFS) Open(name string, write bool) (File, error) {
+	flags := os.O_RDONLY
+	if write {
+		flags = os.O_RDWR
+	}
+	f, err := os.OpenFile(d.path(name), flags, 0)
+	if err != nil {
+		return nil, err
+	}
+	return osFile{f}, nil
+}
+
+func (d dirFS) Rename(from, to string) error { return os.Rename(d.path(from), d.path(to)) }
+func (d dirFS) Remove(name string) error     { return os.Remove(d.path(name)) }
+func (d dirFS) Sync() error                  { return syncDir(d.dir) }
+
+func (d dirFS) List() (names []string, err error) {
+	entries, err := os.ReadDir(d.dir)
+	for _, e := range entries {
+		if e.Type().IsRegular() {
+			names = append(names, e.Name())
+		}
+	}
+	return names, err
+}
+
+// Lock takes a lock on the folder itself. The system gives it back when the process ends.
+func (d dirFS) Lock(shared bool) (func() error, error) {
+	f, err := os.Open(d.dir)
+	if err != nil {
+		return nil, err
+	}
+	how := syscall.LOCK_EX
+	if shared {
+		how = syscall.LOCK_SH
+	}
+	err = syscall.Flock(int(f.Fd()), how|syscall.LOCK_NB)
+	if err == nil {
+		return f.Close, nil
+	}
+	f.Close()
+	if errors.Is(err, syscall.EWOULDBLOCK) {
+		return nil, fmt.Errorf("%s: %w", d.dir, ErrLocked)
+	}
+	return nil, fmt.Errorf("%s: lock: %w", d.dir, err)
+}
+
+func syncDir(path string) error {
+	dir, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(dir.Sync(), dir.Close())
+}
+
+type osFile struct{ *os.File }
+
+func (f osFile) Size() (int64, error) {
+	info, err := f.Stat()
+	if err != nil {
+		return 0, err
+	}
+	return info.Size(), nil
+}
--- /dev/null
+++ b/store/run.go
@@ -0,0 +1,338 @@
+package store
+
+import (
+	"bytes"
+	"encoding/binary"
+	"sort"
+)
+
+// run is one sealed index: entries in order of their keys, in blocks of some 4 KiB. Memory
+// holds the first key of each block and the filter alone.
+type run struct {
+	file
+	id         uint64
+	length     int64
+	entries    int
+	tombstones int
+	end        int64    // of the blocks
+	fences     []byte   // as they stand in the file
+	fence      []uint32 // where each begins there
+	filter     filter
+}
+
+const (
+	blockSize  = 4 << 10
+	footerSize = 48
+)
+
+// runWriter writes a run. Its keys must come in order.
+type runWriter struct {
+	f          File
+	name       string
+	id         uint64
+	at         int64 // where buf goes
+	buf        []byte
+	block      []byte
+	fences     []byte
+	filter     filter
+	entries    int
+	tombstones int
+}
+
+func (s *Store) newRunWriter(most int) (*runWriter, error) {
+	id := s.nextID()
+	w := &runWriter{name: runName(id), id: id, filter: newFilter(most), buf: head(kindRun, s.id, id)}
+	var err error
+	w.f, err = s.fs.Create(w.name)
+	return w, err
+}
+
+func (w *runWriter) add(key []byte, at location) error {
+	if len(w.block) == 0 {
+		w.fences = binary.AppendUvarint(w.fences, uint64(w.at)+uint64(len(w.buf)))
+		w.fences = binary.AppendUvarint(w.fences, uint64(len(key)))
+		w.fences = append(w.fences, key...)
+	}
+	w.block = binary.AppendUvarint(w.block, uint64(len(key)))
+	w.block = append(w.block, key...)
+	w.block = binary.AppendUvarint(w.block, uint64(at.size))
+	if at.deleted() {
+		w.tombstones++
+	} else {
+		w.block = binary.AppendUvarint(w.block, at.segment)
+		w.block = binary.AppendUvarint(w.block, uint64(at.offset))
+	}
+	w.filter.add(hash(key))
+	w.entries++
+	if len(w.block) >= blockSize {
+		return w.endBlock()
+	}
+	return nil
+}
+
+func (w *runWriter) endBlock() error {
+	if len(w.block) == 0 {
+		return nil
+	}
+	w.buf = sealed(w.buf, w.block)
+	w.block = w.block[:0]
+	if len(w.buf) >= 64<<10 {
+		return w.flush()
+	}
+	return nil
+}
+
+func (w *runWriter) flush() error {
+	_, err := w.f.WriteAt(w.buf, w.at)
+	w.at += int64(len(w.buf))
+	w.buf = w.buf[:0]
+	return err
+}
+
+// finish writes the directory and has the run on disk.
+func (w *runWriter) finish() (*run, error) {
+	if err := w.endBlock(); err != nil {
+		return nil, err
+	}
+	end := w.at + int64(len(w.buf))
+	w.buf = sealed(w.buf, w.fences)
+	filterAt := w.at + int64(len(w.buf))
+	w.buf = sealed(w.buf, w.filter)
+	foot := make([]byte, 0, footerSize)
+	for _, n := range []uint64{uint64(end), uint64(filterAt), uint64(w.entries), uint64(w.tombstones), w.id} {
+		foot = le.AppendUint64(foot, n)
+	}
+	foot = append(foot, "run\n"...)
+	w.buf = le.AppendUint32(append(w.buf, foot...), sum(foot))
+	if err := w.flush(); err != nil {
+		return nil, err
+	}
+	if err := w.f.Sync(); err != nil {
+		return nil, err
+	}
+	r := &run{file: file{f: w.f, name: w.name}, id: w.id, length: w.at, entries: w.entries, tombstones: w.tombstones,
+		end: end, fences: w.fences, filter: w.filter}
+	return r, r.index()
+}
+
+// openRun reads a run's directory.
+func openRun(f File, store uint64, m sealedRun) (*run, error) {
+	name := runName(m.id)
+	size, err := f.Size()
+	if err != nil {
+		return nil, err
+	}
+	if size != m.length {
+		return nil, &DamageError{name, size, "ends here; the manifest has another length"}
+	}
+	if _, err := readHead(f, name, kindRun, store, m.id); err != nil {
+		return nil, err
+	}
+	foot := make([]byte, footerSize)
+	at := size - footerSize
+	if at < headSize {
+		return nil, &DamageError{name, size, "too short for a footer"}
+	}
+	if _, err := f.ReadAt(foot, at); err != nil {
+		return nil, cutOr(err, name, at, "ends within its footer")
+	}
+	if string(foot[40:44]) != "run\n" || le.Uint32(foot[44:]) != sum(foot[:44]) || le.Uint64(foot[32:]) != m.id {
+		return nil, &DamageError{name, at, "footer's checksum differs"}
+	}
+	r := &run{file: file{f: f, name: name}, id: m.id, length: size, end: int64(le.Uint64(foot)),
+		entries: int(le.Uint64(foot[16:])), tombstones: int(le.Uint64(foot[24:]))}
+	filterAt := int64(le.Uint64(foot[8:]))
+	if r.fences, err = readSealed(f, name, r.end, filterAt, nil); err != nil {
+		return nil, err
+	}
+	bits, err := readSealed(f, name, filterAt, at, nil)
+	if err != nil {
+		return nil, err
+	}
+	r.filter = bits
+	return r, r.index()
+}
+
+// index finds where each fence begins.
+func (r *run) index() error {
+	for at := 0; at < len(r.fences); {
+		r.fence = append(r.fence, uint32(at))
+		_, key, n := r.fenceAt(at)
+		if n <= 0 || at+n > len(r.fences) || key == nil {
+			return &DamageError{r.name, r.end, "directory can't be read"}
+		}
+		at += n
+	}
+	return nil
+}
+
+// fenceAt reads the fence at a place: its block's offset, its key, its length.
+func (r *run) fenceAt(at int) (offset int64, key []byte, n int) {
+	b := r.fences[at:]
+	o, k := binary.Uvarint(b)
+	if k <= 0 {
+		return 0, nil, 0
+	}
+	size, l := binary.Uvarint(b[k:])
+	if l <= 0 || size > uint64(len(b)-k-l) {
+		return 0, nil, 0
+	}
+	return int64(o), b[k+l : k+l+int(size)], k + l + int(size)
+}
+
+// blockFor is the number of the block that would hold a key, -1 if it is before all.
+func (r *run) blockFor(key []byte) int {
+	return sort.Search(len(r.fence), func(i int) bool {
+		_, first, _ := r.fenceAt(int(r.fence[i]))
+		return bytes.Compare(first, key) > 0
+	}) - 1
+}
+
+func (r *run) block(i int, buf []byte) ([]byte, error) {
+	offset, _, _ := r.fenceAt(int(r.fence[i]))
+	return readSealed(r.f, r.name, offset, r.end, buf)
+}
+
+// entry reads the first entry of what is left of a block.
+func (r *run) entry(b []byte) (key []byte, at location, rest []byte, err error) {
+	n, k := binary.Uvarint(b)
+	if k > 0 && n <= uint64(len(b)-k) {
+		key, b = b[k:k+int(n)], b[k+int(n):]
+		size, l := binary.Uvarint(b)
+		if l > 0 && size == 0 {
+			return key, at, b[l:], nil
+		}
+		if l > 0 && size <= 1<<32-1 {
+			b = b[l:]
+			if segment, l := binary.Uvarint(b); l > 0 {
+				b = b[l:]
+				if offset, l := binary.Uvarint(b); l > 0 {
+					return key, location{segment, int64(offset), uint32(size)}, b[l:], nil
+				}
+			}
+		}
+	}
+	return nil, at, nil, &DamageError{r.name, 0, "an entry can't be read"}
+}
+
+// get finds a key; h is its hash.
+func (r *run) get(key []byte, h uint64, buf *[]byte) (location, bool, error) {
+	if !r.filter.has(h) {
+		return location{}, false, nil
+	}
+	i := r.blockFor(key)
+	if i < 0 {
+		return location{}, false, nil
+	}
+	b, err := r.block(i, *buf)
+	if err != nil {
+		return location{}, false, err
+	}
+	*buf = b
+	for len(b) > 0 {
+		k, at, rest, err := r.entry(b)
+		if err != nil {
+			return at, false, err
+		}
+		switch c := bytes.Compare(k, key); {
+		case c == 0:
+			return at, true, nil
+		case c > 0:
+			return location{}, false, nil
+		}
+		b = rest
+	}
+	return location{}, false, nil
+}
+
+// runWalk goes through a run in order. Keys are of use until the next call.
+type runWalk struct {
+	r     *run
+	block int
+	buf   []byte
+	rest  []byte
+	first []byte // what is before it is passed over
+}
+
+func (r *run) from(key []byte) *runWalk {
+	return &runWalk{r: r, block: max(r.blockFor(key), 0), first: key}
+}
+
+func (w *runWalk) next() (key []byte, at location, ok bool, err error) {
+	for {
+		if len(w.rest) == 0 {
+			if w.block >= len(w.r.fence) {
+				return nil, at, false, nil
+			}
+			if w.buf, err = w.r.block(w.block, w.buf); err != nil {
+				return nil, at, false, err
+			}
+			w.rest = w.buf
+			w.block++
+		}
+		if key, at, w.rest, err = w.r.entry(w.rest); err != nil {
+			return nil, at, false, err
+		}
+		if bytes.Compare(key, w.first) >= 0 {
+			w.first = nil
+			return key, at, true, nil
+		}
+	}
+}
+
+// walker goes through entries in order of their keys.
+type walker interface {
+	next() (key []byte, at location, ok bool, err error)
+}
+
+// merged goes through several walkers at once; where some have the same key the first one counts.
+type merged struct {
+	from  []walker
+	heads []mergeHead
+	key   []byte // the last one given out
+	// source is the number of the walker that the last one came from
+	source int
+}
+
+type mergeHead struct {
+	key  []byte
+	at   location
+	ok   bool
+	read bool // the next entry is wanted
+}
+
+func merge(from ...walker) *merged {
+	m := &merged{from: from, heads: make([]mergeHead, len(from))}
+	for i := range m.heads {
+		m.heads[i].read = true
+	}
+	return m
+}
+
+func (m *merged) next() (key []byte, at location, ok bool, err error) {
+	least := -1
+	for i := range m.heads {
+		h := &m.heads[i]
+		if h.read {
+			if h.key, h.at, h.ok, err = m.from[i].next(); err != nil {
+				return nil, at, false, err
+			}
+			h.read = false
+		}
+		if h.ok && (least < 0 || bytes.Compare(h.key, m.heads[least].key) < 0) {
+			least = i
+		}
+	}
+	if least < 0 {
+		return nil, at, false, nil
+	}
+	// The key lives in its walker's block: kept until that one moves on.
+	m.key = append(m.key[:0], m.heads[least].key...)
+	at, m.source = m.heads[least].at, least
+	for i := least; i < len(m.heads); i++ {
+		if h := &m.heads[i]; h.ok && bytes.Equal(h.key, m.key) {
+			h.read = true
+		}
+	}
+	return m.key, at, true, nil
+}
