lab store: crashes after every operation, damage at every byte, kills amid commits

The store's promises need a rig that can break them. internal/storetrial plays random batches against a plain map, crashes after each operation with writes lost, torn and reordered, cuts and changes each byte of each file, and kills a process that writes with four goroutines while a second checks what it had acknowledged; the suite plays a part of it.

--- /dev/null
+++ b/cmd/lab/store.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"mothcleat/internal/storetrial"
+	"mothcleat/internal/trial"
+)
+
+// The commands that try the embedded store.
+
+func (b *bench) store() *cobra.Command {
+	return b.play("store", "the embedded store: crashed after every operation, cut and changed at every byte, killed while it writes", time.Minute,
+		func(c *cobra.Command) (func() error, player) {
+			batches := c.Flags().Int("batches", 40, "that are crashed and damaged, 24 to 400; the time grows with the square")
+			check := func() error { return within("batches", *batches, 24, 400) }
+			return check, func(ctx context.Context, seed uint64, length time.Duration) (*trial.Figures, error) {
+				return b.runStore(ctx, seed, length, *batches)
+			}
+		})
+}
+
+// runStore spends about a third of the time on each of the three trials; the first two play whole rounds.
+func (b *bench) runStore(ctx context.Context, seed uint64, length time.Duration, batches int) (*trial.Figures, error) {
+	f, began := trial.NewFigures("store", seed), time.Now()
+	sum := storetrial.Tally{}
+	add := func(t *storetrial.Tally) {
+		sum.Opened += t.Opened
+		sum.Refused += t.Refused
+		sum.Invented += t.Invented
+		sum.LostPromised += t.LostPromised
+		sum.Unclear += t.Unclear
+		sum.Why = append(sum.Why, t.Why...)
+	}
+	rounds := 0
+	for ; rounds == 0 || time.Since(began) < length/2; rounds++ {
+		for _, play := range []func() (*storetrial.Tally, error){
+			func() (*storetrial.Tally, error) { return storetrial.Crashes(ctx, seed+uint64(rounds), batches, 4) },
+			func() (*storetrial.Tally, error) { return storetrial.Damage(ctx, seed+uint64(rounds), batches) },
+		} {
+			t, err := play()
+			if err != nil {
+				return nil, err
+			}
+			add(t)
+			fmt.Fprintf(b.progress, "seed %d: %d opened, %d refused, %d not as promised\n", seed+uint64(rounds), t.Opened, t.Refused, t.Bad())
+		}
+	}
+	dir, err := os.MkdirTemp("", "mothcleat-store-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	kills, err := storetrial.Kills(ctx, seed, dir, max(time.Second, length-time.Since(began)), self, "store-writer")
+	if err != nil {
+		return nil, err
+	}
+	add(&kills.Tally)
+	f.Seconds = time.Since(began).Seconds()
+	f.Extra = map[string]any{"rounds": rounds, "opened": sum.Opened, "refused": sum.Refused, "invented": sum.Invented,
+		"lost_promised": sum.LostPromised, "unclear": sum.Unclear, "kills": kills.Kills, "acknowledged": kills.Acknowledged}
+	for _, why := range sum.Why {
+		f.Miss(why)
+	}
+	return f, nil
+}
+
+// storeWriter is the process that the store's trial kills.
+func (b *bench) storeWriter() *cobra.Command {
+	return &cobra.Command{Use: "store-writer DIR", Hidden: true, Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error { return storetrial.Write(args[0], b.out) }}
+}
--- a/internal/crashfs/crashfs.go
+++ b/internal/crashfs/crashfs.go
@@ -395,3 +395,10 @@
 }
 
 func (f *file) Close() error { return nil }
+
+// Kill frees the lock, as the end of its holder does.
+func (f *FS) Kill() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.locked = false
+}
--- /dev/null
+++ b/internal/storetrial/damage.go
@@ -0,0 +1,170 @@
+package storetrial
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+
+	"mothcleat/internal/crashfs"
+	"mothcleat/store"
+)
+
+// Tally counts how recoveries ended.
+type Tally struct {
+	Opened  int // with all that was promised
+	Refused int // with file and place
+	// Invented: content that the store never had. LostPromised: an older one than was promised. Unclear: a refusal
+	// that names no place, or one after a crash alone.
+	Invented, LostPromised, Unclear int
+	Why                             []string // the first of these
+}
+
+// Bad is the number of recoveries that ended as none may.
+func (t *Tally) Bad() int { return t.Invented + t.LostPromised + t.Unclear }
+
+func (t *Tally) bad(n *int, format string, args ...any) {
+	*n++
+	if len(t.Why) < 5 {
+		t.Why = append(t.Why, fmt.Sprintf(format, args...))
+	}
+}
+
+// judge opens what is left and counts how it ends. refusal: damage may be refused here.
+func (t *Tally) judge(w *Workload, o store.Options, promised int, refusal bool, what string) {
+	var got Content
+	s, err := store.Open("", o)
+	if err == nil {
+		got, err = Read(s)
+		err = errors.Join(err, s.Close())
+	}
+	if err != nil {
+		var damage *store.DamageError
+		if refusal && errors.As(err, &damage) && damage.File != "" {
+			t.Refused++
+			return
+		}
+		t.bad(&t.Unclear, "%s: %v", what, err)
+		return
+	}
+	switch n := w.After(got); {
+	case n < 0:
+		t.bad(&t.Invented, "%s: holds %v", what, got)
+	case n < promised:
+		t.bad(&t.LostPromised, "%s: as after batch %d; %d were promised", what, n, promised)
+	default:
+		t.Opened++
+	}
+}
+
+// Crashes plays a workload of so many batches and crashes it after each of its operations, with any
+// of what was not synced there, lost or in part: so many random ways each beside the regular ones.
+func Crashes(ctx context.Context, seed uint64, batches, random int) (*Tally, error) {
+	w, f, t := NewWorkload(seed), crashfs.New(), &Tally{}
+	f.Record()
+	var err error
+	if w.Store, err = store.Open("", Small(f)); err != nil {
+		return nil, err
+	}
+	for i := range batches {
+		d := store.Durability(w.Rand.IntN(3) > 0)
+		if err := w.Commit(d); err != nil {
+			return nil, err
+		}
+		if d {
+			f.Mark(w.Last())
+		}
+		if i%20 == 18 {
+			if err := w.Store.Compact(ctx); err != nil {
+				return nil, err
+			}
+		}
+	}
+	if st := w.Store.Stats(); st.Moved == 0 || st.Merged == 0 || st.Segments < 2 {
+		return nil, fmt.Errorf("%d batches are too few: the work that should be crashed did not happen: %+v", batches, st)
+	}
+	ops, promised := f.Ops(), 0
+	for n := 0; n <= len(ops) && ctx.Err() == nil; n++ {
+		if n > 0 && ops[n-1].Kind == crashfs.Note {
+			promised = ops[n-1].Note
+		}
+		try := func(what string, fate func(i int) int) {
+			what = fmt.Sprintf("seed %d, after operation %d, %s", seed, n, what)
+			left := f.After(n, fate)
+			for range 2 { // what a recovery leaves is opened again
+				o := Small(left)
+				o.Verify = true
+				t.judge(w, o, promised, false, what)
+			}
+		}
+		try("all kept", func(int) int { return crashfs.Kept })
+		pending := f.Pending(n)
+		if len(pending) == 0 {
+			continue
+		}
+		try("all lost", func(int) int { return crashfs.Lost })
+		last := pending[len(pending)-1]
+		for cut := 1; cut < ops[last].Bytes(); cut += 1 + w.Rand.IntN(24) {
+			try(fmt.Sprintf("the last torn at %d", cut), func(i int) int {
+				if i == last {
+					return cut
+				}
+				return crashfs.Kept
+			})
+		}
+		for range random {
+			try("some kept", func(i int) int {
+				switch k := w.Rand.IntN(3); {
+				case k == 0 && ops[i].Bytes() > 1:
+					return 1 + w.Rand.IntN(ops[i].Bytes()-1)
+				case k == 1:
+					return crashfs.Lost
+				}
+				return crashfs.Kept
+			})
+		}
+	}
+	return t, ctx.Err()
+}
+
+// Damage cuts every file of a store at every byte and changes every byte, each once, and opens what is left, with
+// all bytes read at once and as they are needed.
+func Damage(ctx context.Context, seed uint64, batches int) (*Tally, error) {
+	w, f, t := NewWorkload(seed), crashfs.New(), &Tally{}
+	var err error
+	if w.Store, err = store.Open("", Small(f)); err != nil {
+		return nil, err
+	}
+	// The newest segment has to hold something that was promised.
+	for w.Last() < batches || w.Store.Stats().Overlay < 5 {
+		if err := w.Commit(store.Durable); err != nil {
+			return nil, err
+		}
+	}
+	if st := w.Store.Stats(); st.Runs == 0 || st.Segments < 2 {
+		return nil, fmt.Errorf("%d batches are too few: %+v", batches, st)
+	}
+	whole := f.Copy()
+	judge := func(name string, data []byte, what string, at int) {
+		for _, verify := range []bool{true, false} {
+			c := whole.Copy()
+			c.Replace(name, data)
+			o := Small(c)
+			o.Verify = verify
+			t.judge(w, o, w.Last(), true, fmt.Sprintf("seed %d, %s %s at %d", seed, name, what, at))
+		}
+	}
+	for _, name := range whole.Names() {
+		data := whole.Read(name)
+		for at := range data {
+			if ctx.Err() != nil {
+				return t, ctx.Err()
+			}
+			judge(name, data[:at], "cut", at)
+			flipped := slices.Clone(data)
+			flipped[at] ^= 1 << (at % 8)
+			judge(name, flipped, "changed", at)
+		}
+	}
+	return t, nil
+}
--- /dev/null
+++ b/internal/storetrial/workload.go
@@ -0,0 +1,97 @@
+// Package storetrial tries the embedded store: random batches against a plain map, crashes
+// after every operation, files cut and changed at every byte, and a process that is killed while it writes.
+package storetrial
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+
+	"mothcleat/store"
+)
+
+// Small has every kind of file and of work happen within a few dozen batches.
+func Small(f store.FS) store.Options {
+	return store.Options{SegmentBytes: 700, Overlay: 8, Step: 64, FS: f}
+}
+
+// Content is all that a store holds.
+type Content = map[string]string
+
+const counter = "#" // the key that holds the number of the last batch
+
+// Workload commits random batches and remembers what the store held after each.
+type Workload struct {
+	Rand   *rand.Rand
+	Store  *store.Store
+	States []Content // after 0, 1, ... batches
+	Keys   int       // how many there are at most, beside the counter
+}
+
+// NewWorkload begins with an empty store.
+func NewWorkload(seed uint64) *Workload {
+	return &Workload{Rand: rand.New(rand.NewPCG(seed, 0)), States: []Content{{}}, Keys: 24}
+}
+
+// Last is the number of batches committed.
+func (w *Workload) Last() int { return len(w.States) - 1 }
+
+// Commit commits one more batch.
+func (w *Workload) Commit(d store.Durability) error {
+	var b store.Batch
+	now := maps.Clone(w.States[w.Last()])
+	for range 1 + w.Rand.IntN(4) {
+		key := fmt.Sprintf("k%03d", w.Rand.IntN(w.Keys))
+		if w.Rand.IntN(4) == 0 {
+			b.Delete([]byte(key))
+			delete(now, key)
+			continue
+		}
+		value := string(bytes.Repeat([]byte{byte(w.Rand.Uint32())}, w.Rand.IntN(60)))
+		b.Put([]byte(key), []byte(value))
+		now[key] = value
+	}
+	now[counter] = fmt.Sprint(len(w.States))
+	b.Put([]byte(counter), []byte(now[counter]))
+	if err := w.Store.Commit(&b, d); err != nil {
+		return err
+	}
+	w.States = append(w.States, now)
+	return nil
+}
+
+// After tells after how many batches the store held this; -1 if never.
+func (w *Workload) After(got Content) int {
+	n := 0
+	fmt.Sscan(got[counter], &n)
+	if n < len(w.States) && maps.Equal(got, w.States[n]) {
+		return n
+	}
+	return -1
+}
+
+// ContentOf reads a view whole, each key in both ways.
+func ContentOf(view *store.Snapshot) (Content, error) {
+	got := Content{}
+	for item, err := range view.Range(nil, nil) {
+		if err != nil {
+			return nil, err
+		}
+		got[string(item.Key)] = string(item.Value)
+		if one, err := view.Get(item.Key); err != nil || !bytes.Equal(one, item.Value) {
+			return nil, fmt.Errorf("%q: a range gives %q, a look-up %q, %w", item.Key, item.Value, one, err)
+		}
+	}
+	return got, nil
+}
+
+// Read is the content of an open store now.
+func Read(s *store.Store) (Content, error) {
+	view, err := s.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	defer view.Close()
+	return ContentOf(view)
+}
--- /dev/null
+++ b/store/export_test.go
@@ -0,0 +1,32 @@
+package store
+
+import "slices"
+
+// Waiting is how many commits wait in line.
+func Waiting(s *Store) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.queue)
+}
+
+// AsVersion gives a file of another version, whole in itself.
+func AsVersion(file []byte, v uint32) []byte {
+	b := slices.Clone(file)
+	le.PutUint32(b[8:], v)
+	le.PutUint32(b[28:], sum(b[:28]))
+	return b
+}
+
+// FalseRate is the share of absent keys that a filter over some takes for present.
+func FalseRate(keys int) float64 {
+	f, wrong := newFilter(keys), 0
+	for i := range keys {
+		f.add(hash(le.AppendUint64(nil, uint64(i))))
+	}
+	for i := range keys {
+		if f.has(hash(le.AppendUint64([]byte("absent"), uint64(i)))) {
+			wrong++
+		}
+	}
+	return float64(wrong) / float64(keys)
+}
--- /dev/null
+++ b/store/store_test.go
@@ -0,0 +1,492 @@
+package store_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"maps"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"mothcleat/internal/crashfs"
+	"mothcleat/internal/storetrial"
+	"mothcleat/store"
+)
+
+func open(t testing.TB, dir string, o store.Options) *store.Store {
+	t.Helper()
+	s, err := store.Open(dir, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Close() })
+	return s
+}
+
+func put(key, value string) *store.Batch {
+	var b store.Batch
+	b.Put([]byte(key), []byte(value))
+	return &b
+}
+
+func want(t testing.TB, s *store.Store, key, value string) {
+	t.Helper()
+	if got, err := s.Get([]byte(key)); err != nil || string(got) != value {
+		t.Errorf("%q holds %.40q, %v; %.40q wanted", key, got, err, value)
+	}
+}
+
+// Random batches, reopenings, crashes and compactions against a plain map.
+func TestAgainstAMap(t *testing.T) {
+	for seed := range uint64(16) {
+		w, f, promised := storetrial.NewWorkload(seed), crashfs.New(), 0
+		if seed%2 == 0 {
+			w.Keys = 150 // so many that runs are merged without the oldest
+		}
+		f.Record()
+		again := func() {
+			o := storetrial.Small(f)
+			o.Verify = w.Rand.IntN(2) == 0
+			w.Store = open(t, "", o)
+		}
+		held := map[*store.Snapshot]storetrial.Content{}
+		for again(); w.Last() < 200; {
+			switch k := w.Rand.IntN(40); {
+			case k == 0:
+				if err := w.Store.Close(); err != nil {
+					t.Fatal(err)
+				}
+				promised = w.Last()
+				again()
+			case k == 1: // the power goes
+				f = f.After(len(f.Ops()), func(int) int { return w.Rand.IntN(2) - 1 })
+				f.Record()
+				again()
+				got, err := storetrial.Read(w.Store)
+				n := w.After(got)
+				if err != nil || n < promised {
+					t.Fatalf("seed %d: after a crash %v, as after batch %d of %d, %v", seed, got, n, promised, err)
+				}
+				w.States, held = w.States[:n+1], map[*store.Snapshot]storetrial.Content{}
+			case k == 2:
+				if err := w.Store.Compact(context.Background()); err != nil {
+					t.Fatal(err)
+				}
+			case k == 3:
+				view, err := w.Store.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				held[view] = w.States[w.Last()]
+			default:
+				d := store.Durability(w.Rand.IntN(2) == 0)
+				if err := w.Commit(d); err != nil {
+					t.Fatal(err)
+				}
+				if d {
+					promised = w.Last()
+				}
+			}
+			if st := w.Store.Stats(); st.Background != nil || st.Keys != uint64(len(w.States[w.Last()])) {
+				t.Fatalf("seed %d: %d keys, not %d; %v", seed, st.Keys, len(w.States[w.Last()]), st.Background)
+			}
+		}
+		if got, err := storetrial.Read(w.Store); err != nil || w.After(got) != w.Last() {
+			t.Errorf("seed %d: holds %v, %v", seed, got, err)
+		}
+		for view, then := range held {
+			if got, err := storetrial.ContentOf(view); err != nil || !maps.Equal(got, then) {
+				t.Errorf("seed %d: a snapshot changed: %v", seed, err)
+			}
+			view.Close()
+		}
+	}
+}
+
+func TestRangeIsOrderedAndEndsWhereAsked(t *testing.T) {
+	s := open(t, "", storetrial.Small(crashfs.New()))
+	for i := range 40 { // through overlay and runs
+		if err := s.Commit(put(fmt.Sprintf("%02d", i*7%40), "v"), store.Buffered); err != nil {
+			t.Fatal(err)
+		}
+	}
+	view, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer view.Close()
+	var got []string
+	for key, err := range view.Keys([]byte("05"), []byte("12")) {
+		if err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, string(key))
+	}
+	if want := []string{"05", "06", "07", "08", "09", "10", "11"}; !slices.Equal(got, want) {
+		t.Errorf("got %v", got)
+	}
+	for range view.Range(nil, nil) {
+		break // ends early without harm
+	}
+	if _, err := s.Get([]byte("nowhere")); !errors.Is(err, store.ErrNotFound) {
+		t.Errorf("an absent key: %v", err)
+	}
+}
+
+// Two batches that share a write are torn at every byte of it: the first may be there
+// without the second, never the other way round, and never a part of one.
+func TestGroupCommitTornAnywhere(t *testing.T) {
+	f := crashfs.New()
+	s := open(t, "", store.Options{FS: f})
+	f.Record()
+	held, entered := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	f.Fail = func(op *crashfs.Op) (int, error) {
+		if op.Kind == crashfs.SyncFile {
+			once.Do(func() { close(entered); f.Fail = nil; <-held })
+		}
+		return 0, nil
+	}
+	var all sync.WaitGroup
+	commit := func(key string) {
+		all.Go(func() {
+			if err := s.Commit(put(key, strings.Repeat(key, 20)), store.Durable); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	commit("first")
+	<-entered // the first is being synced; what comes now waits together
+	for _, key := range []string{"a", "b", "c"} {
+		commit(key)
+	}
+	for store.Waiting(s) < 3 {
+		runtime.Gosched()
+	}
+	close(held)
+	all.Wait()
+	ops := f.Ops()
+	group := -1
+	for i, op := range ops {
+		if op.Kind == crashfs.Write && op.Bytes() > 3*20 && strings.HasSuffix(op.Name, ".log") {
+			group = i
+		}
+	}
+	for cut := 1; cut < ops[group].Bytes(); cut++ {
+		left := f.After(group+1, func(i int) int {
+			if i == group {
+				return cut
+			}
+			return crashfs.Kept
+		})
+		s := open(t, "", store.Options{FS: left, Verify: true})
+		got, err := storetrial.Read(s)
+		if err != nil || got["first"] == "" || int(s.Stats().Seq) != len(got) {
+			t.Fatalf("torn at %d: %v, %v", cut, got, err)
+		}
+		for key, v := range got {
+			if v != strings.Repeat(key, 20) {
+				t.Fatalf("torn at %d: %v", cut, got)
+			}
+		}
+	}
+}
+
+func TestExtremes(t *testing.T) {
+	dir := t.TempDir()
+	s := open(t, dir, store.Options{SegmentBytes: 1 << 20})
+	long := strings.Repeat("0123456789abcdef", 1<<20) // 16 MiB: larger than a segment
+	var b store.Batch
+	b.Put(nil, []byte("under no key"))
+	b.Put([]byte("long"), []byte(long))
+	b.Put([]byte("empty"), nil)
+	if err := s.Commit(&b, store.Durable); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 40 {
+		if err := s.Commit(put("short", fmt.Sprint(i)), store.Durable); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	s = open(t, dir, store.Options{Verify: true})
+	want(t, s, "", "under no key")
+	want(t, s, "long", long)
+	want(t, s, "empty", "")
+	want(t, s, "short", "39")
+	for _, bad := range []*store.Batch{put(strings.Repeat("k", store.MaxKey+1), "")} {
+		if err := s.Commit(bad, store.Durable); err == nil {
+			t.Error("a key that is too long was taken")
+		}
+	}
+	want(t, s, "short", "39")
+}
+
+func TestOneWriterAtATime(t *testing.T) {
+	dir := t.TempDir()
+	s := open(t, dir, store.Options{})
+	for _, o := range []store.Options{{}, {ReadOnly: true}} {
+		if _, err := store.Open(dir, o); !errors.Is(err, store.ErrLocked) {
+			t.Errorf("%+v: %v", o, err)
+		}
+	}
+	if err := errors.Join(s.Commit(put("k", "v"), store.Buffered), s.Close()); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		r := open(t, dir, store.Options{ReadOnly: true})
+		want(t, r, "k", "v")
+		if err := r.Commit(put("k", "w"), store.Durable); !errors.Is(err, store.ErrReadOnly) {
+			t.Errorf("a commit: %v", err)
+		}
+	}
+	if err := s.Commit(put("k", "w"), store.Buffered); !errors.Is(err, store.ErrClosed) {
+		t.Errorf("after Close: %v", err)
+	}
+}
+
+func TestForeignAndNewerFoldersStay(t *testing.T) {
+	f := crashfs.New()
+	if err := open(t, "", store.Options{FS: f}).Commit(put("k", "v"), store.Durable); err != nil {
+		t.Fatal(err)
+	}
+	whole := f.Copy()
+	for reason, change := range map[string]func(c *crashfs.FS){
+		"format 2":          func(c *crashfs.FS) { c.Replace("MANIFEST", store.AsVersion(c.Read("MANIFEST"), 2)) },
+		"kind":              func(c *crashfs.FS) { c.Replace("MANIFEST", []byte(strings.Repeat("another program's", 9))) },
+		"missing":           func(c *crashfs.FS) { c.Remove("MANIFEST") },
+		"manifest names it": func(c *crashfs.FS) { c.Remove("0000000000000001.log") },
+	} {
+		c := whole.Copy()
+		change(c)
+		before := c.Names()
+		if _, err := store.Open("", store.Options{FS: c}); err == nil || !strings.Contains(err.Error(), reason) {
+			t.Errorf("%s: %v", reason, err)
+		}
+		if !slices.Equal(before, c.Names()) {
+			t.Errorf("%s: the folder was changed: %v", reason, c.Names())
+		}
+	}
+}
+
+// What the disk refuses changes nothing; what it may have lost ends the promises, not the reading.
+func TestDiskFullShortWritesAndFailedSyncs(t *testing.T) {
+	f := crashfs.New()
+	s := open(t, "", storetrial.Small(f))
+	if err := s.Commit(put("k", "before"), store.Durable); err != nil {
+		t.Fatal(err)
+	}
+	for _, written := range []int{0, 1, 30, 1000} {
+		f.Fail = func(op *crashfs.Op) (int, error) {
+			if op.Kind == crashfs.Write {
+				return written, syscall.ENOSPC
+			}
+			return 0, nil
+		}
+		if err := s.Commit(put("k", "lost"), store.Durable); !errors.Is(err, syscall.ENOSPC) {
+			t.Errorf("disk full: %v", err)
+		}
+		want(t, s, "k", "before")
+		f.Fail = nil
+		got, err := storetrial.Read(open(t, "", storetrial.Small(f.Copy())))
+		if err != nil || got["k"] != "before" {
+			t.Errorf("after %d bytes: %v, %v", written, got, err)
+		}
+	}
+	// Room again: commits go on. Then work beside them fails: they go on too, and it is told.
+	f.Fail = func(op *crashfs.Op) (int, error) {
+		if op.Kind == crashfs.Create {
+			return 0, syscall.EMFILE
+		}
+		return 0, nil
+	}
+	for i := range 20 {
+		if err := s.Commit(put(fmt.Sprint("n", i), strings.Repeat("x", 60)), store.Durable); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if st := s.Stats(); !errors.Is(st.Background, syscall.EMFILE) {
+		t.Errorf("not told: %v", st.Background)
+	}
+	f.Fail = nil
+	if err := s.Compact(t.Context()); err != nil {
+		t.Error(err)
+	}
+	f.Fail = func(op *crashfs.Op) (int, error) {
+		if op.Kind == crashfs.SyncFile {
+			return 0, syscall.EIO
+		}
+		return 0, nil
+	}
+	if err := s.Commit(put("k", "unsure"), store.Durable); !errors.Is(err, store.ErrReadOnly) || !errors.Is(err, syscall.EIO) {
+		t.Errorf("failed sync: %v", err)
+	}
+	f.Fail = nil
+	if err := s.Commit(put("k", "after"), store.Buffered); !errors.Is(err, store.ErrReadOnly) {
+		t.Errorf("after a failed sync: %v", err)
+	}
+	want(t, s, "k", "before")
+	if err := s.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestReadOnlyFolder(t *testing.T) {
+	if os.Getuid() == 0 {
+		t.Log("as root nothing is read-only: only the missing folder is tried")
+	} else {
+		dir := t.TempDir()
+		if err := os.Chmod(dir, 0o500); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := store.Open(dir, store.Options{}); !errors.Is(err, fs.ErrPermission) {
+			t.Errorf("read-only folder: %v", err)
+		}
+	}
+	if _, err := store.Open(filepath.Join(t.TempDir(), "no", "where"), store.Options{}); !errors.Is(err, fs.ErrNotExist) {
+		t.Errorf("no folder above: %v", err)
+	}
+	if _, err := store.Open(t.TempDir(), store.Options{ReadOnly: true}); !errors.Is(err, fs.ErrNotExist) {
+		t.Errorf("nothing to read: %v", err)
+	}
+}
+
+// Space: overwriting the same keys for long leaves a log of the size that the package comment states.
+func TestSpaceAndRunsStayBounded(t *testing.T) {
+	f := crashfs.New()
+	o := store.Options{FS: f, SegmentBytes: 16 << 10, Overlay: 128, Step: 4 << 10}
+	s := open(t, "", o)
+	for i := range 20_000 {
+		var b store.Batch
+		key := []byte(fmt.Sprintf("key%03d", i*7919%500))
+		if b.Put(key, bytes.Repeat([]byte{byte(i)}, i%97)); i%11 == 0 {
+			b.Delete(key)
+		}
+		if err := s.Commit(&b, store.Buffered); err != nil {
+			t.Fatal(err)
+		}
+		if i%500 != 499 {
+			continue
+		}
+		st := s.Stats()
+		if st.Background != nil {
+			t.Fatal(st.Background)
+		}
+		if most := 2*(st.Live+24*int64(st.Keys)) + 3*o.SegmentBytes; st.LogBytes > most {
+			t.Fatalf("after %d: log of %d bytes for %d live ones", i, st.LogBytes, st.Live)
+		}
+		if most := 4*int(st.Keys) + 2*o.Overlay; st.Entries > most || st.Runs > 8 {
+			t.Fatalf("after %d: %d entries in %d runs for %d keys", i, st.Entries, st.Runs, st.Keys)
+		}
+	}
+	if err := s.Compact(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if st := s.Stats(); st.LogBytes > st.Live*5/4+o.SegmentBytes {
+		t.Errorf("after Compact %d bytes for %d live ones", st.LogBytes, st.Live)
+	}
+}
+
+func TestRepair(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "store")
+	o := store.Options{SegmentBytes: 8 << 10, Overlay: 64}
+	s, err := store.Open(dir, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	truth := storetrial.Content{}
+	for i := range 600 {
+		key, value := fmt.Sprintf("key%03d", i*31%400), fmt.Sprint("value", i)
+		if err := s.Commit(put(key, value), store.Buffered); err != nil {
+			t.Fatal(err)
+		}
+		truth[key] = value
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for _, kind := range []string{"*.log", "*.idx"} {
+		names, err := filepath.Glob(filepath.Join(dir, kind))
+		if err != nil || len(names) == 0 {
+			t.Fatal(names, err)
+		}
+		raw, err := os.ReadFile(names[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw[len(raw)/3] ^= 4
+		if err := os.WriteFile(names[0], raw, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var damage *store.DamageError
+		if _, err := store.Check(dir, o); !errors.As(err, &damage) || damage.File != filepath.Base(names[0]) {
+			t.Errorf("check: %v, %s is damaged", err, names[0])
+		}
+		rep, err := store.Repair(dir, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(rep.GivenUp) == 0 || rep.Kept == 0 {
+			t.Errorf("%+v", rep)
+		}
+		if kept, err := os.ReadFile(filepath.Join(rep.Original, filepath.Base(names[0]))); err != nil || !bytes.Equal(kept, raw) {
+			t.Errorf("the original is not kept: %v", err)
+		}
+		s := open(t, dir, store.Options{SegmentBytes: 8 << 10, Overlay: 64, Verify: true})
+		got, err := storetrial.Read(s)
+		if err != nil || len(got) != rep.Kept {
+			t.Errorf("%d keys of %d, %v", len(got), rep.Kept, err)
+		}
+		for key, value := range got {
+			if truth[key] != value {
+				t.Errorf("%s: %q came back, %q was last", key, value, truth[key])
+			}
+		}
+		truth = got
+		if err := s.Compact(t.Context()); err != nil { // so that there is an index again
+			t.Fatal(err)
+		}
+		s.Close()
+	}
+	if err := os.Remove(filepath.Join(dir, "MANIFEST")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := store.Repair(dir, false); err == nil {
+		t.Error("repaired without a manifest, unasked")
+	}
+	if rep, err := store.Repair(dir, true); err != nil || rep.Kept != len(truth) {
+		t.Errorf("from the logs: %+v, %v; %d keys expected", rep, err, len(truth))
+	}
+}
+
+func TestFilterMostlyKnowsWhatIsAbsent(t *testing.T) {
+	if rate := store.FalseRate(20_000); rate > 0.02 {
+		t.Errorf("%.4f of the absent keys taken for present", rate)
+	}
+}
+
+// A process dies and leaves what it committed to the system alone; the next one syncs, and the power goes.
+func TestWhatWasFoundIsSyncedToo(t *testing.T) {
+	f := crashfs.New()
+	first := open(t, "", store.Options{FS: f})
+	f.Record()
+	if err := first.Commit(put("k", "v"), store.Buffered); err != nil {
+		t.Fatal(err)
+	}
+	f.Kill()
+	if err := open(t, "", store.Options{FS: f}).Sync(); err != nil {
+		t.Fatal(err)
+	}
+	left := f.After(len(f.Ops()), func(int) int { return crashfs.Lost })
+	want(t, open(t, "", store.Options{FS: left}), "k", "v")
+}
