mothcleat store check, dump and repair

Whoever looks after a store needs to see what is wrong with it and to get back what is sure. check reads every byte without changing any; dump prints keys and values; repair makes a store anew, keeps the damaged folder and prints a line for all it gave up, and goes by the logs alone only where asked to.

Tested: a changed byte is named with file and offset, repaired, and good again; a store in use is refused.

--- a/cmd/mothcleat/main.go
+++ b/cmd/mothcleat/main.go
@@ -13,6 +13,7 @@
 
 const usage = `usage: mothcleat [--operators FILE]        run a gateway
        mothcleat check [--operators FILE]  read the files and say what is wrong with them
+       mothcleat store check|dump|repair   look after a store that no gateway has open
        mothcleat --version | --help
 
 The configuration is the JSON file that RELAY_CONFIG names. The operators' file
@@ -26,6 +27,9 @@
 
 // command runs the program and gives its exit code: 1 where it failed, 2 for misuse.
 func command(args []string, out, errs io.Writer) int {
+	if len(args) > 0 && args[0] == "store" {
+		return storeCommand(args[1:], out, errs)
+	}
 	what, err := parse(args)
 	if errors.Is(err, flag.ErrHelp) {
 		fmt.Fprintln(out, usage)
