store: benchmarks of commits, opening and five kinds of index

The choices of the store want figures beside baselines written for it: a file with a write and a sync a commit, a hash that holds all keys, a treap, and two libraries' trees (google/btree and go-immutable-radix, used by the benchmarks alone).

--- /dev/null
+++ b/store/bench_test.go
@@ -0,0 +1,345 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/google/btree"
+	iradix "github.com/hashicorp/go-immutable-radix/v2"
+)
+
+var hundred = bytes.Repeat([]byte("v"), 100)
+
+// keyOf gives 16 bytes that come in no order.
+func keyOf(i int) []byte { return fmt.Appendf(nil, "%016x", hash(le.AppendUint64(nil, uint64(i)))) }
+
+// Commits of one record of 100 bytes: here, and to a file with a write and a sync a commit.
+func BenchmarkCommit(b *testing.B) {
+	for _, writers := range []int{1, 8, 64} {
+		b.Run(fmt.Sprintf("durable/store/%d", writers), func(b *testing.B) { commits(b, writers, Durable) })
+		b.Run(fmt.Sprintf("durable/file/%d", writers), func(b *testing.B) {
+			f, err := os.Create(filepath.Join(b.TempDir(), "log"))
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer f.Close()
+			var mu sync.Mutex
+			together(b, writers, func(i int) error {
+				mu.Lock()
+				defer mu.Unlock()
+				if _, err := f.Write(appendRecord(nil, opPut, keyOf(i), hundred)); err != nil {
+					return err
+				}
+				return f.Sync()
+			})
+		})
+	}
+	b.Run("buffered/store/1", func(b *testing.B) { commits(b, 1, Buffered) })
+}
+
+func commits(b *testing.B, writers int, d Durability) {
+	s, err := Open(b.TempDir(), Options{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Close()
+	together(b, writers, func(i int) error {
+		var batch Batch
+		batch.Put(keyOf(i), hundred)
+		return s.Commit(&batch, d)
+	})
+	st := s.Stats()
+	b.ReportMetric(float64(st.Syncs)/float64(b.N), "syncs/op")
+	b.ReportMetric(float64(st.Written+st.Merged*mergeEntry)/float64(b.N)/116, "written/byte")
+}
+
+func together(b *testing.B, writers int, do func(i int) error) {
+	var next atomic.Int64
+	var all sync.WaitGroup
+	for range writers {
+		all.Go(func() {
+			for {
+				i := int(next.Add(1))
+				if i > b.N {
+					return
+				}
+				if err := do(i); err != nil {
+					b.Error(err)
+					return
+				}
+			}
+		})
+	}
+	all.Wait()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commits/s")
+}
+
+const million = 1_000_000
+
+// filled makes a store of a million keys of 16 bytes with 100 each.
+func filled(b *testing.B, o Options, compact bool) string {
+	dir := b.TempDir()
+	s, err := Open(dir, o)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for i := 0; i < million; {
+		var batch Batch
+		for range 1000 {
+			batch.Put(keyOf(i), hundred)
+			i++
+		}
+		if err := s.Commit(&batch, Buffered); err != nil {
+			b.Fatal(err)
+		}
+	}
+	if compact {
+		if err := s.Compact(context.Background()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	if err := s.Close(); err != nil {
+		b.Fatal(err)
+	}
+	return dir
+}
+
+// Opening a million keys: by the sealed index, by reading all entries into a hash as a store with hint
+// files does, and by reading the log.
+func BenchmarkOpenMillion(b *testing.B) {
+	sealed := filled(b, Options{}, true)
+	opens := func(b *testing.B, dir string, o Options, then func(s *Store) any) {
+		before := heap()
+		var s *Store
+		var held any
+		for b.Loop() {
+			var err error
+			if s, err = Open(dir, o); err != nil {
+				b.Fatal(err)
+			}
+			held = then(s)
+			if err := s.Close(); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(heap()-before)/million, "B/key")
+		runtime.KeepAlive(s)
+		runtime.KeepAlive(held)
+	}
+	b.Run("sealed", func(b *testing.B) { opens(b, sealed, Options{}, func(*Store) any { return nil }) })
+	b.Run("verified", func(b *testing.B) { opens(b, sealed, Options{Verify: true}, func(*Store) any { return nil }) })
+	b.Run("hints", func(b *testing.B) {
+		opens(b, sealed, Options{}, func(s *Store) any {
+			h := newHashed(million)
+			for _, r := range s.files.runs {
+				for w := r.from(nil); ; {
+					key, at, ok, err := w.next()
+					if err != nil {
+						b.Fatal(err)
+					}
+					if !ok {
+						break
+					}
+					h.put(key, at)
+				}
+			}
+			return h
+		})
+	})
+	log := filled(b, Options{SegmentBytes: 1 << 40, Overlay: 1 << 30}, false)
+	b.Run("log", func(b *testing.B) {
+		opens(b, log, Options{SegmentBytes: 1 << 40, Overlay: 1 << 30}, func(*Store) any { return nil })
+	})
+}
+
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// hashed is an open-addressed hash over packed entries: the index of a store that holds all keys in
+// memory. It knows no order.
+type hashed struct {
+	slots  []uint32 // 1 + where an entry begins
+	packed []byte
+	used   int
+}
+
+func newHashed(n int) *hashed {
+	size := 16
+	for size*3 < n*4 {
+		size *= 2
+	}
+	return &hashed{slots: make([]uint32, size)}
+}
+
+func (h *hashed) find(key []byte) (slot int, entry []byte) {
+	for slot = int(hash(key) % uint64(len(h.slots))); h.slots[slot] != 0; slot = (slot + 1) % len(h.slots) {
+		e := h.packed[h.slots[slot]-1:]
+		n, k := binary.Uvarint(e)
+		if e = e[k:]; bytes.Equal(e[:n], key) {
+			return slot, e[n:]
+		}
+	}
+	return slot, nil
+}
+
+func (h *hashed) put(key []byte, at location) {
+	slot, _ := h.find(key)
+	h.slots[slot] = uint32(len(h.packed)) + 1
+	h.packed = append(binary.AppendUvarint(h.packed, uint64(len(key))), key...)
+	h.packed = binary.AppendUvarint(binary.AppendUvarint(binary.AppendUvarint(h.packed, at.segment), uint64(at.offset)), uint64(at.size))
+}
+
+type item struct {
+	key string
+	at  location
+}
+
+// The index: memory a key, look-ups of keys that are there and that are not, and ranges of a hundred.
+func BenchmarkIndex(b *testing.B) {
+	at := func(i int) location { return location{uint64(i>>16) + 1, int64(i&0xffff) * 129, 129} }
+	look := func(b *testing.B, before int64, held any, get func(key []byte) bool, hundredFrom func(key []byte) int) {
+		bytes := float64(heap()-before) / million
+		r := rand.New(rand.NewPCG(1, 1))
+		b.Run("present", func(b *testing.B) {
+			for b.Loop() {
+				if !get(keyOf(r.IntN(million))) {
+					b.Fatal("a key is missing")
+				}
+			}
+			b.ReportMetric(bytes, "B/key")
+		})
+		b.Run("absent", func(b *testing.B) {
+			for b.Loop() {
+				if get(keyOf(million + r.IntN(million))) {
+					b.Fatal("an absent key is there")
+				}
+			}
+		})
+		if hundredFrom != nil {
+			b.Run("range100", func(b *testing.B) {
+				for b.Loop() {
+					if n := hundredFrom(keyOf(r.IntN(million))); n == 0 {
+						b.Fatal("an empty range")
+					}
+				}
+			})
+		}
+		runtime.KeepAlive(held)
+	}
+	walked := func(w walker) (n int) {
+		for ; n < 100; n++ {
+			if _, _, ok, err := w.next(); !ok || err != nil {
+				break
+			}
+		}
+		return n
+	}
+	b.Run("runs", func(b *testing.B) {
+		dir := filled(b, Options{}, true)
+		before := heap()
+		s, err := Open(dir, Options{})
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer s.Close()
+		var buf []byte
+		look(b, before, s, func(key []byte) bool {
+			_, ok, err := find(nil, s.files, key, &buf)
+			return ok && err == nil
+		}, func(key []byte) int {
+			var all []walker
+			for _, r := range s.files.runs {
+				all = append(all, r.from(key))
+			}
+			return walked(merge(all...))
+		})
+	})
+	b.Run("hash", func(b *testing.B) {
+		before := heap()
+		h := newHashed(million)
+		for i := range million {
+			h.put(keyOf(i), at(i))
+		}
+		h.packed = bytes.Clone(h.packed)
+		look(b, before, h, func(key []byte) bool { _, e := h.find(key); return e != nil }, nil)
+	})
+	b.Run("treap", func(b *testing.B) {
+		before := heap()
+		var top *node
+		for i := range million {
+			k := string(keyOf(i))
+			top = top.with(k, at(i), priority(k))
+		}
+		look(b, before, top, func(key []byte) bool { _, ok := top.get(string(key)); return ok },
+			func(key []byte) int { return walked(top.from(string(key))) })
+	})
+	b.Run("btree", func(b *testing.B) {
+		before := heap()
+		t := btree.NewG(32, func(a, b item) bool { return strings.Compare(a.key, b.key) < 0 })
+		for i := range million {
+			t.ReplaceOrInsert(item{string(keyOf(i)), at(i)})
+		}
+		look(b, before, t, func(key []byte) bool { return t.Has(item{key: string(key)}) }, func(key []byte) (n int) {
+			t.AscendGreaterOrEqual(item{key: string(key)}, func(item) bool { n++; return n < 100 })
+			return n
+		})
+	})
+	b.Run("radix", func(b *testing.B) {
+		before := heap()
+		t := iradix.New[location]().Txn()
+		for i := range million {
+			t.Insert(keyOf(i), at(i))
+		}
+		tree := t.Commit()
+		look(b, before, tree, func(key []byte) bool { _, ok := tree.Get(key); return ok }, func(key []byte) (n int) {
+			it := tree.Root().Iterator()
+			it.SeekLowerBound(key)
+			for ; n < 100; n++ {
+				if _, _, ok := it.Next(); !ok {
+					break
+				}
+			}
+			return n
+		})
+	})
+}
+
+// Scans of a hundred items with their values.
+func BenchmarkRange(b *testing.B) {
+	s, err := Open(filled(b, Options{}, true), Options{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Close()
+	r := rand.New(rand.NewPCG(1, 1))
+	for b.Loop() {
+		view, err := s.Snapshot()
+		if err != nil {
+			b.Fatal(err)
+		}
+		n := 0
+		for _, err := range view.Range(keyOf(r.IntN(million)), nil) {
+			if err != nil {
+				b.Fatal(err)
+			}
+			if n++; n == 100 {
+				break
+			}
+		}
+		view.Close()
+	}
+}
