store: a block of the index is one read

A look-up read length and content of a block apart, and walks gave a shrinking buffer back. The directory knows where the next block begins: one read into a buffer that stays.

--- a/store/check.go
+++ b/store/check.go
@@ -288,7 +288,7 @@
 	}
 	var gaps []gap
 	for i := range r.fence {
-		block, err := r.block(i, nil)
+		block, err := r.block(i, new([]byte))
 		for err == nil && len(block) > 0 {
 			var e entry
 			if e.key, e.at, block, err = r.entry(block); err == nil {
--- a/store/format.go
+++ b/store/format.go
@@ -132,8 +132,8 @@
 	return append(dst, block...)
 }
 
-// readSealed reads a block that ends by limit, into buf where it has room.
-func readSealed(f io.ReaderAt, name string, at, limit int64, buf []byte) ([]byte, error) {
+// readSealed reads a block that ends by limit.
+func readSealed(f io.ReaderAt, name string, at, limit int64) ([]byte, error) {
 	var pre [sealSize]byte
 	if at+sealSize > limit {
 		return nil, &DamageError{name, at, "no room for a block"}
@@ -145,17 +145,20 @@
 	if at+sealSize+n > limit {
 		return nil, &DamageError{name, at, "block's length is beyond its place"}
 	}
-	if int64(cap(buf)) < n {
-		buf = make([]byte, n)
-	}
-	buf = buf[:n]
-	if _, err := f.ReadAt(buf, at+sealSize); err != nil {
+	b := make([]byte, sealSize+n)
+	if _, err := f.ReadAt(b, at); err != nil {
 		return nil, cutOr(err, name, at, "ends within a block")
 	}
-	if sum(pre[:4], buf) != le.Uint32(pre[4:]) {
+	return unseal(name, at, b)
+}
+
+// unseal checks a block that was read whole and gives its content.
+func unseal(name string, at int64, b []byte) ([]byte, error) {
+	content := b[sealSize:]
+	if le.Uint32(b) != uint32(len(content)) || sum(b[:4], content) != le.Uint32(b[4:]) {
 		return nil, &DamageError{name, at, "block's checksum differs"}
 	}
-	return buf, nil
+	return content, nil
 }
 
 // location is where the record of a key stands.
@@ -251,7 +254,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b, err := readSealed(f, manifestName, headSize, size, nil)
+	b, err := readSealed(f, manifestName, headSize, size)
 	if err != nil {
 		return nil, err
 	}
--- a/store/run.go
+++ b/store/run.go
@@ -142,10 +142,10 @@
 	r := &run{file: file{f: f, name: name}, id: m.id, length: size, end: int64(le.Uint64(foot)),
 		entries: int(le.Uint64(foot[16:])), tombstones: int(le.Uint64(foot[24:]))}
 	filterAt := int64(le.Uint64(foot[8:]))
-	if r.fences, err = readSealed(f, name, r.end, filterAt, nil); err != nil {
+	if r.fences, err = readSealed(f, name, r.end, filterAt); err != nil {
 		return nil, err
 	}
-	bits, err := readSealed(f, name, filterAt, at, nil)
+	bits, err := readSealed(f, name, filterAt, at)
 	if err != nil {
 		return nil, err
 	}
@@ -188,9 +188,25 @@
 	}) - 1
 }
 
-func (r *run) block(i int, buf []byte) ([]byte, error) {
+// block reads a block into buf, in one read: it ends where the next begins.
+func (r *run) block(i int, buf *[]byte) ([]byte, error) {
 	offset, _, _ := r.fenceAt(int(r.fence[i]))
-	return readSealed(r.f, r.name, offset, r.end, buf)
+	end := r.end
+	if i+1 < len(r.fence) {
+		end, _, _ = r.fenceAt(int(r.fence[i+1]))
+	}
+	n := end - offset
+	if offset < headSize || end > r.end || n < sealSize {
+		return nil, &DamageError{r.name, r.end, "directory can't be read"}
+	}
+	if int64(cap(*buf)) < n {
+		*buf = make([]byte, n)
+	}
+	b := (*buf)[:n]
+	if _, err := r.f.ReadAt(b, offset); err != nil {
+		return nil, cutOr(err, r.name, offset, "ends within a block")
+	}
+	return unseal(r.name, offset, b)
 }
 
 // entry reads the first entry of what is left of a block.
@@ -224,11 +240,10 @@
 	if i < 0 {
 		return location{}, false, nil
 	}
-	b, err := r.block(i, *buf)
+	b, err := r.block(i, buf)
 	if err != nil {
 		return location{}, false, err
 	}
-	*buf = b
 	for len(b) > 0 {
 		k, at, rest, err := r.entry(b)
 		if err != nil {
@@ -264,10 +279,9 @@
 			if w.block >= len(w.r.fence) {
 				return nil, at, false, nil
 			}
-			if w.buf, err = w.r.block(w.block, w.buf); err != nil {
+			if w.rest, err = w.r.block(w.block, &w.buf); err != nil {
 				return nil, at, false, err
 			}
-			w.rest = w.buf
 			w.block++
 		}
 		if key, at, w.rest, err = w.r.entry(w.rest); err != nil {
