--- a/store/commit.go
+++ b/store/commit.go
@@ -189,17 +189,16 @@
 		}
 	}
 	end := s.end + int64(len(buf))
-	if durable && end > s.synced {
-		if err := s.active.f.Sync(); err != nil {
-			return s.fail(err)
+	synced := durable && end > s.synced
+	if synced {
+		if err := s.syncTo(end); err != nil {
+			return err
 		}
-		s.synced = end
-		s.stats.Syncs++
 	}
 	s.end = end
 	s.stats.Written += int64(len(buf))
 	change.apply(seq)
-	if durable && len(buf) > 0 {
+	if synced {
 		if err := s.mark(); err != nil {
 			s.background = err // it costs no data: the old mark holds
 		}
@@ -212,12 +211,20 @@
 	if s.synced == s.end {
 		return nil
 	}
+	if err := s.syncTo(s.end); err != nil {
+		return err
+	}
+	return s.mark()
+}
+
+// syncTo has the active segment on disk up to an offset that was written.
+func (s *Store) syncTo(end int64) error {
 	if err := s.active.f.Sync(); err != nil {
 		return s.fail(err)
 	}
-	s.synced = s.end
+	s.synced = end
 	s.stats.Syncs++
-	return s.mark()
+	return nil
 }
 
 // change is what a group of batches does to what is held in memory. Nothing is changed before apply.
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -490,3 +490,18 @@
 	left := f.After(len(f.Ops()), func(int) int { return crashfs.Lost })
 	want(t, open(t, "", store.Options{FS: left}), "k", "v")
 }
+
+// What Sync promised is told from a torn tail like any durable commit.
+func TestSyncIsPromisedToo(t *testing.T) {
+	f := crashfs.New()
+	s := open(t, "", store.Options{FS: f})
+	if err := errors.Join(s.Commit(put("k", "v"), store.Buffered), s.Sync()); err != nil {
+		t.Fatal(err)
+	}
+	c, name := f.Copy(), "0000000000000001.log"
+	c.Replace(name, c.Read(name)[:len(c.Read(name))-1])
+	var damage *store.DamageError
+	if _, err := store.Open("", store.Options{FS: c}); !errors.As(err, &damage) || damage.File != name {
+		t.Errorf("a cut batch that Sync had promised: %v", err)
+	}
+}
