store: one way to open a named file and to drop a run; a failed mark is told

Seen on rereading the change: opening what the manifest names stood three times, taking an unfinished run away four times, tallies were added up field by field outside their package; and a mark that could not be written was set down where the next step of compaction wiped it at once, though the comment said it is told.

Opening, discarding and adding stand once each; the mark's error has its own place in Stats.Background. Suites of store, storetrial, state and both commands pass with -race; no assertion changed.

--- a/cmd/lab/store.go
+++ b/cmd/lab/store.go
@@ -25,18 +25,10 @@
 		})
 }
 
-// runStore spends about a third of the time on each of the three trials; the first two play whole rounds.
+// runStore plays whole rounds of crashes and damage for half of the time, and kills for the rest.
 func (b *bench) runStore(ctx context.Context, seed uint64, length time.Duration, batches int) (*trial.Figures, error) {
 	f, began := trial.NewFigures("store", seed), time.Now()
 	sum := storetrial.Tally{}
-	add := func(t *storetrial.Tally) {
-		sum.Opened += t.Opened
-		sum.Refused += t.Refused
-		sum.Invented += t.Invented
-		sum.LostPromised += t.LostPromised
-		sum.Unclear += t.Unclear
-		sum.Why = append(sum.Why, t.Why...)
-	}
 	rounds := 0
 	for ; rounds == 0 || time.Since(began) < length/2; rounds++ {
 		for _, play := range []func() (*storetrial.Tally, error){
@@ -47,7 +39,7 @@
 			if err != nil {
 				return nil, err
 			}
-			add(t)
+			sum.Add(t)
 			fmt.Fprintf(b.progress, "seed %d: %d opened, %d refused, %d not as promised\n", seed+uint64(rounds), t.Opened, t.Refused, t.Bad())
 		}
 	}
@@ -64,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	add(&kills.Tally)
+	sum.Add(&kills.Tally)
 	f.Seconds = time.Since(began).Seconds()
 	f.Extra = map[string]any{"rounds": rounds, "opened": sum.Opened, "refused": sum.Refused, "invented": sum.Invented,
 		"lost_promised": sum.LostPromised, "unclear": sum.Unclear, "kills": kills.Kills, "acknowledged": kills.Acknowledged}
--- a/internal/storetrial/damage.go
+++ b/internal/storetrial/damage.go
@@ -23,6 +23,16 @@
 // Bad is the number of recoveries that ended as none may.
 func (t *Tally) Bad() int { return t.Invented + t.LostPromised + t.Unclear }
 
+// Add adds another tally to this one.
+func (t *Tally) Add(o *Tally) {
+	t.Opened += o.Opened
+	t.Refused += o.Refused
+	t.Invented += o.Invented
+	t.LostPromised += o.LostPromised
+	t.Unclear += o.Unclear
+	t.Why = append(t.Why, o.Why...)
+}
+
 func (t *Tally) bad(n *int, format string, args ...any) {
 	*n++
 	if len(t.Why) < 5 {
--- a/store/commit.go
+++ b/store/commit.go
@@ -199,9 +199,7 @@
 	s.stats.Written += int64(len(buf))
 	change.apply(seq)
 	if synced {
-		if err := s.mark(); err != nil {
-			s.background = err // it costs no data: the old mark holds
-		}
+		s.unmarked = s.mark() // it costs no data: the old mark holds
 	}
 	return nil
 }
--- a/store/compact.go
+++ b/store/compact.go
@@ -114,11 +114,11 @@
 	}
 	r, err := s.drain(w, s.top.from(""), len(s.files.runs) == 0)
 	if err != nil {
-		return errors.Join(fmt.Errorf("store: %w", err), w.f.Close(), s.fs.Remove(w.name))
+		return errors.Join(fmt.Errorf("store: %w", err), s.discard(w))
 	}
 	old, oldEnd := s.active, s.end
 	if err := s.begin(); err != nil {
-		return errors.Join(fmt.Errorf("store: %w", err), w.f.Close(), s.fs.Remove(w.name))
+		return errors.Join(fmt.Errorf("store: %w", err), s.discard(w))
 	}
 	old.length = oldEnd
 	set := &fileSet{segments: append(slices.Clone(s.files.segments), s.active), runs: append([]*run{r}, s.files.runs...)}
@@ -224,12 +224,12 @@
 		return err
 	}
 	s.merging = nil
-	gone := j.runs
 	if r.entries == 0 {
-		gone = append(slices.Clone(gone), r)
-		_ = r.f.Close()
+		if err := s.discard(j.to); err != nil {
+			return fmt.Errorf("store: %w", err)
+		}
 	}
-	for _, r := range gone {
+	for _, r := range j.runs {
 		if err := s.fs.Remove(r.name); err != nil {
 			return fmt.Errorf("store: %w", err)
 		}
@@ -250,11 +250,15 @@
 func (s *Store) abandon() {
 	if j := s.merging; j != nil {
 		s.merging = nil
-		_ = j.to.f.Close()
-		_ = s.fs.Remove(j.to.name) // else the next Open does
+		_ = s.discard(j.to) // else the next Open does
 	}
 }
 
+// discard takes away a run that is not finished, or not needed.
+func (s *Store) discard(w *runWriter) error {
+	return errors.Join(w.f.Close(), s.fs.Remove(w.name))
+}
+
 // planMove looks for a segment that should go: one without live records at once, else the one
 // with the smallest share of them once half of the log is dead, or any before one that has dead ones.
 func (s *Store) planMove(before uint64) error {
@@ -352,13 +356,8 @@
 	if err := s.sync(); err != nil { // what hides or holds its records now
 		return err
 	}
-	set := &fileSet{runs: s.files.runs}
-	for _, other := range s.files.segments {
-		if other != g {
-			set.segments = append(set.segments, other)
-		}
-	}
-	if err := s.replaceFiles(set); err != nil {
+	rest := slices.DeleteFunc(slices.Clone(s.files.segments), func(other *segment) bool { return other == g })
+	if err := s.replaceFiles(&fileSet{segments: rest, runs: s.files.runs}); err != nil {
 		return err
 	}
 	if err := s.fs.Remove(g.name); err != nil {
--- a/store/store.go
+++ b/store/store.go
@@ -62,7 +62,8 @@
 	writers    int // of the last group
 	epoch      uint32
 	sealAt     int64 // no sealing before this end: the last one failed
-	background error
+	background error // of the last step
+	unmarked   error // of the last mark
 	stats      Stats
 }
 
@@ -91,7 +92,7 @@
 	Moved      int64 // bytes that compaction has copied
 	Merged     int64 // entries that it has written
 	Syncs      int64 // of the log
-	Background error // what the last step of compaction failed with; commits went on
+	Background error // what the last step of compaction, or the last mark, failed with; commits went on
 }
 
 // Open opens the store in a folder, or makes one there. Its errors wrap ErrLocked where another
@@ -223,9 +224,9 @@
 func (s *Store) recover(m *manifest) error {
 	s.id, s.next, s.first, s.keys, s.baseKeys = m.store, m.next, m.seq, m.keys, m.keys
 	for _, of := range m.segments {
-		f, err := s.fs.Open(segmentName(of.id), false)
+		f, err := s.named(segmentName(of.id), false)
 		if err != nil {
-			return s.missing(segmentName(of.id), err)
+			return err
 		}
 		g, err := openSegment(f, s.id, of)
 		if err != nil {
@@ -235,9 +236,9 @@
 		s.files.segments = append(s.files.segments, g)
 	}
 	for _, of := range m.runs {
-		f, err := s.fs.Open(runName(of.id), false)
+		f, err := s.named(runName(of.id), false)
 		if err != nil {
-			return s.missing(runName(of.id), err)
+			return err
 		}
 		r, err := openRun(f, s.id, of)
 		if err != nil {
@@ -247,9 +248,9 @@
 		s.files.runs = append(s.files.runs, r)
 	}
 	name := segmentName(m.active)
-	f, err := s.fs.Open(name, !s.opt.ReadOnly)
+	f, err := s.named(name, !s.opt.ReadOnly)
 	if err != nil {
-		return s.missing(name, err)
+		return err
 	}
 	s.active = &segment{file: file{f: f, name: name, refs: 1}, id: m.active}
 	s.files.segments = append(s.files.segments, s.active)
@@ -259,11 +260,16 @@
 	return s.replay()
 }
 
-func (s *Store) missing(name string, err error) error {
-	if errors.Is(err, fs.ErrNotExist) {
-		return &DamageError{name, 0, "missing, though the manifest names it"}
+// named opens a file that the manifest names.
+func (s *Store) named(name string, write bool) (File, error) {
+	f, err := s.fs.Open(name, write)
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+		return nil, &DamageError{name, 0, "missing, though the manifest names it"}
+	case err != nil:
+		return nil, fmt.Errorf("store: %w", err)
 	}
-	return fmt.Errorf("store: %w", err)
+	return f, nil
 }
 
 // replay takes in the active segment, up to its torn tail if it has one.
@@ -598,7 +604,7 @@
 	defer s.follow()
 	st := s.stats
 	st.Keys, st.Seq, st.Segments, st.Runs, st.Overlay = s.keys, s.seq, len(s.files.segments), len(s.files.runs), s.count
-	st.LogBytes, st.Memory, st.Background = s.end, int64(s.count)*nodeBytes, s.background
+	st.LogBytes, st.Memory, st.Background = s.end, int64(s.count)*nodeBytes, errors.Join(s.background, s.unmarked)
 	for _, g := range s.files.segments {
 		st.Live += g.live
 		st.LogBytes += g.length
