state: a state that can't be kept takes only its own files with it

Seen on rereading: after an error the state's path was removed with all that is in it. With a folder in place of a file that path may name one that holds other things, and a lock held elsewhere was enough to empty it.

store.Remove takes away what a store could have made, and the folder if nothing is left in it; the state asks it wherever it removed everything, and looks for an earlier version's file in one place. The new test fails without the change (the folder's other file is gone); suites of store, state, gateway and the command pass with -race.

--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -75,7 +75,7 @@
 		err = f.release()
 	}
 	if err != nil {
-		return errors.Join(fmt.Errorf("state: %w", err), f.release(), os.RemoveAll(f.path))
+		return errors.Join(fmt.Errorf("state: %w", err), f.release(), f.remove())
 	}
 	f.last, f.done = s.At, s.Last
 	return nil
@@ -91,6 +91,20 @@
 	return held.Close()
 }
 
+// isFile tells whether an earlier version's file stands at the path.
+func (f *File) isFile() bool {
+	info, err := os.Stat(f.path)
+	return err == nil && info.Mode().IsRegular()
+}
+
+// remove takes the state away, and nothing else that may stand in its folder.
+func (f *File) remove() error {
+	if f.isFile() {
+		return os.Remove(f.path)
+	}
+	return store.Remove(f.path)
+}
+
 // write puts what has changed into the store.
 func (f *File) write(s decide.Snapshot, durable bool) error {
 	var b store.Batch
@@ -121,15 +135,15 @@
 
 // hold opens the store to write to it, and has a batch take out what is in it. A file of an earlier version makes room.
 func (f *File) hold(b *store.Batch) error {
-	if info, err := os.Stat(f.path); err == nil && info.Mode().IsRegular() {
-		if err := os.Remove(f.path); err != nil {
+	if f.isFile() {
+		if err := f.remove(); err != nil {
 			return err
 		}
 	}
 	s, err := store.Open(f.path, options)
 	var damage *store.DamageError
 	if errors.As(err, &damage) { // it was refused, and told, when it was read
-		if err := os.RemoveAll(f.path); err != nil {
+		if err := f.remove(); err != nil {
 			return err
 		}
 		s, err = store.Open(f.path, options)
@@ -188,9 +202,7 @@
 func (f *File) Load() (s decide.Snapshot, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if info, err := os.Stat(f.path); err != nil {
-		return s, fmt.Errorf("state: %w", err)
-	} else if info.Mode().IsRegular() {
+	if f.isFile() {
 		return f.loadFile()
 	}
 	from := f.store
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -267,3 +267,32 @@
 		b.ReportMetric(float64(f.store.Stats().Written-before)/float64(b.N), "written/op")
 	})
 }
+
+// A path that names a folder with other things in it costs none of them, whatever becomes of the state.
+func TestWhatIsNotTheStateStays(t *testing.T) {
+	path := t.TempDir()
+	other := filepath.Join(path, "operators.toml")
+	if err := os.WriteFile(other, []byte("x"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f, err := Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g, err := Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Store(sample(1), false); err != nil {
+		t.Fatal(err)
+	}
+	if err := g.Store(sample(2), false); !errors.Is(err, store.ErrLocked) { // which removes the state
+		t.Errorf("stored beside another process: %v", err)
+	}
+	if _, err := os.Stat(other); err != nil {
+		t.Error(err)
+	}
+	if names, err := filepath.Glob(filepath.Join(path, "*.log")); err != nil || len(names) > 0 {
+		t.Errorf("the state is left: %v, %v", names, err)
+	}
+}
--- a/store/check.go
+++ b/store/check.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"syscall"
 )
 
 // verify reads every byte: batches, blocks, and for each key the record that the index names.
@@ -94,6 +95,34 @@
 	return st, s.Close()
 }
 
+// Remove takes a store away, damaged or not, and its folder if nothing else is in it. What a store
+// did not make stays. A process that has the store open goes on with files that have no names.
+func Remove(dir string) error {
+	folder, err := DirFS(dir, false)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	names, err := folder.List()
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	for _, name := range names {
+		if ours(name) {
+			err = errors.Join(err, folder.Remove(name))
+		}
+	}
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	if err := os.Remove(dir); err != nil && !errors.Is(err, syscall.ENOTEMPTY) && !errors.Is(err, syscall.EEXIST) {
+		return fmt.Errorf("store: %w", err)
+	}
+	return nil
+}
+
 // Report tells what Repair found and what it gave up.
 type Report struct {
 	Kept     int      // keys in the store made anew
