--- /dev/null
+++ b/budget/budget.go
@@ -0,0 +1,138 @@
+// Package budget decides who may use how much of what all gateways of a fleet share: a customer's
+// quota, its ceiling, or whatever else has a rate and a burst for all of them together.
+//
+// # Invariant
+//
+// At every instant the parts that anyone may still be using, heard or unheard, alive, stalled or dead, and
+// the reserve from which the owner lends, sum to no more than the whole: in rate, in burst, and in units that lie
+// stored or are on their way. So over any window of length w the units taken through all gateways are at most
+// burst + rate x w, but for what lies between a decision and its write (the rate over Rules.LoanSpan), what clocks
+// differ by (Rules.Margin of the rate), and one request a stop of a process between its last look at the clock and its
+// write.
+//
+// # How it is kept
+//
+// What members hold lies in the agreed state (Machine), which refuses whatever would pass the whole and whatever comes
+// under an old term. One owner for a shard (Owner) divides it:
+//
+//   - Raised: the entry is agreed first, the member is told then.
+//   - Lessened: the member is told first. Only when it has said that it acted on that, or its span is over by the owner's
+//     clock and the margin, is the entry proposed that gives it to another.
+//   - A part holds for Rules.Span from when its member sent its last renewal, the floor that is in it for Rules.FloorSpan. A
+//     member that hears nobody falls from its part to its floor, and then to nothing.
+//   - Units that lie stored go with what is moved: they are counted as given and as returned, each as a sum that
+//     only grows under a term, so that a message that comes twice, late or never makes none.
+//   - The rest, the reserve, is the owner's alone. It lends of it, without an entry, for a request that waits; what is lent
+//     counts as out until the loan's span is over. A new owner begins with an empty reserve, and lends nothing
+//     until the loans of the one before are over.
+//
+// Nothing here does I/O, starts a goroutine or looks at a clock. No type may be used concurrently.
+package budget
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math"
+	"time"
+
+	"mothcleat/internal/fleetpb"
+	"mothcleat/lease"
+)
+
+// MachineName is what the agreed state calls the budgets.
+const MachineName = "budgets"
+
+// Duty is what the owner of a shard holds.
+func Duty(shard int) string { return fmt.Sprintf("budgets/%d", shard) }
+
+// ShardOf is the shard of a budget.
+func ShardOf(budget uint64, shards int) int {
+	const mix = 0x9E3779B97F4A7C15 // spreads ids evenly
+	return int((budget * mix) >> 33 % uint64(max(1, shards)))
+}
+
+// IDOf is the number of a budget that has a name, such as one of the whole fleet.
+func IDOf(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	return h.Sum64()
+}
+
+// Share is a budget or a part of one.
+type Share struct {
+	Rate  float64 `json:"rate"`  // units a second
+	Burst float64 `json:"burst"` // units
+}
+
+func (s Share) plus(o Share) Share    { return Share{s.Rate + o.Rate, s.Burst + o.Burst} }
+func (s Share) minus(o Share) Share   { return Share{s.Rate - o.Rate, s.Burst - o.Burst} }
+func (s Share) times(f float64) Share { return Share{s.Rate * f, s.Burst * f} }
+func (s Share) least(o Share) Share {
+	return Share{math.Min(s.Rate, o.Rate), math.Min(s.Burst, o.Burst)}
+}
+func (s Share) most(o Share) Share {
+	return Share{math.Max(s.Rate, o.Rate), math.Max(s.Burst, o.Burst)}
+}
+func (s Share) within(o Share) bool   { return s.Rate <= o.Rate+slack && s.Burst <= o.Burst+slack }
+func (s Share) none() bool            { return s.Rate <= 0 && s.Burst <= 0 }
+func (s Share) proto() *fleetpb.Share { return &fleetpb.Share{Rate: s.Rate, Burst: s.Burst} }
+func shareOf(s *fleetpb.Share) Share  { return Share{s.GetRate(), s.GetBurst()} }
+func memberOf(m *fleetpb.Member) lease.Member {
+	return lease.Member{ID: m.GetId(), Boot: m.GetBoot()}
+}
+
+// slack is what sums may be off by for being rounded.
+const slack = 1e-6
+
+// sound tells whether a share can be anyone's.
+func (s Share) sound() bool {
+	return s.Rate >= 0 && s.Burst >= 0 && !math.IsInf(s.Rate, 0) && !math.IsInf(s.Burst, 0) // and neither is NaN
+}
+
+// Rules are how budgets are divided, and how long what was given holds.
+type Rules struct {
+	Span      time.Duration // a part holds without renewal
+	FloorSpan time.Duration // a floor does
+	LoanSpan  time.Duration // a loan has to be used within, from its asking, and what is taken of a part, from then
+	Margin    float64       // by how much a clock may run faster than another, as a part
+	Floor     float64       // the part of the whole that is set aside as floors, evenly over the members
+	Reserve   float64       // the part of the rest that stays with the owner, to be lent
+	Parting   float64       // a part is given only where it holds so many of the member's largest requests
+	Step      float64       // by what part of the whole a part has to be off before it is changed
+	Every     time.Duration // between two renewals
+	Forget    time.Duration // a member that wants nothing for so long gives back its floor, too
+}
+
+// Defaults are rules that docs/budgets.md gives the reasons for.
+func Defaults() Rules {
+	return Rules{Span: 3 * time.Second, FloorSpan: time.Minute, LoanSpan: 250 * time.Millisecond, Margin: 0.125,
+		Floor: 0.2, Reserve: 0.4, Parting: 3, Step: 0.1, Every: 200 * time.Millisecond, Forget: time.Minute}
+}
+
+func (r *Rules) withMargin(d time.Duration) time.Duration {
+	return d + time.Duration(float64(d)*r.Margin)
+}
+
+// FloorOf is the floor of each of so many members.
+func (r *Rules) FloorOf(whole Share, spread int) Share {
+	return whole.times(r.Floor / float64(max(1, spread)))
+}
+
+// bank is units that come at a rate and are stored up to a burst.
+type bank struct {
+	level float64
+	at    time.Duration
+}
+
+// refill brings the bank to a time, and gives what did not find room.
+func (b *bank) refill(now time.Duration, s Share) (over float64) {
+	if now > b.at {
+		b.level += s.Rate * (now - b.at).Seconds()
+		b.at = now
+	}
+	if over = b.level - s.Burst; over <= 0 {
+		return 0
+	}
+	b.level = s.Burst
+	return over
+}
--- a/cmd/lab/virtual.go
+++ b/cmd/lab/virtual.go
@@ -17,6 +17,7 @@
 	"mothcleat/internal/mutants"
 	"mothcleat/internal/trial"
 	"mothcleat/sim"
+	"mothcleat/sim/budgets"
 	"mothcleat/sim/owners"
 )
 
@@ -161,6 +162,52 @@
 		})
 }
 
+// budgetsearch looks for what has budgets pass their whole.
+func (b *bench) budgetsearch() *cobra.Command {
+	return b.play("budgetsearch", "looks in virtual time for faults by which parts of a budget pass the whole, and for wrong variants", 30*time.Second,
+		func(c *cobra.Command) (func() error, player) {
+			f := c.Flags()
+			most := f.Int("schedules", 1_000_000, "so many plays at most")
+			wrong := f.Bool("mutants", true, "search wrong variants as well; needs Go and the sources")
+			plays := f.Int("mutant-schedules", 3000, "so many plays at most for each of them")
+			check := func() error {
+				return errors.Join(within("schedules", *most, 1, 100_000_000), within("mutant-schedules", *plays, 1, 10_000_000))
+			}
+			return check, func(ctx context.Context, seed uint64, length time.Duration) (*trial.Figures, error) {
+				limited, cancel := context.WithTimeout(ctx, length)
+				defer cancel()
+				found := budgets.Search(limited, seed, *most)
+				fig := trial.NewFigures("budgetsearch", seed)
+				fig.Seconds = found.Took.Seconds()
+				type finding struct {
+					Rule string          `json:"rule"`
+					What string          `json:"what"`
+					Play budgets.Finding `json:"play"`
+				}
+				var all []finding
+				for _, x := range found.Findings {
+					all = append(all, finding{x.Breach.What, x.Breach.How + " at " + x.Breach.At, x})
+					fig.Broken[trial.Rule(x.Breach.What)]++
+					fig.Miss(x.Breach.What + ": " + x.Breach.How)
+				}
+				fig.Extra["schedules"], fig.Extra["findings"], fig.Extra["faults"], fig.Extra["rounds"] = found.Plays, all, found.Faults, found.Rounds
+				fig.Extra["schedules_per_second"] = float64(found.Plays) / found.Took.Seconds()
+				fig.Extra["events_per_second"] = float64(found.Events) / found.Took.Seconds()
+				for _, k := range budgets.Kinds {
+					if found.Faults[k] == 0 {
+						fig.Miss("no fault " + k + ": nothing was shown")
+					}
+				}
+				if *wrong {
+					if err := b.mutants(ctx, fig, mutants.Budgets, seed, *plays); err != nil {
+						return fig, err
+					}
+				}
+				return fig, nil
+			}
+		})
+}
+
 // mutants adds to the figures what the search makes of wrong variants.
 func (b *bench) mutants(ctx context.Context, f *trial.Figures, list func() ([]mutants.Mutant, error), seed uint64, schedules int) error {
 	all, err := list()
--- a/cmd/mothcleat/fleet.go
+++ b/cmd/mothcleat/fleet.go
@@ -10,6 +10,7 @@
 	"os"
 	"time"
 
+	"mothcleat/budget"
 	"mothcleat/internal/fleetlink"
 	"mothcleat/internal/fleetnode"
 	"mothcleat/internal/fleetpb"
@@ -29,7 +30,8 @@
 }
 
 // newFleet begins to take part; nil: it is off.
-func newFleet(f *operators.Fleet, cfg *gateway.Config, log *slog.Logger) (fleetPart, error) {
+func newFleet(s *operators.Settings, cfg *gateway.Config, log *slog.Logger) (fleetPart, error) {
+	f := &s.Fleet
 	if !f.On {
 		return nil, nil
 	}
@@ -51,7 +53,16 @@
 		c.Direct = func() (registry.Source, error) { return direct(&asked, log) }
 		c.Silent = time.Duration(f.Silent)
 	}
+	if b := s.Budgets; b.On {
+		r := budget.Defaults()
+		r.Span, r.FloorSpan, r.Every = time.Duration(b.Span), time.Duration(b.FloorSpan), time.Duration(b.Every)
+		r.Floor, r.Reserve, r.Margin = b.Floor, b.Reserve, f.Margin
+		c.Budgets, c.BudgetShards = &r, b.Shards
+	}
 	n := fleetnode.Start(c)
+	if u := n.Rights(); u != nil {
+		cfg.Rights = u
+	}
 	if r := n.Register(); r != nil {
 		cfg.Register = func(*gateway.Config, *slog.Logger) (registry.Source, error) { return r, nil }
 	}
--- a/cmd/mothcleat/fleet_off.go
+++ b/cmd/mothcleat/fleet_off.go
@@ -22,8 +22,8 @@
 
 var errNoFleet = errors.New("fleet.on: this program was built without it (tag nofleet)")
 
-func newFleet(f *operators.Fleet, _ *gateway.Config, _ *slog.Logger) (fleetPart, error) {
-	if f.On {
+func newFleet(s *operators.Settings, _ *gateway.Config, _ *slog.Logger) (fleetPart, error) {
+	if s.Fleet.On {
 		return nil, errNoFleet
 	}
 	return nil, nil
--- a/cmd/mothcleat/run.go
+++ b/cmd/mothcleat/run.go
@@ -70,7 +70,7 @@
 		defer f.Close()
 		cfg.Refusals = f
 	}
-	part, err := newFleet(&p.settings.Fleet, &cfg, p.log)
+	part, err := newFleet(&p.settings, &cfg, p.log)
 	if err != nil {
 		return err
 	}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -221,6 +221,8 @@
 // A gateway that has just started holds no more than an even slice.
 func (g *Gateway) level(c *customer) float64 {
 	switch {
+	case g.limited(c):
+		return g.rights.Level(g.now, g.budget(c))
 	case g.member(c) && c.grant < 1:
 		return c.slice
 	case !g.pooled || g.wide(c):
@@ -303,11 +305,13 @@
 
 // inside tells whether the customer's own bank and its part of the open limit have room.
 func (g *Gateway) inside(c *customer, units float64) bool {
-	p := &g.set.Plans[c.plan]
-	if p.OpenLimit > 0 && float64(c.open) >= math.Max(1, math.Round(g.part(c)*float64(p.OpenLimit))) {
-		return false
-	}
-	return p.Rate == 0 || g.level(c) >= units
+	return g.mayOpen(c) && (g.set.Plans[c.plan].Rate == 0 || g.level(c) >= units)
+}
+
+// mayOpen tells whether the open limit has room.
+func (g *Gateway) mayOpen(c *customer) bool {
+	limit := g.set.Plans[c.plan].OpenLimit
+	return limit == 0 || float64(c.open) < math.Max(1, math.Round(g.part(c)*float64(limit)))
 }
 
 func (g *Gateway) take(c *customer, units float64) {
@@ -374,6 +378,7 @@
 		case g.requests[r.ID] != r: // the client has left
 		case due || g.now >= r.by:
 			delete(g.requests, r.ID)
+			r.borrows = false
 			r.paid = r.paid && due && a.yes
 			if !due {
 				r.c.slice = math.Min(r.c.slice+r.c.grant*r.Units, sliceMost*r.Units)
@@ -883,6 +888,8 @@
 	r := &request{Request: q, until: now + q.Grace, c: c}
 	if g.full(g.open(&q, plan)) {
 		g.refuse(q.ID, g.shortAim/2, WhyLoad)
+	} else if g.limited(c) {
+		g.byRight(r)
 	} else if g.member(c) && (g.consults(c) || !g.under(c, q.Units)) && 2*q.Units <= wantMost {
 		g.consult(r)
 	} else {
@@ -893,10 +900,11 @@
 // admit sends a request on if its own bank holds its units, else if bank 0 lends them.
 func (g *Gateway) admit(r *request, inside bool) {
 	q, c, plan := &r.Request, r.c, &g.set.Plans[r.Plan]
+	defer g.unused(r)
 	if !inside {
 		g.lend.refill(g.now)
 		if !plan.soft() || g.lend.level < q.Units || g.full(lendShare) {
-			g.refuse(q.ID, g.filledIn(c, q.Units), g.whyEmpty(r))
+			g.refuse(q.ID, max(r.after, g.filledIn(c, q.Units)), g.whyEmpty(r))
 			return
 		}
 	}
@@ -911,6 +919,10 @@
 	}
 	if inside {
 		g.take(c, q.Units)
+		if g.limited(c) {
+			g.rights.Take(g.now, q.ID, g.budget(c), q.Units-r.lent)
+			r.lent = 0
+		}
 	} else {
 		g.lend.level -= q.Units
 	}
@@ -927,7 +939,9 @@
 // set shares one store, that fills for all of them at once.
 func (g *Gateway) filledIn(c *customer, units float64) Time {
 	rate := g.set.Plans[c.plan].Rate
-	if !g.pooled || g.wide(c) {
+	if g.limited(c) {
+		rate = g.rights.Rate(g.now, g.budget(c))
+	} else if !g.pooled || g.wide(c) {
 		rate *= g.part(c)
 	}
 	return until(g.level(c), rate, units)
@@ -1038,6 +1052,9 @@
 	if g.set.Settles && o.Result == OK && o.TrueUnits > 0 {
 		g.refill(r.c)
 		g.take(r.c, o.TrueUnits-r.Units)
+		if g.limited(r.c) {
+			g.rights.Take(g.now, r.ID, g.budget(r.c), o.TrueUnits-r.Units)
+		}
 	}
 }
 
--- /dev/null
+++ b/decide/rights.go
@@ -0,0 +1,94 @@
+package decide
+
+// Budget is what gateways share of one customer: units that come at a rate, stored up to a burst.
+type Budget struct {
+	ID     uint64
+	Rate   float64 // units a second
+	Burst  float64
+	Spread int // by how many gateways it is shared
+}
+
+// Rights are this gateway's parts of what all share. They are given by whoever divides it, and hold for a
+// time: what Level gives may be taken at once, and not later. Methods are called from where the Gateway is, and
+// must not wait.
+type Rights interface {
+	// Ask takes note that units were asked for.
+	Ask(now Time, b *Budget, units float64)
+	// Level is how many units may be taken now, and Rate at which rate they come.
+	Level(now Time, b *Budget) float64
+	Rate(now Time, b *Budget) float64
+	// Take uses units for a request, beside those that it was lent.
+	Take(now Time, id uint64, b *Budget, units float64)
+	// Return gives back units that were lent and not used.
+	Return(now Time, b *Budget, units float64)
+	// Borrow asks whoever divides for units that a request lacks. Lent has to be called with the answer, unless
+	// this returns false: there is nobody to ask.
+	Borrow(id uint64, b *Budget, units float64) bool
+}
+
+// UseRights has customers' quotas be what was given, in place of what notes tell. It is to be called
+// before the first event.
+func (g *Gateway) UseRights(r Rights) {
+	g.rights, g.pooled = r, false
+}
+
+// budget is a customer's quota.
+func (g *Gateway) budget(c *customer) *Budget {
+	p := &g.set.Plans[c.plan]
+	return &Budget{ID: c.id, Rate: p.Rate, Burst: p.Burst, Spread: c.spread}
+}
+
+// limited tells whether a customer's quota is a right.
+func (g *Gateway) limited(c *customer) bool { return g.rights != nil && g.set.Plans[c.plan].Rate > 0 }
+
+// byRight decides on a request whose quota is a right. What its own part lacks it borrows, and the request waits for
+// that as one waits for a home's word; without an answer it is decided by what is there.
+func (g *Gateway) byRight(r *request) {
+	b := g.budget(r.c)
+	g.rights.Ask(g.now, b, r.Units)
+	lacks := r.Units - g.rights.Level(g.now, b)
+	if lacks <= 0 || !g.mayOpen(r.c) || !g.rights.Borrow(r.ID, b, lacks) {
+		g.admit(r, g.inside(r.c, r.Units))
+		return
+	}
+	r.by, r.borrows = g.now+min(g.askTime(), r.Grace/2), true
+	g.do.SetTimer(r.by, askToken)
+	g.requests[r.ID] = r
+	g.waiting = append(g.waiting, r)
+}
+
+// Lent takes in the answer to a Borrow: the units, 0 for none, and then in what time there may be as many.
+func (g *Gateway) Lent(now Time, id uint64, b *Budget, units float64, after Time) {
+	g.begin(now)
+	r := g.requests[id]
+	if r == nil || !r.borrows {
+		if units > 0 {
+			g.rights.Return(g.now, b, units) // it was decided, or its client has left
+		}
+		return
+	}
+	kept := g.waiting[:0]
+	for _, w := range g.waiting {
+		if w != r {
+			kept = append(kept, w)
+		}
+	}
+	clear(g.waiting[len(kept):])
+	g.waiting = kept
+	delete(g.requests, id)
+	r.borrows, r.lent, r.after = false, units, after
+	inside := units > 0 && g.rights.Level(g.now, b)+units >= r.Units && g.mayOpen(r.c)
+	if !inside && units > 0 {
+		g.rights.Return(g.now, b, units) // others took what it had itself meanwhile
+		r.lent = 0
+	}
+	g.admit(r, inside || g.inside(r.c, r.Units))
+}
+
+// unused gives back what a request was lent and did not take.
+func (g *Gateway) unused(r *request) {
+	if r.lent > 0 {
+		g.rights.Return(g.now, g.budget(r.c), r.lent)
+		r.lent = 0
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -69,7 +69,8 @@
 	order     []*customer // all of them, oldest first
 	swept     Time
 
-	pooled  bool // gateways hear of each other's use
+	rights  Rights // nil: quotas go by notes, or the counter
+	pooled  bool   // gateways hear of each other's use
 	boot    uint32
 	period  Time // between notes
 	boots   []uint32
@@ -154,6 +155,9 @@
 	over     bool
 	denied   bool // by its home
 	paid     bool // its home is to take it from its part of the ceiling, or has
+	borrows  bool // it waits for units that are to be lent
+	lent     float64
+	after    Time // in what time there may be as many, by who did not lend them
 }
 
 func (r *request) tried(b *backend) bool {
@@ -365,7 +369,9 @@
 }
 
 // wide tells whether a customer's set is too large for each to tell all others.
-func (g *Gateway) wide(c *customer) bool { return g.set.Peers && c.spread > fewPeers }
+func (g *Gateway) wide(c *customer) bool {
+	return g.set.Peers && c.spread > fewPeers && g.rights == nil
+}
 
 // home is the gateway that a wide set tells its use.
 func (g *Gateway) home(c *customer) int {
--- /dev/null
+++ b/internal/budgets/divider.go
@@ -0,0 +1,195 @@
+// Package budgets has a process divide the budgets of its fleet, where it owns a shard of them, and use
+// its own parts. The arithmetic is package budget's.
+package budgets
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"mothcleat/budget"
+	"mothcleat/internal/duties"
+	"mothcleat/internal/faultpoint"
+	"mothcleat/internal/fleetlink"
+	"mothcleat/internal/fleetpb"
+	"mothcleat/internal/steady"
+)
+
+// Divider is the owner's side in this process. Its Work is the work of the duty of each shard.
+type Divider struct {
+	Rules  budget.Rules
+	Client *fleetlink.Client
+	Log    *slog.Logger
+
+	mu      sync.Mutex
+	offices map[string]*office
+}
+
+// office is one shard that this process owns now.
+type office struct {
+	tenure *duties.Tenure
+	kick   chan struct{} // there may be something to agree on
+
+	mu    sync.Mutex
+	owner *budget.Owner
+}
+
+const (
+	planEach  = 20 * time.Millisecond // at most so long nothing is planned; a renewal that changes something has it looked at at once
+	readAgain = 50 * time.Millisecond
+)
+
+var notOwner = "this process does not own the shard"
+
+// Work divides a shard for as long as the duty is held.
+func (d *Divider) Work(ctx context.Context, t *duties.Tenure) {
+	books, err := d.read(ctx, t.Duty)
+	if err != nil {
+		return
+	}
+	// All that the owner before may have given was given before now.
+	owner, err := budget.NewOwner(steady.Now(), d.Rules, t.Duty, t.Term, d.Client.Me().ID, books)
+	if err != nil {
+		d.Log.Error("budgets: what is agreed can't be used", "duty", t.Duty, "error", err)
+		return
+	}
+	o := &office{tenure: t, owner: owner, kick: make(chan struct{}, 1)}
+	d.mu.Lock()
+	if d.offices == nil {
+		d.offices = map[string]*office{}
+	}
+	d.offices[t.Duty] = o
+	d.mu.Unlock()
+	defer func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.offices[t.Duty] == o {
+			delete(d.offices, t.Duty)
+		}
+	}()
+	tick := time.NewTicker(planEach)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		if err := d.round(ctx, o); err != nil {
+			if ctx.Err() == nil {
+				// Whether it is agreed can't be known any more. Another term begins with what is.
+				d.Log.Error("budgets: a round is lost; the shard is given up", "duty", t.Duty, "term", t.Term, "error", err)
+				t.GiveUp()
+			}
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-o.kick:
+		case <-tick.C:
+		}
+	}
+}
+
+// read has the books as they are agreed under the term.
+func (d *Divider) read(ctx context.Context, duty string) (*fleetpb.Books, error) {
+	for {
+		raw, err := d.Client.Ask(ctx, budget.MachineName, []byte(duty))
+		books := &fleetpb.Books{}
+		if err == nil {
+			err = proto.Unmarshal(raw, books)
+		}
+		if err == nil || ctx.Err() != nil {
+			return books, errors.Join(err, ctx.Err())
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(readAgain):
+		}
+	}
+}
+
+// round has what is planned agreed, if there is anything. It is asked for until it is known whether it was.
+func (d *Divider) round(ctx context.Context, o *office) error {
+	o.mu.Lock()
+	round := o.owner.Plan(steady.Now())
+	o.mu.Unlock()
+	if round == nil {
+		return nil
+	}
+	faultpoint.At("budgets-before-agree")
+	body, err := proto.MarshalOptions{Deterministic: true}.Marshal(round)
+	if err != nil {
+		return err
+	}
+	raw, err := d.Client.Do(ctx, budget.MachineName, body)
+	if err != nil {
+		return err
+	}
+	faultpoint.At("budgets-after-agree")
+	var r budget.Result
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !r.OK {
+		o.owner.Refused(steady.Now())
+		return errors.New(r.Why) // a later owner has it, or this one is wrong about what is agreed
+	}
+	o.owner.Committed(steady.Now())
+	return nil
+}
+
+func (d *Divider) office(duty string) *office {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.offices[duty]
+}
+
+// Renew renews a member's rights, if this process owns the shard.
+func (d *Divider) Renew(ask *fleetpb.RightsAsk) *fleetpb.RightsAnswer {
+	o := d.office(ask.Duty)
+	if o == nil {
+		return &fleetpb.RightsAnswer{Code: fleetpb.Code_NOT_LEADER, Why: notOwner}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.tenure.Holds() {
+		return &fleetpb.RightsAnswer{Code: fleetpb.Code_NOT_LEADER, Why: notOwner}
+	}
+	faultpoint.At("budgets-renew")
+	a := o.owner.Renew(steady.Now(), ask)
+	select {
+	case o.kick <- struct{}{}:
+	default:
+	}
+	return a
+}
+
+// Lend lends units, if this process owns the shard.
+func (d *Divider) Lend(ask *fleetpb.LoanAsk) *fleetpb.LoanAnswer {
+	o := d.office(ask.Duty)
+	if o == nil {
+		return &fleetpb.LoanAnswer{Code: fleetpb.Code_NOT_LEADER, Why: notOwner}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.tenure.Holds() {
+		return &fleetpb.LoanAnswer{Code: fleetpb.Code_NOT_LEADER, Why: notOwner}
+	}
+	return o.owner.Lend(steady.Now(), ask)
+}
+
+// Figures are what the owners in this process did, by duty.
+func (d *Divider) Figures() map[string]budget.Figures {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := map[string]budget.Figures{}
+	for duty, o := range d.offices {
+		o.mu.Lock()
+		all[duty] = o.owner.Figures()
+		o.mu.Unlock()
+	}
+	return all
+}
--- /dev/null
+++ b/internal/budgets/user.go
@@ -0,0 +1,274 @@
+package budgets
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mothcleat/budget"
+	"mothcleat/decide"
+	"mothcleat/internal/duties"
+	"mothcleat/internal/faultpoint"
+	"mothcleat/internal/fleetlink"
+	"mothcleat/internal/fleetpb"
+	"mothcleat/internal/gateway"
+	"mothcleat/internal/steady"
+	"mothcleat/lease"
+)
+
+// User is this process's side as one that uses budgets: its rights, as the gateway's loop sees them, and their
+// renewal. The loop's calls never wait for anybody but for another short call.
+type User struct {
+	rules  budget.Rules
+	shards int
+	client *fleetlink.Client
+	owners *duties.Set
+	log    *slog.Logger
+	lent   func(gateway.Loan)
+
+	loans    chan struct{}  // room for askings that are out
+	silent   []atomic.Int64 // by shard: until when nobody is asked for units, by the steady clock
+	mu       sync.Mutex
+	holder   *budget.Holder
+	gone     []uint64 // boots of this id that run no more
+	took     uint64   // the request that something was taken for last
+	tookBy   time.Duration
+	figures  Figures
+	lastTold []atomic.Int64 // by shard: when an owner last answered
+}
+
+// Figures are counts of what a User did.
+type Figures struct {
+	Renewals uint64 `json:"renewals"`
+	Failed   uint64 `json:"failed"`
+	Loans    uint64 `json:"loans"`
+	Lent     uint64 `json:"lent"`
+	Unheard  uint64 `json:"unheard"` // loans without an answer
+}
+
+const (
+	loansOut    = 256
+	renewWithin = 400 * time.Millisecond
+	lendWithin  = 150 * time.Millisecond
+	silentFor   = 250 * time.Millisecond // after an asking for units without an answer, none goes to that owner
+)
+
+// NewUser makes one that holds nothing.
+func NewUser(r budget.Rules, shards int, client *fleetlink.Client, owners *duties.Set, log *slog.Logger) *User {
+	return &User{rules: r, shards: shards, client: client, owners: owners, log: log, loans: make(chan struct{}, loansOut),
+		silent: make([]atomic.Int64, shards), lastTold: make([]atomic.Int64, shards), holder: budget.NewHolder(r, client.Me(), shards)}
+}
+
+// Follow has the answers to Borrow go to a function. It is to be called before the first Borrow.
+func (u *User) Follow(lent func(gateway.Loan)) { u.lent = lent }
+
+func whole(b *decide.Budget) budget.Share { return budget.Share{Rate: b.Rate, Burst: b.Burst} }
+
+// The loop's calls. Times are the steady clock's: the module's own may have been read before the process was stopped.
+
+// Ask takes note that units were asked for.
+func (u *User) Ask(_ decide.Time, b *decide.Budget, units float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.holder.Ask(steady.Now(), b.ID, whole(b), b.Spread, units)
+}
+
+// Level is how many units may be taken now.
+func (u *User) Level(_ decide.Time, b *decide.Budget) float64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.holder.Level(steady.Now(), b.ID)
+}
+
+// Rate is at which rate they come.
+func (u *User) Rate(_ decide.Time, b *decide.Budget) float64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.holder.Rate(steady.Now(), b.ID)
+}
+
+// Take uses units for a request.
+func (u *User) Take(_ decide.Time, id uint64, b *decide.Budget, units float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := steady.Now()
+	u.holder.Take(now, b.ID, units)
+	u.took, u.tookBy = id, 0
+	if units > 0 {
+		u.tookBy = u.holder.Until(now, b.ID)
+	}
+}
+
+// Return gives back units that were lent.
+func (u *User) Return(_ decide.Time, b *decide.Budget, units float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.holder.Return(steady.Now(), b.ID, units)
+}
+
+// By is until when what was taken for a request may be used.
+func (u *User) By(id uint64) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.took != id {
+		return 0
+	}
+	return u.tookBy
+}
+
+// Over tells whether a time is over.
+func (u *User) Over(by time.Duration) bool {
+	faultpoint.At("right-taken")
+	over := steady.Now() >= by
+	faultpoint.At("right-checked")
+	return over
+}
+
+// Borrow asks the owner of a budget for units.
+func (u *User) Borrow(id uint64, b *decide.Budget, units float64) bool {
+	shard := budget.ShardOf(b.ID, u.shards)
+	now := steady.Now()
+	owner, address, ok := u.owners.Owner(budget.Duty(shard))
+	if !ok || now < time.Duration(u.silent[shard].Load()) {
+		return false
+	}
+	select {
+	case u.loans <- struct{}{}:
+	default:
+		return false
+	}
+	go u.borrow(shard, owner, address, gateway.Loan{ID: id, Budget: *b, By: now + u.rules.LoanSpan}, units)
+	return true
+}
+
+func (u *User) borrow(shard int, owner lease.Member, address string, l gateway.Loan, units float64) {
+	defer func() { <-u.loans }()
+	ctx, cancel := context.WithTimeout(context.Background(), lendWithin)
+	defer cancel()
+	a, err := u.client.Borrow(ctx, owner.ID, address, &fleetpb.LoanAsk{Duty: budget.Duty(shard), Budget: l.Budget.ID, Units: units,
+		Whole: &fleetpb.Share{Rate: l.Budget.Rate, Burst: l.Budget.Burst}, Spread: uint32(l.Budget.Spread)})
+	u.mu.Lock()
+	u.figures.Loans++
+	switch {
+	case err != nil || a.Code != fleetpb.Code_OK:
+		u.figures.Unheard++
+		u.silent[shard].Store(int64(steady.Now() + silentFor))
+	case a.Lent:
+		u.figures.Lent++
+		l.Units = units
+	default:
+		l.After = time.Duration(a.After)
+	}
+	u.mu.Unlock()
+	u.lent(l)
+}
+
+// Gone tells of boots of this process's id that run no more: whatever they held is free.
+func (u *User) Gone(boots []uint64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.gone = boots
+}
+
+// Run renews the rights until the context ends.
+func (u *User) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for shard := range u.shards {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			u.renewAll(ctx, shard)
+		}()
+	}
+	wg.Wait()
+}
+
+func (u *User) renewAll(ctx context.Context, shard int) {
+	for ctx.Err() == nil {
+		sent := steady.Now()
+		again := u.renew(ctx, shard)
+		wait := max(0, u.rules.Every-(steady.Now()-sent))
+		if again {
+			wait = 0
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+// renew renews once. It tells whether there is something to say at once.
+func (u *User) renew(ctx context.Context, shard int) bool {
+	owner, address, ok := u.owners.Owner(budget.Duty(shard))
+	if !ok {
+		return false
+	}
+	sent := steady.Now()
+	u.mu.Lock()
+	ask := u.holder.Renewal(sent, shard)
+	ask.Gone = u.gone
+	u.mu.Unlock()
+	if ask.Number == 0 && len(ask.Wants) == 0 {
+		return false // it was never given anything, and wants nothing
+	}
+	one, cancel := context.WithTimeout(ctx, renewWithin)
+	defer cancel()
+	a, err := u.client.Renew(one, owner.ID, address, ask)
+	faultpoint.At("right-told")
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.figures.Renewals++
+	if err != nil || a.Code != fleetpb.Code_OK {
+		u.figures.Failed++
+		return false
+	}
+	u.lastTold[shard].Store(int64(steady.Now()))
+	again := u.holder.Answer(steady.Now(), sent, shard, ask, a)
+	if again {
+		faultpoint.At("right-lessened")
+	}
+	return again
+}
+
+// Leave gives everything back, and returns when the owners have heard it, or the context ends.
+func (u *User) Leave(ctx context.Context) {
+	u.mu.Lock()
+	all := u.holder.Leave(steady.Now())
+	u.mu.Unlock()
+	var wg sync.WaitGroup
+	for shard, ask := range all {
+		if ask.Number == 0 {
+			continue // nothing was ever given
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for ctx.Err() == nil {
+				owner, address, ok := u.owners.Owner(budget.Duty(shard))
+				if ok {
+					one, cancel := context.WithTimeout(ctx, renewWithin)
+					a, err := u.client.Renew(one, owner.ID, address, ask)
+					cancel()
+					if err == nil && a.Code == fleetpb.Code_OK {
+						return
+					}
+				}
+				select {
+				case <-ctx.Done():
+				case <-time.After(readAgain):
+				}
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+// Rights are what this process holds now, and what it did.
+func (u *User) Rights() ([]budget.Right, Figures) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.holder.Rights(steady.Now()), u.figures
+}
--- a/internal/duties/duties.go
+++ b/internal/duties/duties.go
@@ -33,6 +33,17 @@
 	return ok && term == t.Term
 }
 
+// GiveUp has the duty handed on: its work can't go on under this term.
+func (t *Tenure) GiveUp() {
+	t.r.mu.Lock()
+	t.r.quit = t.r.term == t.Term
+	t.r.mu.Unlock()
+	select {
+	case t.r.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Work is what is done on behalf of the fleet. It ends soon after its context does. When it returns by
 // itself the duty is held on without work.
 type Work func(ctx context.Context, t *Tenure)
@@ -50,7 +61,10 @@
 	runners map[string]*runner
 
 	mu      sync.Mutex
-	members []string // that have a session, this one among them
+	members []string                 // that have a session, this one among them
+	at      map[string]string        // where they are reached, by id
+	owners  map[string]lease.Holding // as a voter last told, by duty
+	unknown chan struct{}            // an owner is not among the members that are known
 }
 
 const (
@@ -65,7 +79,18 @@
 )
 
 // New makes a set; Run has it begin.
-func New(opt Options) *Set { return &Set{opt: opt, runners: map[string]*runner{}} }
+func New(opt Options) *Set {
+	return &Set{opt: opt, runners: map[string]*runner{}, at: map[string]string{}, owners: map[string]lease.Holding{}, unknown: make(chan struct{}, 1)}
+}
+
+// Owner is who owns a duty as far as this process has heard, and where it is reached. It may be over: whoever is asked
+// there knows.
+func (s *Set) Owner(duty string) (who lease.Member, address string, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.owners[duty]
+	return h.Owner, s.at[h.Owner.ID], h.Owner.ID != ""
+}
 
 // Add names a duty and its work. It must not be called after Run.
 func (s *Set) Add(name string, work Work) {
@@ -113,10 +138,19 @@
 		if err == nil {
 			s.mu.Lock()
 			s.members = idsOf(all)
+			for _, m := range all {
+				s.at[m.ID] = m.Address
+			}
 			s.mu.Unlock()
 		}
 		select {
 		case <-ctx.Done():
+		case <-s.unknown:
+			wait := time.NewTimer(failedAfter)
+			select {
+			case <-ctx.Done():
+			case <-wait.C:
+			}
 		case <-time.After(membersEach):
 		}
 	}
@@ -160,6 +194,20 @@
 		return
 	}
 	me := s.opt.Client.Me()
+	s.mu.Lock()
+	for _, h := range v.Duties {
+		if h.Term < s.owners[h.Duty].Term {
+			continue // an older state, from another voter
+		}
+		s.owners[h.Duty] = h
+		if _, known := s.at[h.Owner.ID]; h.Owner.ID != "" && !known {
+			select {
+			case s.unknown <- struct{}{}:
+			default:
+			}
+		}
+	}
+	s.mu.Unlock()
 	for _, h := range v.Duties {
 		r := s.runners[h.Duty]
 		if r == nil {
@@ -199,6 +247,7 @@
 	mu     sync.Mutex
 	holder *lease.Holder
 	wish   string // hand it on to that one
+	quit   bool   // hand it on to whoever is there
 	soon   bool   // it was offered to this process
 	freed  bool   // nobody holds it
 	cancel context.CancelFunc
@@ -240,8 +289,8 @@
 	r.mu.Lock()
 	now := steady.Now()
 	held := r.lapse(now)
-	wish := r.wish
-	r.wish = ""
+	wish, quit := r.wish, r.quit
+	r.wish, r.quit = "", false
 	rank := 0
 	if !held && !r.soon {
 		rank = min(r.rank(), 2*ranks)
@@ -255,7 +304,7 @@
 		r.soon = false
 		r.holder.Failed(now, -1, 0)
 	}
-	if held && wish != "" && wish != r.set.opt.Client.Me().ID {
+	if held && (quit || wish != "" && wish != r.set.opt.Client.Me().ID) {
 		r.mu.Unlock()
 		r.leave(wish)
 		return 0
--- a/internal/fleetlink/client.go
+++ b/internal/fleetlink/client.go
@@ -349,3 +349,23 @@
 		}
 	}
 }
+
+// Renew asks the owner of a shard of the budgets, a process with an address.
+func (c *Client) Renew(ctx context.Context, id, address string, ask *fleetpb.RightsAsk) (*fleetpb.RightsAnswer, error) {
+	to, err := c.conns.to(c.addresses.of(id, address))
+	if err != nil {
+		return nil, err
+	}
+	ask.Fleet = c.fleet
+	return to.Renew(ctx, ask)
+}
+
+// Borrow asks the owner of a shard for units.
+func (c *Client) Borrow(ctx context.Context, id, address string, ask *fleetpb.LoanAsk) (*fleetpb.LoanAnswer, error) {
+	to, err := c.conns.to(c.addresses.of(id, address))
+	if err != nil {
+		return nil, err
+	}
+	ask.Fleet, ask.Member = c.fleet, c.member()
+	return to.Borrow(ctx, ask)
+}
--- a/internal/fleetlink/server.go
+++ b/internal/fleetlink/server.go
@@ -31,6 +31,12 @@
 // Parts gives the parts of this gateway's use that were not collected yet.
 type Parts func(had map[uint64]uint64, give func(*fleetpb.Part) error) error
 
+// Budgets divides what the fleet shares, in the process that owns a shard of it.
+type Budgets interface {
+	Renew(ask *fleetpb.RightsAsk) *fleetpb.RightsAnswer
+	Lend(ask *fleetpb.LoanAsk) *fleetpb.LoanAnswer
+}
+
 // Server answers other processes of the fleet.
 type Server struct {
 	fleetpb.UnimplementedFleetServer
@@ -39,6 +45,9 @@
 	peers *peers
 	parts Parts
 
+	// Budgets answers who uses budgets; nil: nobody does here. It is to be set before Serve.
+	Budgets Budgets
+
 	mu    sync.Mutex
 	voter *voter.Voter // nil: this process has none
 	news  map[string]*fleetpb.News
@@ -249,3 +258,25 @@
 	}
 	return s.parts(had, out.Send)
 }
+
+// Renew renews a process's rights, if the budgets are divided here.
+func (s *Server) Renew(_ context.Context, ask *fleetpb.RightsAsk) (*fleetpb.RightsAnswer, error) {
+	switch {
+	case ask.Fleet != s.fleet:
+		return nil, errOtherFleet
+	case s.Budgets == nil:
+		return &fleetpb.RightsAnswer{Code: fleetpb.Code_NOT_LEADER, Why: "this process divides nothing"}, nil
+	}
+	return s.Budgets.Renew(ask), nil
+}
+
+// Borrow lends units, if the budget is divided here.
+func (s *Server) Borrow(_ context.Context, ask *fleetpb.LoanAsk) (*fleetpb.LoanAnswer, error) {
+	switch {
+	case ask.Fleet != s.fleet:
+		return nil, errOtherFleet
+	case s.Budgets == nil:
+		return &fleetpb.LoanAnswer{Code: fleetpb.Code_NOT_LEADER, Why: "this process divides nothing"}, nil
+	}
+	return s.Budgets.Lend(ask), nil
+}
--- a/internal/fleetnode/call.go
+++ b/internal/fleetnode/call.go
@@ -8,8 +8,11 @@
 	"strings"
 	"time"
 
+	"mothcleat/budget"
 	"mothcleat/exports"
+	"mothcleat/internal/budgets"
 	"mothcleat/internal/fleetpb"
+	"mothcleat/internal/steady"
 	"mothcleat/lease"
 )
 
@@ -76,6 +79,11 @@
 		var v exports.View
 		err = n.ask(ctx, exports.MachineName, nil, &v)
 		what = v
+	case len(words) == 1 && words[0] == "rights" && n.rights != nil:
+		held, did := n.rights.Rights()
+		what = Rights{n.me, steady.Now(), held, did, n.divide.Figures()}
+	case len(words) <= 2 && len(words) > 0 && words[0] == "budgets":
+		what, err = n.books(ctx)
 	case len(words) == 3 && words[0] == "transfer":
 		what, err = n.transfer(ctx, words[1], words[2])
 	case len(words) == 2 && words[0] == "remove":
@@ -90,7 +98,7 @@
 			what = s.Voter().Status().Applied
 		}
 	default:
-		err = fmt.Errorf("unknown call %.64q; here, status, owners, history DUTY, exports, transfer DUTY ID, add, remove NAME or snapshot", argument)
+		err = fmt.Errorf("unknown call %.64q; here, status, owners, history DUTY, exports, rights, budgets, transfer DUTY ID, add, remove NAME or snapshot", argument)
 	}
 	var raw []byte
 	if err == nil {
@@ -102,6 +110,26 @@
 	return string(raw) + "\n"
 }
 
+// Rights is what this process holds of the budgets, and what it divides.
+type Rights struct {
+	Member  lease.Member              `json:"member"`
+	At      time.Duration             `json:"at"` // by the clock that goes on while a process is stopped
+	Held    []budget.Right            `json:"held"`
+	Did     budgets.Figures           `json:"did"`
+	Divides map[string]budget.Figures `json:"divides"`
+}
+
+// books are all budgets as they are agreed.
+func (n *Node) books(ctx context.Context) ([]budget.View, error) {
+	ctx, cancel := context.WithTimeout(ctx, callWithin)
+	defer cancel()
+	raw, err := n.client.Ask(ctx, budget.MachineName, nil)
+	if err != nil {
+		return nil, err
+	}
+	return budget.Views(raw)
+}
+
 // transfer has a duty go to another gateway: its owner hands it on when it hears of that.
 func (n *Node) transfer(ctx context.Context, duty, to string) (any, error) {
 	ctx, cancel := context.WithTimeout(ctx, callWithin)
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -16,7 +16,9 @@
 	"time"
 
 	"mothcleat/agree"
+	"mothcleat/budget"
 	"mothcleat/exports"
+	"mothcleat/internal/budgets"
 	"mothcleat/internal/duties"
 	"mothcleat/internal/exporter"
 	"mothcleat/internal/fleetlink"
@@ -49,7 +51,10 @@
 
 	// Direct makes a source that asks the register itself; nil: each gateway watches its register as it always did.
 	Direct func() (registry.Source, error)
-	Silent time.Duration // see fleetwatch.Watch
+	// Budgets are the rules by which quotas are divided; nil: they are not.
+	Budgets      *budget.Rules
+	BudgetShards int
+	Silent       time.Duration // see fleetwatch.Watch
 }
 
 // Node is a process's part. Make it with Start.
@@ -61,6 +66,9 @@
 	client *fleetlink.Client
 	duties *duties.Set
 	watch  *fleetwatch.Watch // nil: the register is not watched for all
+	rights *budgets.User     // nil: quotas are not divided
+	divide *budgets.Divider
+	boots  atomic.Pointer[budgets.Boots]
 	server atomic.Pointer[fleetlink.Server]
 
 	counter atomic.Pointer[usecount.Counter]
@@ -83,13 +91,15 @@
 	againAfter = 100 * time.Millisecond
 	tellAfter  = 2 * time.Second
 	leaveMost  = 2 * time.Second
+	// What is given back late runs out by itself.
+	giveBackMost = 500 * time.Millisecond
 )
 
 // Machines are the parts of the agreed state.
 func Machines(r lease.Rules) map[string]agree.Machine {
 	d := lease.NewMachine(r)
 	return map[string]agree.Machine{lease.MachineName: d, exports.MachineName: exports.NewMachine(d),
-		standing.MachineName: standing.NewMachine(d), roster.MachineName: roster.NewMachine(d)}
+		standing.MachineName: standing.NewMachine(d), roster.MachineName: roster.NewMachine(d), budget.MachineName: budget.NewMachine(d)}
 }
 
 // LogDir and UseDir are where a voter's log and a gateway's counts lie.
@@ -121,10 +131,20 @@
 		n.watch = &fleetwatch.Watch{Direct: cfg.Direct, Client: n.client, Silent: cfg.Silent, Log: cfg.Log}
 		n.duties.Add(roster.Duty, n.watch.Work)
 	}
+	if cfg.Budgets != nil {
+		n.divide = &budgets.Divider{Rules: *cfg.Budgets, Client: n.client, Log: cfg.Log}
+		for shard := range cfg.BudgetShards {
+			n.duties.Add(budget.Duty(shard), n.divide.Work)
+		}
+		n.rights = budgets.NewUser(*cfg.Budgets, cfg.BudgetShards, n.client, n.duties, cfg.Log)
+	}
 	go n.run(holding)
 	return n
 }
 
+// Rights are this process's parts of the quotas; nil: they are not divided.
+func (n *Node) Rights() *budgets.User { return n.rights }
+
 // Register is the source of news of the servers, where the register is watched for all; nil: it is not.
 func (n *Node) Register() registry.Source {
 	if n.watch == nil {
@@ -146,6 +166,9 @@
 	close(n.ready)
 	go n.client.Live(n.ctx)
 	go n.follow()
+	if n.rights != nil {
+		go n.rights.Run(holding)
+	}
 	n.duties.Run(holding)
 }
 
@@ -193,11 +216,27 @@
 			}
 		}()
 	}
+	if n.rights != nil {
+		boots, bad := budgets.OpenBoots(n.cfg.Dir, n.me.Boot)
+		if bad != nil {
+			return bad
+		}
+		defer func() {
+			if err != nil {
+				err = errors.Join(err, boots.Close())
+			}
+		}()
+		n.boots.Store(boots)
+		n.rights.Gone(boots.Gone)
+	}
 	l, err := net.Listen("tcp", n.cfg.Listen)
 	if err != nil {
 		return err
 	}
 	server := fleetlink.NewServer(n.ctx, n.cfg.Fleet, n.cfg.Addresses, parts)
+	if n.divide != nil {
+		server.Budgets = n.divide
+	}
 	err = server.Vote(n.ctx, voter.Options{Dir: LogDir(n.cfg.Dir), Address: n.cfg.Address, Tick: n.cfg.Tick, Keep: n.cfg.Keep, Log: n.cfg.Log,
 		Machines: func() map[string]agree.Machine { return Machines(n.cfg.Rules) }})
 	switch {
@@ -283,8 +322,16 @@
 // Close ends everything. Nothing may be counted any more.
 func (n *Node) Close() {
 	n.leave()
+	if n.rights != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), giveBackMost)
+		n.rights.Leave(ctx)
+		cancel()
+	}
 	n.cancel()
 	<-n.ready // what was being opened is open, or is not any more
+	if b := n.boots.Load(); b != nil {
+		defer b.Close()
+	}
 	lost := n.missed.Load()
 	if c := n.counter.Load(); c != nil {
 		n.countEarly(c)
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -275,6 +275,10 @@
 	default:
 		b = []byte("*1\r\n$4\r\nPING\r\n")
 	}
+	if l.lapsed(a) {
+		bs.free(l, c)
+		return true
+	}
 	if n, err := c.out.try(b); err != nil {
 		bs.close(c)
 		return false
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -42,6 +42,7 @@
 	Survival Survival  // from the operators' file
 	Auth     Auth      // the same
 	Fleet    Fleet     // nil: none
+	Rights   Rights    // nil: quotas go by notes, or the counter
 	Refusals io.Writer // gets a line for each request refused: its id and the reason; nil: none
 
 	// Register makes the source of news of the servers; nil: the platform's discovery.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,6 +83,7 @@
 	if l.module, err = decide.New(cfg.Settings, cfg.Seed, l); err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
+	l.useRights()
 	l.recordRefusals(cfg.Refusals)
 	if l.heirs.before == nil {
 		l.peers, err = newPeers(&cfg, log)
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -218,6 +218,7 @@
 	if until == 0 || until > r.deadline {
 		until = r.deadline
 	}
+	l.granted(r)
 	a := &attempt{r: r, number: r.attempts, sent: l.now(), until: until}
 	r.attempts++
 	r.out++
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"mothcleat/decide"
 	"mothcleat/internal/resp"
@@ -25,6 +26,7 @@
 	customer uint64
 	units    float64
 	counted  bool            // it was sent on, and its units with it
+	use      time.Duration   // until when what it was decided by may be used, by the clock of Config.Rights; 0: no end
 	name     uint64          // the id that the client gave
 	asks     *decide.Request // it waits for a verdict on whether it may go on; nil: not so
 	backstop *timer
--- a/internal/mutants/mutants.go
+++ b/internal/mutants/mutants.go
@@ -30,6 +30,9 @@
 //go:embed owners.toml
 var owners []byte
 
+//go:embed budgets.toml
+var budgets []byte
+
 // Mutant is one wrong variant.
 type Mutant struct {
 	Name string `toml:"name"`
@@ -57,6 +60,9 @@
 // Owners is all mutants of what the fleet agrees on.
 func Owners() ([]Mutant, error) { return read(owners) }
 
+// Budgets is all mutants of how budgets are divided.
+func Budgets() ([]Mutant, error) { return read(budgets) }
+
 func read(list []byte) ([]Mutant, error) {
 	var f struct {
 		Mutant []Mutant `toml:"mutant"`
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -26,6 +26,18 @@
 	Register Register `toml:"register"`
 	Record   Record   `toml:"record"`
 	Fleet    Fleet    `toml:"fleet"`
+	Budgets  Budgets  `toml:"budgets"`
+}
+
+// Budgets is how the fleet divides customers' quotas among its gateways.
+type Budgets struct {
+	On        bool     `toml:"on"`
+	Shards    int      `toml:"shards"`
+	Span      Duration `toml:"span"`
+	FloorSpan Duration `toml:"floor_span"`
+	Floor     float64  `toml:"floor"`
+	Reserve   float64  `toml:"reserve"`
+	Every     Duration `toml:"every"`
 }
 
 // Fleet is what the gateways agree on among themselves, and who does work on behalf of them all.
@@ -151,6 +163,7 @@
 		Fleet: Fleet{Folder: "fleet", Voters: []Voter{}, Addresses: map[string]string{}, Span: Duration(time.Second), Margin: 0.125,
 			Offer: Duration(500 * time.Millisecond), Tick: Duration(40 * time.Millisecond), Keep: 4096, Shards: 1, Period: Duration(5 * time.Second),
 			Silent: Duration(time.Second)},
+		Budgets: Budgets{Shards: 1, Span: Duration(3 * time.Second), FloorSpan: Duration(time.Minute), Floor: 0.2, Reserve: 0.4, Every: Duration(200 * time.Millisecond)},
 	}
 }
 
@@ -231,6 +244,10 @@
 		{"fleet.keep", count(s.Fleet.Keep, 16, 1000_000)},
 		{"fleet.silent", within(s.Fleet.Silent, 200*time.Millisecond, time.Minute)},
 		{"fleet.shards", count(s.Fleet.Shards, 1, 256)},
+		{"budgets.shards", count(s.Budgets.Shards, 1, 256)},
+		{"budgets.span", within(s.Budgets.Span, time.Second, 10*time.Minute)},
+		{"budgets.floor_span", within(s.Budgets.FloorSpan, time.Duration(s.Budgets.Span), 24*time.Hour)},
+		{"budgets.every", within(s.Budgets.Every, 10*time.Millisecond, time.Duration(s.Budgets.Span)/4)},
 	} {
 		if c.why != "" {
 			return c.key, c.why
@@ -242,6 +259,14 @@
 	if key, why := s.Fleet.check(); why != "" {
 		return key, why
 	}
+	switch b := &s.Budgets; {
+	case !(b.Floor >= 0 && b.Floor <= 1):
+		return "budgets.floor", fmt.Sprintf("%v: from 0 to 1 wanted", b.Floor)
+	case !(b.Reserve >= 0 && b.Reserve <= 1):
+		return "budgets.reserve", fmt.Sprintf("%v: from 0 to 1 wanted", b.Reserve)
+	case b.On && !s.Fleet.On:
+		return "budgets.on", "set though fleet.on is false"
+	}
 	switch r := &s.Register; {
 	case !slices.Contains(Sources, r.Source):
 		return "register.source", fmt.Sprintf("%q: one of %s wanted", r.Source, strings.Join(Sources, ", "))
@@ -349,6 +374,7 @@
 		{"register", !s.Register.sameButAgents(&other.Register)},
 		{"record", s.Record != other.Record},
 		{"fleet", !reflect.DeepEqual(&s.Fleet, &other.Fleet)},
+		{"budgets", s.Budgets != other.Budgets},
 	} {
 		if c.changed {
 			names = append(names, c.name)
