--- /dev/null
+++ b/budget/budget_test.go
@@ -0,0 +1,445 @@
+package budget
+
+import (
+	"encoding/json"
+	"math"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"mothcleat/internal/fleetpb"
+	"mothcleat/lease"
+)
+
+const ms = time.Millisecond
+
+// terms is a table of duties with one owner.
+type terms struct {
+	term uint64
+	who  lease.Member
+}
+
+func (t *terms) Fence(_ string, term uint64, who lease.Member) error {
+	if term != t.term || who != t.who {
+		return lease.ErrTerm
+	}
+	return nil
+}
+
+// rig is an owner, the log that it proposes to, and its members, with no network between.
+type rig struct {
+	t     *testing.T
+	now   time.Duration
+	log   *Machine
+	terms *terms
+	owner *Owner
+	whole Share
+}
+
+func newRig(t *testing.T, whole Share) *rig {
+	r := &rig{t: t, now: time.Hour, terms: &terms{0, lease.Member{ID: "o", Boot: 1}}, whole: whole}
+	r.log = NewMachine(r.terms)
+	r.elect()
+	return r
+}
+
+// elect begins a new term.
+func (r *rig) elect() {
+	r.t.Helper()
+	r.terms.term++
+	var books fleetpb.Books
+	if err := proto.Unmarshal(r.log.Query(0, []byte(Duty(0))), &books); err != nil {
+		r.t.Fatal(err)
+	}
+	var err error
+	if r.owner, err = NewOwner(r.now, Defaults(), Duty(0), r.terms.term, "o", &books); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+func (r *rig) member(id string, boot uint64) *Holder {
+	return NewHolder(Defaults(), lease.Member{ID: id, Boot: boot}, 1)
+}
+
+// renew has a member renew, and act on what it is told.
+func (r *rig) renew(h *Holder) {
+	for range 3 {
+		ask := h.Renewal(r.now, 0)
+		if !h.Answer(r.now, r.now, 0, ask, r.owner.Renew(r.now, ask)) {
+			return
+		}
+	}
+}
+
+// round has what is planned agreed, if anything is.
+func (r *rig) round() bool {
+	r.t.Helper()
+	p := r.owner.Plan(r.now)
+	if p == nil {
+		return false
+	}
+	var res Result
+	if err := json.Unmarshal(r.log.Apply(r.now, 0, r.terms.who, marshal(p)), &res); err != nil || !res.OK {
+		r.t.Fatalf("%v %+v", err, res)
+	}
+	r.owner.Committed(r.now)
+	return true
+}
+
+// settle plays some seconds in which members ask for so many units a second each.
+func (r *rig) settle(d time.Duration, ask map[*Holder]float64) {
+	r.t.Helper()
+	for end := r.now + d; r.now < end; r.now += 50 * ms {
+		for h, units := range ask {
+			if units > 0 {
+				h.Ask(r.now, 1, r.whole, 2, units/20)
+			}
+			r.renew(h)
+		}
+		r.round()
+	}
+}
+
+func (r *rig) lend(units float64) bool {
+	return r.owner.Lend(r.now, &fleetpb.LoanAsk{Duty: Duty(0), Budget: 1, Units: units, Spread: 2, Whole: r.whole.proto()}).Lent
+}
+
+func TestPartsFollowDemand(t *testing.T) {
+	r := newRig(t, Share{10, 100})
+	a, b := r.member("a", 1), r.member("b", 1)
+	r.settle(6*time.Second, map[*Holder]float64{a: 9, b: 1})
+	if x, y := a.May(r.now, 1), b.May(r.now, 1); x.Burst < 3*y.Burst || y.Burst < 9 {
+		t.Fatalf("nine tenths of the demand have %v, one %v", x, y)
+	}
+	r.settle(8*time.Second, map[*Holder]float64{a: 1, b: 9})
+	x, y := a.May(r.now, 1), b.May(r.now, 1)
+	if y.Burst < 2*x.Burst {
+		t.Errorf("demand has moved, and parts are %v and %v", x, y)
+	}
+	free, lent := r.owner.Reserve(r.now, 1)
+	if sum := x.plus(y).plus(free); !near(sum, r.whole) || lent != 0 {
+		t.Errorf("parts %v, %v and reserve %v make %v", x, y, free, sum)
+	}
+}
+
+// A part is not given to another before its holder has heard that it is less.
+func TestLessenedOnlyWhenHeard(t *testing.T) {
+	r := newRig(t, Share{10, 100})
+	a, b := r.member("a", 1), r.member("b", 1)
+	r.settle(6*time.Second, map[*Holder]float64{a: 10, b: 0})
+	had := a.May(r.now, 1)
+	// a is not heard any more, b asks for all.
+	silent := r.now
+	for r.now < silent+2*time.Second {
+		r.settle(50*ms, map[*Holder]float64{b: 10})
+		if sum := had.plus(b.May(r.now, 1)); !sum.within(r.whole) {
+			t.Fatalf("%v after the last word of a, which has %v, b has %v", r.now-silent, had, b.May(r.now, 1))
+		}
+	}
+	r.settle(4*time.Second, map[*Holder]float64{b: 10})
+	if floor := a.May(r.now, 1); !near(floor, floorOf(r.whole)) {
+		t.Errorf("unheard for %v, a has %v", r.now-silent, floor)
+	}
+	if got := b.May(r.now, 1); got.Burst < had.Burst-11 {
+		t.Errorf("b has %v of the %v that a had", got, had)
+	}
+	r.settle(70*time.Second, map[*Holder]float64{b: 10})
+	if left := a.May(r.now, 1); !left.none() {
+		t.Errorf("a has %v after its floor's span", left)
+	}
+}
+
+func floorOf(whole Share) Share {
+	r := Defaults()
+	return r.FloorOf(whole, 2)
+}
+
+// What lies stored goes back when a part is lessened, once.
+func TestStoredUnitsGoWithTheirPart(t *testing.T) {
+	h := NewHolder(Defaults(), lease.Member{ID: "a", Boot: 1}, 1)
+	now := time.Hour
+	h.Ask(now, 1, Share{10, 100}, 2, 1)
+	ask := h.Renewal(now, 0)
+	word := func(number uint64, burst, given float64) *fleetpb.RightsAnswer {
+		return &fleetpb.RightsAnswer{Term: 1, Number: number, At: int64(now), Span: int64(3 * time.Second), FloorSpan: int64(time.Minute),
+			Rights: []*fleetpb.Right{{Budget: 1, Number: number, Part: Share{0, burst}.proto(), Floor: Share{0, 1}.proto(), Given: given}}}
+	}
+	h.Answer(now, now, 0, ask, word(1, 8, 7))
+	h.Answer(now, now, 0, ask, word(1, 8, 7)) // it comes twice
+	if got := h.Level(now, 1); got != 7 {
+		t.Fatalf("%v units after 7 were given", got)
+	}
+	if !h.Answer(now, now, 0, h.Renewal(now, 0), word(2, 3, 7)) {
+		t.Error("lessened, it has nothing to say at once")
+	}
+	h.Answer(now, now, 0, ask, word(1, 8, 7)) // and once more, late
+	w := h.Renewal(now, 0)
+	if got := h.Level(now, 1); got != 3 || len(w.Wants) != 1 || w.Wants[0].Returned != 4 || w.Number != 2 {
+		t.Errorf("%v units are kept, and %v told", got, w)
+	}
+}
+
+// A part that had lapsed begins anew from its floor.
+func TestLapsedPartIsCutBeforeItHoldsAnew(t *testing.T) {
+	r := newRig(t, Share{10, 100})
+	a := r.member("a", 1)
+	r.settle(20*time.Second, map[*Holder]float64{a: 1})
+	if a.Level(r.now, 1) < 30 {
+		t.Fatalf("only %v units are stored", a.Level(r.now, 1))
+	}
+	r.now += Defaults().Span + 100*ms
+	r.renew(a) // nobody else asked: it has all of its part again
+	floor := floorOf(r.whole)
+	if part, level := a.May(r.now, 1), a.Level(r.now, 1); part.Burst <= 2*floor.Burst || level > floor.Burst+1 {
+		t.Errorf("after a lapse it has %v of %v", level, part)
+	}
+}
+
+// Units that come back late are as if they had come when they came free: had the reserve no room then, they are lost.
+func TestUnitsThatComeBackLateFindNoRoomThatCameSince(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		r := newRig(t, Share{10, 50})
+		a := r.member("a", 1)
+		r.settle(20*time.Second, map[*Holder]float64{a: 0.1}) // all banks are full
+		had, free := a.Level(r.now, 1), 0.0
+		if s, _ := r.owner.Reserve(r.now, 1); had > 5 {
+			free = s.Burst
+		} else {
+			t.Fatalf("%v units stored", had)
+		}
+		if !late && !r.lend(free) { // room comes before a's next renewal, so that its spill finds some
+			t.Fatal("the full reserve lends nothing")
+		}
+		r.renew(a)
+		r.now += 200 * ms // a's bank is full, and spills
+		ask := a.Renewal(r.now, 0)
+		if late && !r.lend(free) {
+			t.Fatal("the full reserve lends nothing")
+		}
+		r.now += Defaults().LoanSpan*2 + 10*ms
+		before := r.owner.budgets[1].bank.level
+		r.owner.Renew(r.now, ask)
+		r.owner.Reserve(r.now, 1)
+		came := r.owner.budgets[1].bank.level - before
+		filled := (Defaults().LoanSpan*2 + 10*ms).Seconds() * 10
+		if late && came > filled+1e-9 {
+			t.Errorf("%.3f units came into room that was not there when they came free", came-filled)
+		}
+	}
+}
+
+// A loan keeps its place in the bank until its span is over.
+func TestLoanKeepsItsPlace(t *testing.T) {
+	r := newRig(t, Share{100, 20})
+	r.lend(1) // the account begins
+	r.now += time.Minute
+	if !r.lend(20) {
+		t.Fatal("the full reserve does not lend all of it")
+	}
+	span := withMargin(Defaults().LoanSpan)
+	r.now += span - ms
+	if r.lend(0.5) {
+		t.Error("lent while all of it was out")
+	}
+	r.now += 2 * ms
+	if r.lend(1) {
+		t.Error("what came while all was out has found room")
+	}
+	r.now += 20 * ms
+	if !r.lend(1) {
+		t.Error("nothing comes after the loan's end")
+	}
+}
+
+func withMargin(d time.Duration) time.Duration {
+	r := Defaults()
+	return r.withMargin(d)
+}
+
+// What the owner before may have lent is neither lent nor dealt out until its span is over.
+func TestNewOwnerBeginsWithAnEmptyReserve(t *testing.T) {
+	r := newRig(t, Share{10, 100})
+	a := r.member("a", 1)
+	r.now += time.Minute
+	r.elect()
+	for end := r.now + Defaults().LoanSpan; r.now < end; r.now += 10 * ms {
+		a.Ask(r.now, 1, r.whole, 2, 5)
+		r.renew(a)
+		if r.round() || r.lend(0.01) || !a.May(r.now, 1).none() {
+			t.Fatalf("%v is given while the loans of the owner before may be used", a.May(r.now, 1))
+		}
+	}
+	r.settle(2*time.Second, map[*Holder]float64{a: 10})
+	if a.May(r.now, 1).none() || !r.lend(0.01) {
+		t.Error("nothing is given afterwards")
+	}
+}
+
+func TestLeavingAndHeirs(t *testing.T) {
+	r := newRig(t, Share{10, 100})
+	a, b := r.member("a", 1), r.member("b", 1)
+	r.settle(5*time.Second, map[*Holder]float64{a: 5, b: 5})
+	ask := a.Leave(r.now)[0]
+	if a.Level(r.now, 1) != 0 || !a.May(r.now, 1).none() {
+		t.Fatal("it has left, and holds something")
+	}
+	r.owner.Renew(r.now, ask)
+	r.settle(3*time.Second, map[*Holder]float64{b: 5})
+	if got := b.May(r.now, 1); got.Burst < 50 {
+		t.Errorf("3 s after a has left, b has %v", got)
+	}
+	// b is killed; its heir, which has the lock on its folder, has all of it at once.
+	heir := r.member("b", 2)
+	heir.Ask(r.now, 1, r.whole, 2, 1)
+	word := heir.Renewal(r.now, 0)
+	word.Gone = []uint64{1}
+	heir.Answer(r.now, r.now, 0, word, r.owner.Renew(r.now, word))
+	r.settle(2*time.Second, map[*Holder]float64{heir: 5})
+	if got := heir.May(r.now, 1); got.Burst < 50 {
+		t.Errorf("2 s after its start the heir has %v", got)
+	}
+	late := b.Renewal(r.now, 0)
+	if a := r.owner.Renew(r.now, late); a.Code != fleetpb.Code_SUPERSEDED {
+		t.Errorf("one that runs no more, by its heir's word, is told %v", a)
+	}
+}
+
+// A quota lessened to a tenth while all of it is out: nothing is raised until the parts sum to the new whole, which they do
+// as soon as all have been heard, and after a span whoever was not.
+func TestQuotaLessenedWhileAllIsOut(t *testing.T) {
+	r := newRig(t, Share{10, 100})
+	a, b := r.member("a", 1), r.member("b", 1)
+	r.settle(5*time.Second, map[*Holder]float64{a: 5, b: 5})
+	r.whole = Share{1, 10}
+	r.settle(500*ms, map[*Holder]float64{a: 5}) // b is silent
+	r.settle(4*time.Second, map[*Holder]float64{a: 5})
+	free, _ := r.owner.Reserve(r.now, 1)
+	floor := floorOf(Share{10, 100}) // that b was told of
+	if sum := a.May(r.now, 1).plus(free).minus(floor); !sum.within(r.whole) {
+		t.Errorf("a has %v and the reserve is %v of %v", a.May(r.now, 1), free, r.whole)
+	}
+	r.settle(time.Second, map[*Holder]float64{a: 5, b: 5})
+	r.settle(3*time.Second, map[*Holder]float64{a: 5, b: 5})
+	free, _ = r.owner.Reserve(r.now, 1)
+	if sum := a.May(r.now, 1).plus(b.May(r.now, 1)).plus(free); !near(sum, r.whole) {
+		t.Errorf("parts sum to %v of %v", sum, r.whole)
+	}
+}
+
+// Floors that alone would pass the whole are lessened with each member more.
+func TestFortyJoinASmallQuota(t *testing.T) {
+	r := newRig(t, Share{3, 9})
+	ask := map[*Holder]float64{}
+	for i := range 40 {
+		ask[r.member("n"+string(rune('A'+i)), 1)] = 1
+	}
+	r.settle(6*time.Second, ask)
+	var sum Share
+	for h := range ask {
+		may := h.May(r.now, 1)
+		if may.none() {
+			t.Error("one has no floor")
+		}
+		sum = sum.plus(may)
+	}
+	if free, _ := r.owner.Reserve(r.now, 1); !near(sum.plus(free), r.whole) {
+		t.Errorf("parts of %v and a reserve of %v", sum, free)
+	}
+}
+
+func TestMachineRefuses(t *testing.T) {
+	f := &terms{3, lease.Member{ID: "o", Boot: 1}}
+	m := NewMachine(f)
+	apply := func(r *fleetpb.Round) Result {
+		var res Result
+		if err := json.Unmarshal(m.Apply(0, 0, f.who, marshal(r)), &res); err != nil {
+			t.Fatal(err)
+		}
+		return res
+	}
+	part := func(who uint32, part, floor Share) *fleetpb.HeldPart {
+		return &fleetpb.HeldPart{Who: who, Part: part.proto(), Floor: floor.proto()}
+	}
+	two := []*fleetpb.Member{{Id: "a", Boot: 1}, {Id: "b", Boot: 1}}
+	round := func(term uint64, held ...*fleetpb.HeldPart) *fleetpb.Round {
+		return &fleetpb.Round{Duty: Duty(0), Term: term, Who: two,
+			Changes: []*fleetpb.BudgetChange{{Budget: 1, Whole: Share{10, 10}.proto(), Spread: 2, Held: held}}}
+	}
+	if r := apply(round(3, part(0, Share{6, 6}, Share{1, 1}))); !r.OK {
+		t.Fatal(r.Why)
+	}
+	before := m.Snapshot()
+	for what, r := range map[string]*fleetpb.Round{
+		"more than the whole":   round(3, part(1, Share{5, 4}, Share{})),
+		"an old term":           round(2, part(1, Share{1, 1}, Share{})),
+		"a floor over its part": round(3, part(1, Share{1, 1}, Share{2, 2})),
+		"less than nothing":     round(3, part(1, Share{-1, 1}, Share{})),
+		"no number":             round(3, part(1, Share{math.NaN(), 1}, Share{})),
+		"a member of none":      round(3, part(7, Share{1, 1}, Share{})),
+		"a budget twice": {Duty: Duty(0), Term: 3, Who: two, Changes: []*fleetpb.BudgetChange{
+			{Budget: 2, Whole: Share{1, 1}.proto()}, {Budget: 2, Whole: Share{1, 1}.proto()}}},
+	} {
+		if res := apply(r); res.OK || res.Why == "" {
+			t.Errorf("%s: taken", what)
+		}
+	}
+	if string(m.Snapshot()) != string(before) {
+		t.Error("what was refused has changed something")
+	}
+	other := NewMachine(f)
+	if err := other.Restore(before); err != nil || string(other.Snapshot()) != string(before) {
+		t.Errorf("a snapshot reads back as another: %v", err)
+	}
+	if other.Restore([]byte("\xff")) == nil || json.Unmarshal(m.Apply(0, 0, f.who, []byte("\xff")), &Result{}) != nil {
+		t.Error("noise is taken")
+	}
+}
+
+// Whatever is proposed, the parts that are agreed sum to no more than the whole.
+func TestAgreedPartsNeverPassTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &terms{1, lease.Member{ID: "o", Boot: 1}}
+		m := NewMachine(f)
+		whole := Share{10, 20}
+		for range rapid.IntRange(1, 30).Draw(t, "rounds") {
+			r := &fleetpb.Round{Duty: Duty(0), Term: 1, Changes: []*fleetpb.BudgetChange{{Budget: 1, Whole: whole.proto(), Spread: 3}}}
+			for i := range rapid.IntRange(1, 4).Draw(t, "members") {
+				r.Who = append(r.Who, &fleetpb.Member{Id: "n", Boot: rapid.Uint64Range(1, 5).Draw(t, "boot")})
+				p := Share{rapid.Float64Range(0, 8).Draw(t, "rate"), rapid.Float64Range(0, 16).Draw(t, "burst")}
+				r.Changes[0].Held = append(r.Changes[0].Held, &fleetpb.HeldPart{Who: uint32(i), Part: p.proto(), Floor: p.times(0.1).proto()})
+			}
+			m.Apply(0, 0, f.who, marshal(r))
+			for _, b := range m.books[Duty(0)] {
+				if sum := sumOf(b.held); !sum.within(whole) {
+					t.Fatalf("%v of %v", sum, whole)
+				}
+			}
+		}
+	})
+}
+
+// However demand lies, parts, and the floors of those who are not there, leave the reserve.
+func TestDivideLeavesFloorsAndReserve(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := Defaults()
+		r.Floor, r.Reserve = rapid.Float64Range(0, 1).Draw(t, "floor"), rapid.Float64Range(0, 1).Draw(t, "reserve")
+		whole := Share{rapid.Float64Range(0.1, 100).Draw(t, "rate"), rapid.Float64Range(1, 100).Draw(t, "burst")}
+		spread := rapid.IntRange(1, 6).Draw(t, "spread")
+		var claims []Claim
+		for range rapid.IntRange(0, 8).Draw(t, "members") {
+			claims = append(claims, Claim{rapid.Float64Range(0, 50).Draw(t, "demand"), rapid.Float64Range(1, 8).Draw(t, "most"), rapid.Bool().Draw(t, "idle")})
+		}
+		var sum Share
+		for i, p := range Divide(whole, spread, &r, claims) {
+			sum = sum.plus(p)
+			if floor := r.FloorOf(whole, max(spread, len(claims))); claims[i].Idle != p.none() && !floor.none() || !claims[i].Idle && !floor.within(p) {
+				t.Fatalf("%v for %+v", p, claims[i])
+			}
+		}
+		if most := whole.times(r.Floor + (1-r.Floor)*(1-r.Reserve)); !sum.within(most) {
+			t.Fatalf("%v of %v", sum, most)
+		}
+	})
+}
--- a/budget/owner.go
+++ b/budget/owner.go
@@ -466,8 +466,8 @@
 			if to.Part = h.agreed.Part.plus(extra); !to.Floor.within(to.Part) {
 				to.Floor = to.Floor.least(to.Part)
 			}
-			if extra.Burst <= off && extra.Burst <= more.Burst && more.none() {
-				h.wants = true
+			if extra.Burst <= slack || extra.Burst <= off && to.Floor.Burst <= h.agreed.Floor.Burst+slack {
+				h.wants = true // there is nothing to speak of now
 				continue
 			}
 			give := 0.0
@@ -544,10 +544,15 @@
 // Figures are what the owner did so far.
 func (o *Owner) Figures() Figures { return o.figures }
 
-// Reserve is what the owner may lend of a budget at a time, as a share of it.
-func (o *Owner) Reserve(now time.Duration, budget uint64) Share {
-	if a := o.budgets[budget]; a != nil {
-		return o.reserve(now, a)
+// Reserve is what the owner may lend of a budget at a time, as a share of it, and the units that are lent.
+func (o *Owner) Reserve(now time.Duration, budget uint64) (free Share, lent float64) {
+	a := o.budgets[budget]
+	if a == nil {
+		return free, 0
+	}
+	free = o.reserve(now, a)
+	for _, l := range a.loans {
+		lent += l.units
 	}
-	return Share{}
+	return free, lent
 }
