budget: a next owner begins with what was kept, and loans give their place back

Each change of owner lost the whole reserve, and a loan kept its place in the bank for its span even when it was used at once. The owner now has agreed how many units it lends no one, with which the next one begins, and members say which loans they used.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -100,6 +100,7 @@
 	Parting   float64       // a part is given only where it holds so many of the member's largest requests
 	Step      float64       // by what part of the whole a part has to be off before it is changed
 	Every     time.Duration // between two renewals
+	BeginFull bool          // the first owner ever begins with full stores: nobody can have used anything before
 	Forget    time.Duration // a member that wants nothing for so long gives back its floor, too
 }
 
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -103,7 +103,11 @@
 }
 
 func (r *rig) lend(units float64) bool {
-	return r.owner.Lend(r.now, &fleetpb.LoanAsk{Duty: Duty(0), Budget: 1, Units: units, Spread: 2, Whole: r.whole.proto()}).Lent
+	a := r.owner.Lend(r.now, &fleetpb.LoanAsk{Duty: Duty(0), Budget: 1, Units: units, Spread: 2, Whole: r.whole.proto()})
+	if a.Soon && r.round() {
+		return r.lend(units)
+	}
+	return a.Lent
 }
 
 func TestPartsFollowDemand(t *testing.T) {
@@ -258,6 +262,31 @@
 	return r.withMargin(d)
 }
 
+// A new owner begins with what the one before has kept, and lends that at once.
+func TestNewOwnerHasWhatWasKept(t *testing.T) {
+	r := newRig(t, Share{10, 100})
+	a := r.member("a", 1)
+	r.settle(20*time.Second, map[*Holder]float64{a: 2})
+	free, _ := r.owner.Reserve(r.now, 1)
+	for range 3 {
+		if !r.lend(4) {
+			t.Fatal("the reserve lends nothing")
+		}
+	}
+	had := r.owner.budgets[1].bank.level
+	r.elect()
+	began := r.owner.budgets[1].bank.level
+	if began > had || began < 0.5*free.Burst {
+		t.Errorf("the owner before had %v of a reserve of %v, the next begins with %v", had, free, began)
+	}
+	if !r.lend(4) {
+		t.Error("and lends none of it")
+	}
+	if got := r.owner.budgets[1].bank.level; got > began-4+1e-9 {
+		t.Errorf("%v of %v are left after a loan of 4", got, began)
+	}
+}
+
 // What the owner before may have lent is neither lent nor dealt out until its span is over.
 func TestNewOwnerBeginsWithAnEmptyReserve(t *testing.T) {
 	r := newRig(t, Share{10, 100})
--- a/budget/machine.go
+++ b/budget/machine.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -30,6 +31,8 @@
 	whole  Share
 	spread int
 	held   map[lease.Member]Held
+	// spare is how many units of the reserve its owner keeps: the next one begins with them.
+	spare float64
 }
 
 // Sum is what all members may be using.
@@ -104,7 +107,7 @@
 		m.books[r.Duty] = map[uint64]*book{}
 	}
 	for id, b := range after {
-		if len(b.held) == 0 {
+		if len(b.held) == 0 && b.spare == 0 {
 			delete(m.books[r.Duty], id) // nobody holds anything: it is as one that was never heard of
 			continue
 		}
@@ -115,7 +118,7 @@
 
 // changed is a book after a change, or why it can't be.
 func changed(before *book, c *fleetpb.BudgetChange, who []*fleetpb.Member) (*book, error) {
-	b := &book{whole: shareOf(c.Whole), spread: int(c.Spread), held: map[lease.Member]Held{}}
+	b := &book{whole: shareOf(c.Whole), spread: int(c.Spread), held: map[lease.Member]Held{}, spare: c.Spare}
 	if before != nil {
 		maps.Copy(b.held, before.held)
 	}
@@ -140,6 +143,8 @@
 	// A whole that was lessened is kept to as fast as members can be told; until then nothing is raised.
 	if sum := sumOf(b.held); !sum.within(b.whole.most(had)) || !sum.within(b.whole) && !sum.within(had) {
 		return nil, fmt.Errorf("parts of %v, and the whole is %v", sum, b.whole)
+	} else if !(b.spare >= 0) || b.spare > math.Max(0, b.whole.Burst-sum.Burst)+slack {
+		return nil, fmt.Errorf("%v spare units beside parts of %v, and the whole is %v", b.spare, sum, b.whole)
 	}
 	return b, nil
 }
@@ -160,7 +165,7 @@
 func (m *Machine) write(b *fleetpb.Books, index map[lease.Member]uint32, books map[uint64]*book) {
 	for _, id := range slices.Sorted(maps.Keys(books)) {
 		k := books[id]
-		c := &fleetpb.BudgetChange{Budget: id, Whole: k.whole.proto(), Spread: uint32(k.spread)}
+		c := &fleetpb.BudgetChange{Budget: id, Whole: k.whole.proto(), Spread: uint32(k.spread), Spare: k.spare}
 		for _, who := range sorted(k.held) {
 			h := k.held[who]
 			c.Held = append(c.Held, &fleetpb.HeldPart{Who: indexOf(&b.Who, index, who), Part: h.Part.proto(), Floor: h.Floor.proto()})
@@ -219,7 +224,7 @@
 func readBooks(b *fleetpb.Books) (map[uint64]*book, error) {
 	books := make(map[uint64]*book, len(b.Budgets))
 	for _, c := range b.Budgets {
-		k := &book{whole: shareOf(c.Whole), spread: int(c.Spread), held: map[lease.Member]Held{}}
+		k := &book{whole: shareOf(c.Whole), spread: int(c.Spread), held: map[lease.Member]Held{}, spare: c.Spare}
 		for _, h := range c.Held {
 			if int(h.Who) >= len(b.Who) {
 				return nil, fmt.Errorf("budget: member %d of %d", h.Who, len(b.Who))
@@ -236,6 +241,7 @@
 	Budget uint64   `json:"budget"`
 	Whole  Share    `json:"whole"`
 	Spread int      `json:"spread"`
+	Spare  float64  `json:"spare"` // units of the reserve that the next owner would begin with
 	Held   []HeldBy `json:"held"`
 }
 
@@ -256,7 +262,7 @@
 		return nil, err
 	}
 	for _, id := range slices.Sorted(maps.Keys(books)) {
-		v := View{Budget: id, Whole: books[id].whole, Spread: books[id].spread}
+		v := View{Budget: id, Whole: books[id].whole, Spread: books[id].spread, Spare: books[id].spare}
 		for _, who := range sorted(books[id].held) {
 			v.Held = append(v.Held, HeldBy{who, books[id].held[who]})
 		}
--- a/budget/owner.go
+++ b/budget/owner.go
@@ -19,13 +19,16 @@
 	duty   string
 	term   uint64
 	began  time.Duration
+	full   bool   // it is the first ever
 	id     string // of the gateway that it runs in
 	number uint64 // of the last word
+	lent   uint64 // number of the last loan
 
 	members map[lease.Member]*member
 	budgets map[uint64]*account
 	stirred map[uint64]bool // budgets to be looked at in the next plan
 	out     []planned       // of the round that is proposed
+	saving  []uint64        // its budgets
 	figures Figures
 }
 
@@ -52,9 +55,12 @@
 	whole  Share
 	spread int
 	holds  map[lease.Member]*hold
-	held   Share // what members may be using, as agreed
-	rising Share // and what is proposed beside that: it is given already, as an entry may be agreed whatever becomes of its answer
-	bank   bank  // the reserve's units
+	held   Share   // what members may be using, as agreed
+	rising Share   // and what is proposed beside that: it is given already, as an entry may be agreed whatever becomes of its answer
+	bank   bank    // the reserve's units
+	spare  float64 // units of the bank that are lent no one, as agreed: the next owner begins with them
+	saving float64 // and as is proposed; below 0: nothing is
+	most   float64 // units of the largest request of late
 	loans  []loan
 	room   *rooms        // nil: nothing was ever given back
 	next   time.Duration // it is not divided anew before
@@ -77,8 +83,9 @@
 }
 
 type loan struct {
-	until time.Duration
-	units float64
+	number uint64
+	until  time.Duration
+	units  float64
 }
 
 // planned is one member's change in the round that is proposed.
@@ -96,6 +103,8 @@
 	settle     = time.Second     // between two divisions of one budget by demand
 	claimLeast = 0.01            // units a second: below, there is no demand
 	loansMost  = 4096            // of a budget, out at a time
+	soon       = 30 * time.Millisecond
+	keepFor    = 500 * time.Millisecond // a round is agreed within
 )
 
 // NewOwner begins a term with what is agreed. Members that the books name are taken to have been renewed just now:
@@ -107,8 +116,14 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.BeginFull && term == 1 {
+		o.began -= r.withMargin(r.LoanSpan) // there was no owner before
+		o.full = true
+	}
 	for id, k := range agreed {
 		a := o.account(id, k.whole, k.spread)
+		a.spare, a.bank.level = k.spare, k.spare
+		o.stirred[id] = true
 		for who, h := range k.held {
 			a.holds[who] = &hold{agreed: h, word: h, number: 1, at: now, wanted: now}
 			o.member(now, who).budgets[id] = true
@@ -127,12 +142,15 @@
 	return m
 }
 
-// account finds or makes a budget's account. Its reserve is empty at first, and fills from when the loans of the owner
-// before are over: what that one lent may still be used till then.
+// account finds or makes a budget's account. Its reserve has what the owner before has kept, and nothing comes into it before
+// the loans of that one are over: what it lent may still be used till then.
 func (o *Owner) account(id uint64, whole Share, spread int) *account {
 	a := o.budgets[id]
 	if a == nil {
-		a = &account{whole: whole, spread: max(1, spread), holds: map[lease.Member]*hold{}, bank: bank{at: o.began + o.rules.withMargin(o.rules.LoanSpan)}}
+		a = &account{whole: whole, spread: max(1, spread), holds: map[lease.Member]*hold{}, saving: -1, bank: bank{at: o.began + o.rules.withMargin(o.rules.LoanSpan)}}
+		if o.full {
+			a.bank = bank{whole.Burst, o.began}
+		}
 		o.budgets[id] = a
 	}
 	return a
@@ -149,7 +167,7 @@
 // reserve is the owner's own part: what nobody holds, less what is lent. It brings the bank to the time.
 func (o *Owner) reserve(now time.Duration, a *account) Share {
 	if now < o.began+o.rules.withMargin(o.rules.LoanSpan) {
-		return Share{} // the owner before may have lent all that nobody held, and it may still be used
+		return Share{} // the owner before may have lent all else that nobody held, and it may still be used
 	}
 	free := a.whole.minus(a.held).minus(a.rising).most(Share{})
 	out := 0.0
@@ -228,7 +246,15 @@
 		return &fleetpb.LoanAnswer{Code: fleetpb.Code_REFUSED, Why: "not an asking for this owner"}
 	}
 	a := o.account(ask.Budget, whole, int(ask.Spread))
+	if ask.Term == o.term {
+		o.settle(now, ask.Settled)
+	}
 	free := o.reserve(now, a)
+	a.most = math.Max(a.most, ask.Units)
+	if a.bank.level >= ask.Units && a.bank.level-ask.Units < math.Max(a.spare, a.saving) {
+		o.stirred[ask.Budget] = true
+		return &fleetpb.LoanAnswer{Term: o.term, Soon: true, After: int64(soon)}
+	}
 	if a.bank.level < ask.Units || len(a.loans) >= loansMost {
 		o.figures.Dry++
 		after := time.Duration(0)
@@ -239,8 +265,25 @@
 	}
 	o.figures.Lent++
 	a.bank.level -= ask.Units
-	a.loans = append(a.loans, loan{now + o.rules.withMargin(o.rules.LoanSpan), ask.Units})
-	return &fleetpb.LoanAnswer{Lent: true, Term: o.term}
+	o.lent++
+	a.loans = append(a.loans, loan{o.lent, now + o.rules.withMargin(o.rules.LoanSpan), ask.Units})
+	if a.bank.level-a.spare < a.most {
+		o.stirred[ask.Budget] = true
+	}
+	return &fleetpb.LoanAnswer{Lent: true, Term: o.term, Number: o.lent}
+}
+
+// Settle takes in that a loan was used.
+func (o *Owner) Settle(now time.Duration, s *fleetpb.Settled) { o.settle(now, []*fleetpb.Settled{s}) }
+
+// settle takes in which loans were used: their places in the bank are free from now on.
+func (o *Owner) settle(now time.Duration, all []*fleetpb.Settled) {
+	for _, s := range all {
+		if a := o.budgets[s.Budget]; a != nil {
+			o.reserve(now, a)
+			a.loans = slices.DeleteFunc(a.loans, func(l loan) bool { return l.number == s.Number })
+		}
+	}
 }
 
 // Renew takes in a member's asking, and tells it all words that it has not acted on.
@@ -263,16 +306,19 @@
 	}
 	ours := ask.Term == o.term // else its words and sums are about another owner's
 	if ours {
+		o.settle(now, ask.Settled)
 		m.number = max(m.number, ask.Number)
 	}
 	for _, w := range ask.Wants {
 		o.want(now, who, m, w, ours, time.Duration(ask.Heard))
 	}
-	if ours {
-		for id := range m.budgets {
-			if h := o.budgets[id].holds[who]; h.word != h.agreed && h.number <= m.number {
-				o.stirred[id] = true // what was lessened is free
-			}
+	for id := range m.budgets {
+		a := o.budgets[id]
+		if h := a.holds[who]; ours && h.word != h.agreed && h.number <= m.number {
+			o.stirred[id] = true // what was lessened is free
+		}
+		if o.reserve(now, a); math.Abs(a.keep()-a.spare) > a.whole.Burst*o.rules.Step {
+			o.stirred[id] = true
 		}
 	}
 	if ask.Leaving {
@@ -364,7 +410,7 @@
 
 // Plan gives what is to be changed, in one round; nil: nothing. Nothing else is planned until that has ended.
 func (o *Owner) Plan(now time.Duration) *fleetpb.Round {
-	if o.out != nil {
+	if o.saving != nil {
 		return nil
 	}
 	for _, m := range o.members {
@@ -380,10 +426,15 @@
 		a := o.budgets[id]
 		delete(o.stirred, id)
 		changes := o.plan(now, id, a)
-		if len(changes) == 0 {
+		// What is kept for the next owner goes up and down with the bank: in steps, and at once where it stands in the way.
+		o.reserve(now, a) // it is smaller by what is to be raised
+		keep := math.Min(a.keep(), math.Max(0, a.whole.Burst-a.held.Burst-a.rising.Burst))
+		if len(changes) == 0 && math.Abs(keep-a.spare) < a.whole.Burst*o.rules.Step && (keep >= a.spare || a.bank.level-a.spare >= a.most) {
 			continue
 		}
-		c := &fleetpb.BudgetChange{Budget: id, Whole: a.whole.proto(), Spread: uint32(a.spread)}
+		a.saving = keep
+		o.saving = append(o.saving, id)
+		c := &fleetpb.BudgetChange{Budget: id, Whole: a.whole.proto(), Spread: uint32(a.spread), Spare: keep}
 		for _, p := range changes {
 			c.Held = append(c.Held, &fleetpb.HeldPart{Who: indexOf(&round.Who, index, p.who), Part: p.to.Part.proto(), Floor: p.to.Floor.proto()})
 		}
@@ -523,13 +574,30 @@
 		}
 		o.stirred[p.budget] = true
 	}
-	o.out = nil
+	for _, id := range o.saving {
+		a := o.budgets[id]
+		a.spare, a.saving = a.saving, -1
+	}
+	o.out, o.saving = nil, nil
+}
+
+// keep is how many units of the bank are kept for the next owner: what is not like to be lent before the next round.
+func (a *account) keep() float64 {
+	demand := 0.0
+	for _, h := range a.holds {
+		demand += h.claim.Demand
+	}
+	return math.Max(0, a.bank.level-2*a.most-math.Min(demand, a.whole.Rate)*keepFor.Seconds())
 }
 
 // Refused takes in that the round is not agreed and never will be.
 func (o *Owner) Refused(now time.Duration) {
 	out := o.out
-	o.out = nil
+	for _, id := range o.saving {
+		o.budgets[id].saving = -1
+		o.stirred[id] = true
+	}
+	o.out, o.saving = nil, nil
 	for _, p := range out {
 		a := o.budgets[p.budget]
 		o.stirred[p.budget] = true
--- a/cmd/mothcleat/fleet.go
+++ b/cmd/mothcleat/fleet.go
@@ -56,7 +56,7 @@
 	if b := s.Budgets; b.On {
 		r := budget.Defaults()
 		r.Span, r.FloorSpan, r.Every = time.Duration(b.Span), time.Duration(b.FloorSpan), time.Duration(b.Every)
-		r.Floor, r.Reserve, r.Margin = b.Floor, b.Reserve, f.Margin
+		r.Floor, r.Reserve, r.Margin, r.BeginFull = b.Floor, b.Reserve, f.Margin, b.BeginFull
 		c.Budgets, c.BudgetShards = &r, b.Shards
 	}
 	n := fleetnode.Start(c)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -376,9 +376,11 @@
 	for _, r := range g.waiting {
 		switch due := r.c == c && r.ask == a.ask; {
 		case g.requests[r.ID] != r: // the client has left
+			g.unhold(r)
 		case due || g.now >= r.by:
 			delete(g.requests, r.ID)
 			r.borrows = false
+			g.unhold(r)
 			r.paid = r.paid && due && a.yes
 			if !due {
 				r.c.slice = math.Min(r.c.slice+r.c.grant*r.Units, sliceMost*r.Units)
@@ -920,8 +922,8 @@
 	if inside {
 		g.take(c, q.Units)
 		if g.limited(c) {
-			g.rights.Take(g.now, q.ID, g.budget(c), q.Units-r.lent)
-			r.lent = 0
+			g.rights.Take(g.now, q.ID, g.budget(c), q.Units-r.lent-r.own)
+			r.lent, r.own = 0, 0
 		}
 	} else {
 		g.lend.level -= q.Units
--- a/decide/rights.go
+++ b/decide/rights.go
@@ -20,7 +20,7 @@
 	// Take uses units for a request, beside those that it was lent.
 	Take(now Time, id uint64, b *Budget, units float64)
 	// Return gives back units that were lent and not used.
-	Return(now Time, b *Budget, units float64)
+	Return(now Time, id uint64, b *Budget, units float64)
 	// Borrow asks whoever divides for units that a request lacks. Lent has to be called with the answer, unless
 	// this returns false: there is nobody to ask.
 	Borrow(id uint64, b *Budget, units float64) bool
@@ -46,12 +46,13 @@
 func (g *Gateway) byRight(r *request) {
 	b := g.budget(r.c)
 	g.rights.Ask(g.now, b, r.Units)
-	lacks := r.Units - g.rights.Level(g.now, b)
-	if lacks <= 0 || !g.mayOpen(r.c) || !g.rights.Borrow(r.ID, b, lacks) {
+	own := max(0, g.rights.Level(g.now, b))
+	if own >= r.Units || !g.mayOpen(r.c) || !g.rights.Borrow(r.ID, b, r.Units-own) {
 		g.admit(r, g.inside(r.c, r.Units))
 		return
 	}
-	r.by, r.borrows = g.now+min(g.askTime(), r.Grace/2), true
+	g.rights.Take(g.now, r.ID, b, own) // no other request counts on them meanwhile
+	r.by, r.borrows, r.own = g.now+min(g.askTime(), r.Grace/2), true, own
 	g.do.SetTimer(r.by, askToken)
 	g.requests[r.ID] = r
 	g.waiting = append(g.waiting, r)
@@ -63,7 +64,7 @@
 	r := g.requests[id]
 	if r == nil || !r.borrows {
 		if units > 0 {
-			g.rights.Return(g.now, b, units) // it was decided, or its client has left
+			g.rights.Return(g.now, id, b, units) // it was decided, or its client has left
 		}
 		return
 	}
@@ -77,18 +78,27 @@
 	g.waiting = kept
 	delete(g.requests, id)
 	r.borrows, r.lent, r.after = false, units, after
-	inside := units > 0 && g.rights.Level(g.now, b)+units >= r.Units && g.mayOpen(r.c)
-	if !inside && units > 0 {
-		g.rights.Return(g.now, b, units) // others took what it had itself meanwhile
-		r.lent = 0
+	if units == 0 || !g.mayOpen(r.c) {
+		g.unhold(r)
+		g.admit(r, g.inside(r.c, r.Units))
+		return
+	}
+	g.admit(r, true)
+}
+
+// unhold puts back what a request has taken of this gateway's own part while it waited.
+func (g *Gateway) unhold(r *request) {
+	if r.own > 0 {
+		g.rights.Take(g.now, 0, g.budget(r.c), -r.own)
+		r.own = 0
 	}
-	g.admit(r, inside || g.inside(r.c, r.Units))
 }
 
-// unused gives back what a request was lent and did not take.
+// unused gives back what a request was lent, or held, and did not take.
 func (g *Gateway) unused(r *request) {
+	g.unhold(r)
 	if r.lent > 0 {
-		g.rights.Return(g.now, g.budget(r.c), r.lent)
+		g.rights.Return(g.now, r.ID, g.budget(r.c), r.lent)
 		r.lent = 0
 	}
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -157,6 +157,7 @@
 	paid     bool // its home is to take it from its part of the ceiling, or has
 	borrows  bool // it waits for units that are to be lent
 	lent     float64
+	own      float64 // taken of this gateway's part until then
 	after    Time // in what time there may be as many, by who did not lend them
 }
 
--- a/internal/budgets/divider.go
+++ b/internal/budgets/divider.go
@@ -35,13 +35,15 @@
 	tenure *duties.Tenure
 	kick   chan struct{} // there may be something to agree on
 
-	mu    sync.Mutex
-	owner *budget.Owner
+	mu     sync.Mutex
+	owner  *budget.Owner
+	agreed chan struct{} // closed with each round that is
 }
 
 const (
 	planEach  = 20 * time.Millisecond // at most so long nothing is planned; a renewal that changes something has it looked at at once
 	readAgain = 50 * time.Millisecond
+	soonMost  = 80 * time.Millisecond // a loan waits for a round
 )
 
 var notOwner = "this process does not own the shard"
@@ -58,7 +60,7 @@
 		d.Log.Error("budgets: what is agreed can't be used", "duty", t.Duty, "error", err)
 		return
 	}
-	o := &office{tenure: t, owner: owner, kick: make(chan struct{}, 1)}
+	o := &office{tenure: t, owner: owner, kick: make(chan struct{}, 1), agreed: make(chan struct{})}
 	d.mu.Lock()
 	if d.offices == nil {
 		d.offices = map[string]*office{}
@@ -138,6 +140,8 @@
 		return errors.New(r.Why) // a later owner has it, or this one is wrong about what is agreed
 	}
 	o.owner.Committed(steady.Now())
+	close(o.agreed)
+	o.agreed = make(chan struct{})
 	return nil
 }
 
@@ -173,12 +177,35 @@
 	if o == nil {
 		return &fleetpb.LoanAnswer{Code: fleetpb.Code_NOT_LEADER, Why: notOwner}
 	}
+	limit := time.NewTimer(soonMost)
+	defer limit.Stop()
+	for {
+		a, agreed := o.lend(ask)
+		if !a.Soon {
+			return a
+		}
+		select {
+		case <-agreed:
+		case <-limit.C:
+			return a
+		}
+	}
+}
+
+// lend lends, or tells what to wait for.
+func (o *office) lend(ask *fleetpb.LoanAsk) (a *fleetpb.LoanAnswer, agreed chan struct{}) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if !o.tenure.Holds() {
-		return &fleetpb.LoanAnswer{Code: fleetpb.Code_NOT_LEADER, Why: notOwner}
+		return &fleetpb.LoanAnswer{Code: fleetpb.Code_NOT_LEADER, Why: notOwner}, nil
+	}
+	if a = o.owner.Lend(steady.Now(), ask); a.Soon {
+		select {
+		case o.kick <- struct{}{}:
+		default:
+		}
 	}
-	return o.owner.Lend(steady.Now(), ask)
+	return a, o.agreed
 }
 
 // Figures are what the owners in this process did, by duty.
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -38,6 +38,7 @@
 	Floor     float64  `toml:"floor"`
 	Reserve   float64  `toml:"reserve"`
 	Every     Duration `toml:"every"`
+	BeginFull bool     `toml:"begin_full"`
 }
 
 // Fleet is what the gateways agree on among themselves, and who does work on behalf of them all.
--- /dev/null
+++ b/sim/budgets/price.go
@@ -0,0 +1,257 @@
+package budgets
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"mothcleat/budget"
+	"mothcleat/internal/fleetpb"
+	"mothcleat/lease"
+)
+
+// Scheme is a way to keep a quota over many gateways.
+type Scheme string
+
+// The schemes whose price is told. None of them ever passes the whole.
+const (
+	OneBank Scheme = "one bank"        // all gateways see one store, at once: what is compared with
+	Even    Scheme = "even parts"      // static
+	Parts   Scheme = "parts"           // by demand, as Rules say, and nothing is lent
+	Lending Scheme = "parts and loans" // the same, and what lacks is borrowed
+	Loans   Scheme = "loans"           // no parts but floors: all is borrowed
+	Direct  Scheme = "direct"          // even parts, and what lacks is borrowed from the other with most
+	Moved   Scheme = "moved"           // even parts, and the request goes to where its units are
+)
+
+// Schemes are all of them.
+var Schemes = []Scheme{OneBank, Even, Parts, Lending, Loans, Direct, Moved}
+
+// Price says what is played: customers like the operators', whose requests come through two to four gateways.
+type Price struct {
+	Seed  uint64
+	Trip  time.Duration // there and back
+	For   time.Duration
+	Rules budget.Rules
+	Each  int // customers of each plan
+}
+
+// buyer is a customer.
+type buyer struct {
+	whole  budget.Share
+	spread int
+	use    float64 // of the rate
+}
+
+// draw draws customers as the lab's site does: rates, bursts, and what they ask of what they bought.
+func (p *Price) draw() (all []buyer) {
+	r := rand.New(rand.NewPCG(p.Seed, 0x9e1ce))
+	between := func(a, b float64) float64 { return a + (b-a)*r.Float64() }
+	for range p.Each {
+		for _, plan := range [][4]float64{{0.96, 1.7, 3.2, 5.8}, {2.9, 4.9, 3.5, 6}, {11, 20, 1.3, 2.8}} {
+			rate := between(plan[0], plan[1])
+			b := buyer{whole: budget.Share{Rate: rate, Burst: math.Max(8, rate*between(plan[2], plan[3]))}, spread: 2 + r.IntN(3), use: between(0.15, 0.7)}
+			if x := r.Float64(); x < 0.15 {
+				b.use = between(0.85, 1)
+			} else if x < 0.25 {
+				b.use = between(1.3, 3)
+			}
+			all = append(all, b)
+		}
+	}
+	return all
+}
+
+// Paid is what a scheme serves, in units, by how much the customer asks of what it bought.
+type Paid struct {
+	Served, Near, Beyond float64 // all; of those who use nearly all; of those who ask for more
+	Loans                int     // askings for units
+}
+
+// Play plays a scheme. The same seed gives the same requests to all.
+func (p Price) Play(s Scheme) (paid Paid) {
+	for i, b := range p.draw() {
+		served, loans := p.one(s, b, rand.New(rand.NewPCG(p.Seed, uint64(i))))
+		paid.Served += served
+		switch {
+		case b.use > 1:
+			paid.Beyond += served
+		case b.use > 0.8:
+			paid.Near += served
+		}
+		paid.Loans += loans
+	}
+	return paid
+}
+
+type pending struct {
+	at     time.Duration
+	member int
+	units  float64 // of the request
+	lent   float64
+}
+
+// one plays one customer alone: others do not touch its budget.
+func (p Price) one(s Scheme, b buyer, r *rand.Rand) (served float64, loans int) {
+	const step = ms
+	rules := p.Rules
+	if s == Parts {
+		rules.Reserve = 0
+	}
+	if s == Loans {
+		rules.Parting = math.Inf(1)
+	}
+	rights := s == Parts || s == Lending || s == Loans
+	owner, err := budget.NewOwner(0, rules, budget.Duty(0), 1, "o", &fleetpb.Books{})
+	if err != nil {
+		panic(err)
+	}
+	var holders []*budget.Holder
+	banks := make([]meter, b.spread)
+	part := budget.Share{Rate: b.whole.Rate / float64(b.spread), Burst: b.whole.Burst / float64(b.spread)}
+	if s == OneBank {
+		banks, part = banks[:1], b.whole
+	}
+	for i := range b.spread {
+		holders = append(holders, budget.NewHolder(rules, lease.Member{ID: string(rune('a' + i)), Boot: 1}, 1))
+	}
+	for i := range banks {
+		banks[i].level = part.Burst
+	}
+	level := func(now time.Duration, i int) *meter {
+		m := &banks[i]
+		m.level, m.at = math.Min(part.Burst, m.level+part.Rate*(now-m.at).Seconds()), now
+		return m
+	}
+	warm := time.Duration(0)
+	if rights {
+		warm = 15 * time.Second // until the reserve is full
+	}
+	type sent struct {
+		at, sent time.Duration
+		member   int
+		ask      *fleetpb.RightsAsk
+	}
+	var renewals []sent
+	var waits []pending
+	committed := time.Duration(-1)
+	next := warm
+	busiest := r.IntN(b.spread)
+	for now := time.Duration(0); now < warm+p.For; now += step {
+		if rights {
+			for i, h := range holders {
+				if (now+time.Duration(i)*37*ms)%rules.Every == 0 {
+					if now < warm {
+						h.Ask(now, 1, b.whole, b.spread, 0.001)
+					}
+					renewals = append(renewals, sent{now + p.Trip/2, now, i, h.Renewal(now, 0)})
+				}
+			}
+			kept := renewals[:0]
+			for _, a := range renewals {
+				if now < a.at {
+					kept = append(kept, a)
+					continue
+				}
+				holders[a.member].Answer(now, a.sent, 0, a.ask, owner.Renew(now, a.ask)) // the way back is left out: it is hardly ever waited for
+			}
+			renewals = kept
+			if committed >= 0 && now >= committed {
+				owner.Committed(now)
+				committed = -1
+			}
+			if committed < 0 && owner.Plan(now) != nil {
+				committed = now + p.Trip
+			}
+		}
+		kept := waits[:0]
+		for _, w := range waits {
+			if now < w.at {
+				kept = append(kept, w)
+				continue
+			}
+			served += p.back(s, owner, holders, level, w, b, now)
+		}
+		waits = kept
+		for now >= next {
+			// A request: mostly through the busiest gateway, which changes.
+			const mean = 1.98 // units of a request
+			next += time.Duration(r.ExpFloat64() * mean / (b.use * b.whole.Rate) * float64(time.Second))
+			units := 1 + r.Float64()
+			if r.Float64() < 0.24 {
+				units = 2 + 2*r.Float64()
+			}
+			m := busiest
+			if r.Float64() < 0.4 {
+				m = r.IntN(b.spread)
+			}
+			if r.Float64() < 0.002*15 {
+				busiest = r.IntN(b.spread)
+			}
+			switch {
+			case rights:
+				h := holders[m]
+				h.Ask(now, 1, b.whole, b.spread, units)
+				if lacks := units - h.Level(now, 1); lacks <= 0 {
+					h.Take(now, 1, units)
+					served += units
+				} else if s != Parts {
+					loans++
+					if lacks < units {
+						h.Take(now, 1, units-lacks) // no other request counts on them meanwhile
+					}
+					waits = append(waits, pending{now + p.Trip, m, units, math.Min(lacks, units)})
+				}
+			case s == OneBank:
+				if l := level(now, 0); l.level >= units {
+					l.level -= units
+					served += units
+				}
+			default:
+				if l := level(now, m); l.level >= units {
+					l.level -= units
+					served += units
+				} else if s != Even {
+					loans++
+					waits = append(waits, pending{now + p.Trip, m, units, units - l.level})
+				}
+			}
+		}
+	}
+	return served, loans
+}
+
+// back is when the answer to an asking for units, or the request moved, arrives. It gives the units served.
+func (p Price) back(s Scheme, owner *budget.Owner, holders []*budget.Holder, level func(time.Duration, int) *meter, w pending, b buyer, now time.Duration) float64 {
+	switch s {
+	case Direct, Moved:
+		best, most := -1, 0.0
+		for i := range b.spread {
+			if l := level(now, i).level; i != w.member && l > most {
+				best, most = i, l
+			}
+		}
+		own := level(now, w.member)
+		switch {
+		case best < 0:
+		case s == Moved && most >= w.units:
+			level(now, best).level -= w.units
+			return w.units
+		case s == Direct && own.level+most >= w.units && most >= w.units-own.level:
+			level(now, best).level -= w.units - math.Max(0, math.Min(own.level, w.units))
+			own.level = math.Max(0, own.level-w.units)
+			return w.units
+		}
+		return 0
+	}
+	h := holders[w.member]
+	a := owner.Lend(now, &fleetpb.LoanAsk{Duty: budget.Duty(0), Budget: 1, Units: w.lent, Spread: uint32(b.spread),
+		Whole: &fleetpb.Share{Rate: b.whole.Rate, Burst: b.whole.Burst}})
+	if a.Lent {
+		owner.Settle(now, &fleetpb.Settled{Budget: 1, Number: a.Number})
+		return w.units
+	}
+	h.Refused(now, 1, w.units)
+	h.Take(now, 1, w.lent-w.units)
+	return 0
+}
