budget: what is lent counts as used when it is lent

A loan kept its place in the bank until its span was over, which blocked the refill of a nearly full store.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -22,9 +22,9 @@
 //     member that hears nobody falls from its part to its floor, and then to nothing.
 //   - Units that lie stored go with what is moved: they are counted as given and as returned, each as a sum that
 //     only grows under a term, so that a message that comes twice, late or never makes none.
-//   - The rest, the reserve, is the owner's alone. It lends of it, without an entry, for a request that waits; what is lent
-//     counts as out until the loan's span is over. A new owner begins with an empty reserve, and lends nothing
-//     until the loans of the one before are over.
+//   - The rest, the reserve, is the owner's alone. It lends of it, without an entry, for a request that waits, but for what
+//     is agreed to be kept: with that the next owner begins, and with nothing else.
+//   - What was taken or lent is used within Rules.LoanSpan, or never.
 //
 // Nothing here does I/O, starts a goroutine or looks at a clock. No type may be used concurrently.
 package budget
--- a/budget/owner.go
+++ b/budget/owner.go
@@ -22,7 +22,6 @@
 	full   bool   // it is the first ever
 	id     string // of the gateway that it runs in
 	number uint64 // of the last word
-	lent   uint64 // number of the last loan
 
 	members map[lease.Member]*member
 	budgets map[uint64]*account
@@ -55,13 +54,12 @@
 	whole  Share
 	spread int
 	holds  map[lease.Member]*hold
-	held   Share   // what members may be using, as agreed
-	rising Share   // and what is proposed beside that: it is given already, as an entry may be agreed whatever becomes of its answer
-	bank   bank    // the reserve's units
-	spare  float64 // units of the bank that are lent no one, as agreed: the next owner begins with them
-	saving float64 // and as is proposed; below 0: nothing is
-	most   float64 // units of the largest request of late
-	loans  []loan
+	held   Share         // what members may be using, as agreed
+	rising Share         // and what is proposed beside that: it is given already, as an entry may be agreed whatever becomes of its answer
+	bank   bank          // the reserve's units
+	spare  float64       // units of the bank that are lent no one, as agreed: the next owner begins with them
+	saving float64       // and as is proposed; below 0: nothing is
+	most   float64       // units of the largest request of late
 	room   *rooms        // nil: nothing was ever given back
 	next   time.Duration // it is not divided anew before
 }
@@ -82,12 +80,6 @@
 	wants    bool          // it was, since the budget was last divided
 }
 
-type loan struct {
-	number uint64
-	until  time.Duration
-	units  float64
-}
-
 // planned is one member's change in the round that is proposed.
 type planned struct {
 	budget uint64
@@ -102,7 +94,6 @@
 	claimTime  = 2 * time.Second // over which demand is taken
 	settle     = time.Second     // between two divisions of one budget by demand
 	claimLeast = 0.01            // units a second: below, there is no demand
-	loansMost  = 4096            // of a budget, out at a time
 	soon       = 30 * time.Millisecond
 	keepFor    = 500 * time.Millisecond // a round is agreed within
 )
@@ -117,7 +108,6 @@
 		return nil, err
 	}
 	if r.BeginFull && term == 1 {
-		o.began -= r.withMargin(r.LoanSpan) // there was no owner before
 		o.full = true
 	}
 	for id, k := range agreed {
@@ -142,12 +132,12 @@
 	return m
 }
 
-// account finds or makes a budget's account. Its reserve has what the owner before has kept, and nothing comes into it before
-// the loans of that one are over: what it lent may still be used till then.
+// account finds or makes a budget's account. Its reserve has what the owner before has kept, and fills from when this one
+// began.
 func (o *Owner) account(id uint64, whole Share, spread int) *account {
 	a := o.budgets[id]
 	if a == nil {
-		a = &account{whole: whole, spread: max(1, spread), holds: map[lease.Member]*hold{}, saving: -1, bank: bank{at: o.began + o.rules.withMargin(o.rules.LoanSpan)}}
+		a = &account{whole: whole, spread: max(1, spread), holds: map[lease.Member]*hold{}, saving: -1, bank: bank{at: o.began}}
 		if o.full {
 			a.bank = bank{whole.Burst, o.began}
 		}
@@ -164,27 +154,9 @@
 	}
 }
 
-// reserve is the owner's own part: what nobody holds, less what is lent. It brings the bank to the time.
+// reserve is the owner's own part: what nobody holds. It brings the bank to the time.
 func (o *Owner) reserve(now time.Duration, a *account) Share {
-	if now < o.began+o.rules.withMargin(o.rules.LoanSpan) {
-		return Share{} // the owner before may have lent all else that nobody held, and it may still be used
-	}
 	free := a.whole.minus(a.held).minus(a.rising).most(Share{})
-	out := 0.0
-	for _, l := range a.loans {
-		out += l.units
-	}
-	over := 0
-	for ; over < len(a.loans) && a.loans[over].until <= now; over++ {
-		// Up to its end a loan had its place in the bank: nothing came into that.
-		a.fill(a.loans[over].until, Share{free.Rate, math.Max(0, free.Burst-out)})
-		out -= a.loans[over].units
-	}
-	a.loans = slices.Delete(a.loans, 0, over)
-	if len(a.loans) == 0 {
-		out = 0 // and not what rounding left
-	}
-	free.Burst = math.Max(0, free.Burst-out)
 	a.fill(now, free)
 	return free
 }
@@ -246,16 +218,13 @@
 		return &fleetpb.LoanAnswer{Code: fleetpb.Code_REFUSED, Why: "not an asking for this owner"}
 	}
 	a := o.account(ask.Budget, whole, int(ask.Spread))
-	if ask.Term == o.term {
-		o.settle(now, ask.Settled)
-	}
 	free := o.reserve(now, a)
 	a.most = math.Max(a.most, ask.Units)
 	if a.bank.level >= ask.Units && a.bank.level-ask.Units < math.Max(a.spare, a.saving) {
 		o.stirred[ask.Budget] = true
 		return &fleetpb.LoanAnswer{Term: o.term, Soon: true, After: int64(soon)}
 	}
-	if a.bank.level < ask.Units || len(a.loans) >= loansMost {
+	if a.bank.level < ask.Units {
 		o.figures.Dry++
 		after := time.Duration(0)
 		if free.Rate > 0 {
@@ -265,25 +234,10 @@
 	}
 	o.figures.Lent++
 	a.bank.level -= ask.Units
-	o.lent++
-	a.loans = append(a.loans, loan{o.lent, now + o.rules.withMargin(o.rules.LoanSpan), ask.Units})
 	if a.bank.level-a.spare < a.most {
 		o.stirred[ask.Budget] = true
 	}
-	return &fleetpb.LoanAnswer{Lent: true, Term: o.term, Number: o.lent}
-}
-
-// Settle takes in that a loan was used.
-func (o *Owner) Settle(now time.Duration, s *fleetpb.Settled) { o.settle(now, []*fleetpb.Settled{s}) }
-
-// settle takes in which loans were used: their places in the bank are free from now on.
-func (o *Owner) settle(now time.Duration, all []*fleetpb.Settled) {
-	for _, s := range all {
-		if a := o.budgets[s.Budget]; a != nil {
-			o.reserve(now, a)
-			a.loans = slices.DeleteFunc(a.loans, func(l loan) bool { return l.number == s.Number })
-		}
-	}
+	return &fleetpb.LoanAnswer{Lent: true, Term: o.term}
 }
 
 // Renew takes in a member's asking, and tells it all words that it has not acted on.
@@ -306,7 +260,6 @@
 	}
 	ours := ask.Term == o.term // else its words and sums are about another owner's
 	if ours {
-		o.settle(now, ask.Settled)
 		m.number = max(m.number, ask.Number)
 	}
 	for _, w := range ask.Wants {
@@ -612,15 +565,12 @@
 // Figures are what the owner did so far.
 func (o *Owner) Figures() Figures { return o.figures }
 
-// Reserve is what the owner may lend of a budget at a time, as a share of it, and the units that are lent.
-func (o *Owner) Reserve(now time.Duration, budget uint64) (free Share, lent float64) {
+// Reserve is the owner's own part of a budget at a time, and the units in it.
+func (o *Owner) Reserve(now time.Duration, budget uint64) (free Share, level float64) {
 	a := o.budgets[budget]
 	if a == nil {
 		return free, 0
 	}
 	free = o.reserve(now, a)
-	for _, l := range a.loans {
-		lent += l.units
-	}
-	return free, lent
+	return free, a.bank.level
 }
--- a/decide/rights.go
+++ b/decide/rights.go
@@ -20,7 +20,7 @@
 	// Take uses units for a request, beside those that it was lent.
 	Take(now Time, id uint64, b *Budget, units float64)
 	// Return gives back units that were lent and not used.
-	Return(now Time, id uint64, b *Budget, units float64)
+	Return(now Time, b *Budget, units float64)
 	// Borrow asks whoever divides for units that a request lacks. Lent has to be called with the answer, unless
 	// this returns false: there is nobody to ask.
 	Borrow(id uint64, b *Budget, units float64) bool
@@ -64,7 +64,7 @@
 	r := g.requests[id]
 	if r == nil || !r.borrows {
 		if units > 0 {
-			g.rights.Return(g.now, id, b, units) // it was decided, or its client has left
+			g.rights.Return(g.now, b, units) // it was decided, or its client has left
 		}
 		return
 	}
@@ -98,7 +98,7 @@
 func (g *Gateway) unused(r *request) {
 	g.unhold(r)
 	if r.lent > 0 {
-		g.rights.Return(g.now, r.ID, g.budget(r.c), r.lent)
+		g.rights.Return(g.now, g.budget(r.c), r.lent)
 		r.lent = 0
 	}
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -158,7 +158,7 @@
 	borrows  bool // it waits for units that are to be lent
 	lent     float64
 	own      float64 // taken of this gateway's part until then
-	after    Time // in what time there may be as many, by who did not lend them
+	after    Time    // in what time there may be as many, by who did not lend them
 }
 
 func (r *request) tried(b *backend) bool {
--- a/internal/budgets/user.go
+++ b/internal/budgets/user.go
@@ -32,22 +32,13 @@
 	silent   []atomic.Int64 // by shard: until when nobody is asked for units, by the steady clock
 	mu       sync.Mutex
 	holder   *budget.Holder
-	loan     map[uint64]loanOf    // by request, until it is used
-	settled  [][]*fleetpb.Settled // by shard: loans that were used, not told yet
-	terms    []uint64             // of whose loans those are
-	gone     []uint64             // boots of this id that run no more
-	took     uint64               // the request that something was taken for last
+	gone     []uint64 // boots of this id that run no more
+	took     uint64   // the request that something was taken for last
 	tookBy   time.Duration
 	figures  Figures
 	lastTold []atomic.Int64 // by shard: when an owner last answered
 }
 
-// loanOf is a loan under its owner's term.
-type loanOf struct {
-	shard        int
-	term, number uint64
-}
-
 // Figures are counts of what a User did.
 type Figures struct {
 	Renewals uint64 `json:"renewals"`
@@ -67,7 +58,7 @@
 
 // NewUser makes one that holds nothing.
 func NewUser(r budget.Rules, shards int, client *fleetlink.Client, owners *duties.Set, log *slog.Logger) *User {
-	return &User{loan: map[uint64]loanOf{}, settled: make([][]*fleetpb.Settled, shards), terms: make([]uint64, shards), rules: r, shards: shards, client: client, owners: owners, log: log, loans: make(chan struct{}, loansOut),
+	return &User{rules: r, shards: shards, client: client, owners: owners, log: log, loans: make(chan struct{}, loansOut),
 		silent: make([]atomic.Int64, shards), lastTold: make([]atomic.Int64, shards), holder: budget.NewHolder(r, client.Me(), shards)}
 }
 
@@ -105,15 +96,6 @@
 	defer u.mu.Unlock()
 	now := steady.Now()
 	u.holder.Take(now, b.ID, units)
-	if l, ok := u.loan[id]; ok && units >= 0 {
-		delete(u.loan, id)
-		if l.term > u.terms[l.shard] {
-			u.terms[l.shard], u.settled[l.shard] = l.term, nil
-		}
-		if l.term == u.terms[l.shard] {
-			u.settled[l.shard] = append(u.settled[l.shard], &fleetpb.Settled{Budget: b.ID, Number: l.number})
-		}
-	}
 	u.took, u.tookBy = id, 0
 	if units > 0 {
 		u.tookBy = u.holder.Until(now, b.ID)
@@ -121,10 +103,9 @@
 }
 
 // Return gives back units that were lent.
-func (u *User) Return(_ decide.Time, id uint64, b *decide.Budget, units float64) {
+func (u *User) Return(_ decide.Time, b *decide.Budget, units float64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	delete(u.loan, id) // its place is free when its span is over
 	u.holder.Return(steady.Now(), b.ID, units)
 }
 
@@ -169,10 +150,6 @@
 	defer cancel()
 	ask := &fleetpb.LoanAsk{Duty: budget.Duty(shard), Budget: l.Budget.ID, Units: units,
 		Whole: &fleetpb.Share{Rate: l.Budget.Rate, Burst: l.Budget.Burst}, Spread: uint32(l.Budget.Spread)}
-	u.mu.Lock()
-	ask.Term, ask.Settled = u.terms[shard], u.settled[shard]
-	u.settled[shard] = nil // lost with the asking, they end by themselves
-	u.mu.Unlock()
 	a, err := u.client.Borrow(ctx, owner.ID, address, ask)
 	u.mu.Lock()
 	u.figures.Loans++
@@ -183,7 +160,6 @@
 	case a.Lent:
 		u.figures.Lent++
 		l.Units = units
-		u.loan[l.ID] = loanOf{shard, a.Term, a.Number}
 	default:
 		l.After = time.Duration(a.After)
 	}
@@ -236,9 +212,6 @@
 	u.mu.Lock()
 	ask := u.holder.Renewal(sent, shard)
 	ask.Gone = u.gone
-	if ask.Term == u.terms[shard] {
-		ask.Settled, u.settled[shard] = u.settled[shard], nil
-	}
 	u.mu.Unlock()
 	if ask.Number == 0 && len(ask.Wants) == 0 && sent-time.Duration(u.lastTold[shard].Load()) < idleEach {
 		return false // it was never given anything, and wants nothing: the way to the owner is kept open
