--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -28,6 +28,13 @@
 	return nil
 }
 
+// rules are the defaults with larger parts: what is shown here is how parts move.
+func rules() Rules {
+	r := Defaults()
+	r.Floor, r.Reserve = 0.2, 0.4
+	return r
+}
+
 // rig is an owner, the log that it proposes to, and its members, with no network between.
 type rig struct {
 	t     *testing.T
@@ -54,13 +61,13 @@
 		r.t.Fatal(err)
 	}
 	var err error
-	if r.owner, err = NewOwner(r.now, Defaults(), Duty(0), r.terms.term, "o", &books); err != nil {
+	if r.owner, err = NewOwner(r.now, rules(), Duty(0), r.terms.term, "o", &books); err != nil {
 		r.t.Fatal(err)
 	}
 }
 
 func (r *rig) member(id string, boot uint64) *Holder {
-	return NewHolder(Defaults(), lease.Member{ID: id, Boot: boot}, 1)
+	return NewHolder(rules(), lease.Member{ID: id, Boot: boot}, 1)
 }
 
 // renew has a member renew, and act on what it is told.
@@ -156,13 +163,13 @@
 }
 
 func floorOf(whole Share) Share {
-	r := Defaults()
+	r := rules()
 	return r.FloorOf(whole, 2)
 }
 
 // What lies stored goes back when a part is lessened, once.
 func TestStoredUnitsGoWithTheirPart(t *testing.T) {
-	h := NewHolder(Defaults(), lease.Member{ID: "a", Boot: 1}, 1)
+	h := NewHolder(rules(), lease.Member{ID: "a", Boot: 1}, 1)
 	now := time.Hour
 	h.Ask(now, 1, Share{10, 100}, 2, 1)
 	ask := h.Renewal(now, 0)
@@ -194,7 +201,7 @@
 		t.Fatalf("only %v units are stored", a.Level(r.now, 1))
 	}
 	// The renewal is sent before the end, and answered after it: it has all of its part again.
-	r.now += Defaults().Span - 100*ms
+	r.now += rules().Span - 100*ms
 	sent, ask := r.now, a.Renewal(r.now, 0)
 	r.now += 200 * ms
 	a.Answer(r.now, sent, 0, ask, r.owner.Renew(r.now, ask))
@@ -459,7 +466,7 @@
 // However demand lies, parts, and the floors of those who are not there, leave the reserve.
 func TestDivideLeavesFloorsAndReserve(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		r := Defaults()
+		r := rules()
 		r.Floor, r.Reserve = rapid.Float64Range(0, 1).Draw(t, "floor"), rapid.Float64Range(0, 1).Draw(t, "reserve")
 		whole := Share{rapid.Float64Range(0.1, 100).Draw(t, "rate"), rapid.Float64Range(1, 100).Draw(t, "burst")}
 		spread := rapid.IntRange(1, 6).Draw(t, "spread")
--- a/budget/holder.go
+++ b/budget/holder.go
@@ -276,3 +276,8 @@
 	}
 	return Share{}
 }
+
+// Ends are until when the parts of a shard hold, and the floors.
+func (h *Holder) Ends(shard int) (part, floor time.Duration) {
+	return h.shards[shard].until, h.shards[shard].floorUntil
+}
--- a/cmd/lab/real.go
+++ b/cmd/lab/real.go
@@ -8,6 +8,7 @@
 
 	"github.com/spf13/cobra"
 
+	"mothcleat/internal/budgettrial"
 	"mothcleat/internal/lab"
 	"mothcleat/internal/ownertrial"
 	"mothcleat/internal/trial"
@@ -107,6 +108,23 @@
 		})
 }
 
+func (b *bench) budgets() *cobra.Command {
+	return b.play("budgets", "quotas divided among gateways, while links and processes fail and traffic shifts", time.Minute, func(c *cobra.Command) (func() error, player) {
+		o, f := budgettrial.Options{}, c.Flags()
+		f.IntVar(&o.Instances, "instances", 12, "gateways, 3 to 40; the first three vote")
+		f.IntVar(&o.Shards, "shards", 1, "duties that the quotas are shared out in, 1 to 16")
+		f.Float64Var(&o.Load, "load", 0.35, "part of what the servers can do that is asked inside the quotas")
+		f.BoolVar(&o.Compare, "compare", true, "the same traffic through a fleet that divides by notes as well")
+		check := func() error {
+			return errors.Join(within("instances", o.Instances, 3, 40), within("shards", o.Shards, 1, 16), within("load", o.Load, 0.01, 2))
+		}
+		return check, func(ctx context.Context, seed uint64, length time.Duration) (*trial.Figures, error) {
+			o.Seed, o.For = seed, length
+			return budgettrial.Run(ctx, o, b.progress)
+		}
+	})
+}
+
 func (b *bench) owner() *cobra.Command {
 	return b.play("owner", "one owner at a time for the fleet's work, while links and processes fail", time.Minute, func(c *cobra.Command) (func() error, player) {
 		o, f := ownertrial.Options{}, c.Flags()
--- a/cmd/mothcleat/fleet.go
+++ b/cmd/mothcleat/fleet.go
@@ -58,6 +58,13 @@
 		r.Span, r.FloorSpan, r.Every = time.Duration(b.Span), time.Duration(b.FloorSpan), time.Duration(b.Every)
 		r.Floor, r.Reserve, r.Margin, r.BeginFull = b.Floor, b.Reserve, f.Margin, b.BeginFull
 		c.Budgets, c.BudgetShards = &r, b.Shards
+		if b.Record != "" {
+			f, err := os.OpenFile(b.Record, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+			if err != nil {
+				return nil, fmt.Errorf("budgets.record: %w", err)
+			}
+			c.Rights = f // it ends with the process
+		}
 	}
 	n := fleetnode.Start(c)
 	if u := n.Rights(); u != nil {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -906,7 +906,7 @@
 	if !inside {
 		g.lend.refill(g.now)
 		if !plan.soft() || g.lend.level < q.Units || g.full(lendShare) {
-			g.refuse(q.ID, max(r.after, g.filledIn(c, q.Units)), g.whyEmpty(r))
+			g.refuse(q.ID, g.filledIn(r), g.whyEmpty(r))
 			return
 		}
 	}
@@ -939,7 +939,11 @@
 
 // filledIn is how long it takes until a customer's own bank holds the units: where its
 // set shares one store, that fills for all of them at once.
-func (g *Gateway) filledIn(c *customer, units float64) Time {
+func (g *Gateway) filledIn(r *request) Time {
+	c, units := r.c, r.Units
+	if r.after > 0 {
+		return r.after
+	}
 	rate := g.set.Plans[c.plan].Rate
 	if g.limited(c) {
 		rate = g.rights.Rate(g.now, g.budget(c))
--- a/internal/budgets/user.go
+++ b/internal/budgets/user.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
+	"io"
 	"log/slog"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,6 +39,7 @@
 	took     uint64   // the request that something was taken for last
 	tookBy   time.Duration
 	figures  Figures
+	record   io.Writer      // nil: none
 	lastTold []atomic.Int64 // by shard: when an owner last answered
 }
 
@@ -229,6 +233,7 @@
 	}
 	u.lastTold[shard].Store(int64(steady.Now()))
 	again := u.holder.Answer(steady.Now(), sent, shard, ask, a)
+	u.write(shard, a.Term != ask.Term || len(a.Rights) > 0)
 	if again {
 		faultpoint.At("right-lessened")
 	}
@@ -239,6 +244,9 @@
 func (u *User) Leave(ctx context.Context) {
 	u.mu.Lock()
 	all := u.holder.Leave(steady.Now())
+	for shard := range all {
+		u.write(shard, true)
+	}
 	u.mu.Unlock()
 	var wg sync.WaitGroup
 	for shard, ask := range all {
@@ -268,6 +276,48 @@
 	wg.Wait()
 }
 
+// Line is one line of a record of rights. Times are the steady clock's, the same for all processes of a machine.
+type Line struct {
+	At         time.Duration    `json:"at"`
+	Member     lease.Member     `json:"member"`
+	Shard      int              `json:"shard"`
+	Until      time.Duration    `json:"until"` // the parts hold; and then the floors
+	FloorUntil time.Duration    `json:"floor_until"`
+	Changed    bool             `json:"changed,omitempty"` // Held is all that is held from now on; else that is as before
+	Held       map[string]Parts `json:"held,omitempty"`    // by the budget's number, hexadecimal
+}
+
+// Parts is a right in a record.
+type Parts = budget.Held
+
+// Record has each renewal written down. It is to be called before Run.
+func (u *User) Record(to io.Writer) { u.record = to }
+
+// write writes a line. The lock is held.
+func (u *User) write(shard int, changed bool) {
+	if u.record == nil {
+		return
+	}
+	l := Line{At: steady.Now(), Member: u.client.Me(), Shard: shard, Changed: changed}
+	l.Until, l.FloorUntil = u.holder.Ends(shard)
+	if changed {
+		l.Held = map[string]Parts{}
+		for _, r := range u.holder.Rights(l.At) {
+			if budget.ShardOf(r.Budget, u.shards) == shard {
+				l.Held[strconv.FormatUint(r.Budget, 16)] = r.Held
+			}
+		}
+	}
+	raw, err := json.Marshal(l)
+	if err == nil {
+		_, err = u.record.Write(append(raw, '\n'))
+	}
+	if err != nil {
+		u.log.Error("budgets: rights can't be written down", "error", err)
+		u.record = nil
+	}
+}
+
 // Rights are what this process holds now, and what it did.
 func (u *User) Rights() ([]budget.Right, Figures) {
 	u.mu.Lock()
--- /dev/null
+++ b/internal/budgettrial/rights.go
@@ -0,0 +1,175 @@
+package budgettrial
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"time"
+
+	"mothcleat/budget"
+	"mothcleat/internal/budgets"
+	"mothcleat/internal/rig"
+	"mothcleat/internal/trial"
+	"mothcleat/lease"
+)
+
+const recordName = "rights"
+
+// term is when one process could use one part of a budget, by what it wrote down itself.
+type term struct {
+	from, to time.Duration
+	who      lease.Member
+	share    budget.Share
+}
+
+// Rights are what all processes of a fleet wrote down, joined.
+type Rights struct {
+	Terms   map[uint64][]term // by budget
+	Changes int               // of parts
+	Began   map[lease.Member]time.Duration
+	First   map[lease.Member]time.Duration // when it first held something
+	Ended   map[lease.Member]time.Duration // when the next process of its gateway wrote something
+}
+
+// ReadRights reads and joins the records of a fleet's gateways.
+func ReadRights(f *rig.Fleet) (*Rights, error) {
+	r := &Rights{Terms: map[uint64][]term{}, Began: map[lease.Member]time.Duration{}, First: map[lease.Member]time.Duration{}, Ended: map[lease.Member]time.Duration{}}
+	var errs []error
+	for _, g := range f.Gateways {
+		lines, err := readLines(filepath.Join(g.Dir(), recordName))
+		if err != nil && !errors.Is(err, fs.ErrNotExist) {
+			errs = append(errs, err)
+		}
+		r.join(lines)
+	}
+	return r, errors.Join(errs...)
+}
+
+func readLines(path string) (all []budgets.Line, err error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	in := bufio.NewScanner(f)
+	in.Buffer(nil, 16<<20)
+	for in.Scan() {
+		var l budgets.Line
+		if err := json.Unmarshal(in.Bytes(), &l); err != nil {
+			return all, fmt.Errorf("%s: %w", path, err)
+		}
+		all = append(all, l)
+	}
+	return all, in.Err()
+}
+
+// join adds the lines of one gateway, of one process after another.
+func (r *Rights) join(lines []budgets.Line) {
+	type key struct {
+		who   lease.Member
+		shard int
+	}
+	last := map[key]budgets.Line{}
+	held := map[key]map[string]budgets.Parts{}
+	close := func(k key, to time.Duration) {
+		l := last[k]
+		for id, h := range held[k] {
+			n, err := strconv.ParseUint(id, 16, 64)
+			if err != nil {
+				continue
+			}
+			add := func(from, end time.Duration, s budget.Share) {
+				if end = min(end, to); end > from && s.Burst > 0 {
+					r.Terms[n] = append(r.Terms[n], term{from, end, k.who, s})
+				}
+			}
+			add(l.At, l.Until, h.Part)
+			add(max(l.At, l.Until), l.FloorUntil, h.Floor)
+		}
+	}
+	for _, l := range lines {
+		k := key{l.Member, l.Shard}
+		if _, ok := r.Began[l.Member]; !ok {
+			r.Began[l.Member] = l.At
+			// By the lock on the folder those before run no more.
+			for other := range last {
+				if other.who != l.Member {
+					close(other, l.At)
+					if _, ok := r.Ended[other.who]; !ok {
+						r.Ended[other.who] = l.At
+					}
+					delete(last, other)
+				}
+			}
+		}
+		if _, ok := last[k]; ok {
+			close(k, l.At)
+		}
+		last[k] = l
+		if l.Changed {
+			for id, h := range l.Held {
+				if held[k][id] != h {
+					r.Changes++
+				}
+			}
+			held[k] = l.Held
+		}
+		if _, ok := r.First[l.Member]; !ok && len(held[k]) > 0 {
+			r.First[l.Member] = l.At
+		}
+	}
+	for k := range last {
+		close(k, 1<<62)
+	}
+}
+
+// Sum is the worst moment of a budget.
+type Sum struct {
+	Budget uint64
+	Over   budget.Share // beyond the whole; at most 0: never
+	At     time.Duration
+}
+
+// Sums holds against each whole what all together could use at a time, the worst first.
+func (r *Rights) Sums(s *trial.Site) (all []Sum) {
+	wholes := map[uint64]budget.Share{}
+	for _, c := range s.Customers {
+		if id, err := strconv.ParseUint(c.ID, 16, 64); err == nil {
+			wholes[id] = budget.Share{Rate: s.Plans[c.Plan].Rate, Burst: s.Plans[c.Plan].Burst}
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(r.Terms)) {
+		type edge struct {
+			at    time.Duration
+			share budget.Share
+			sign  float64
+		}
+		var edges []edge
+		for _, t := range r.Terms[id] {
+			edges = append(edges, edge{t.from, t.share, 1}, edge{t.to, t.share, -1})
+		}
+		slices.SortFunc(edges, func(a, b edge) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.sign, b.sign)) })
+		var now, most Sum
+		for _, e := range edges {
+			now.Over.Rate += e.sign * e.share.Rate
+			now.Over.Burst += e.sign * e.share.Burst
+			if now.Over.Burst > most.Over.Burst || now.Over.Rate > most.Over.Rate {
+				most.Over, most.At = budget.Share{Rate: max(now.Over.Rate, most.Over.Rate), Burst: max(now.Over.Burst, most.Over.Burst)}, e.at
+			}
+		}
+		whole := wholes[id]
+		most.Budget = id
+		most.Over.Rate, most.Over.Burst = most.Over.Rate-whole.Rate, most.Over.Burst-whole.Burst
+		all = append(all, most)
+	}
+	slices.SortFunc(all, func(a, b Sum) int { return cmp.Compare(b.Over.Burst, a.Over.Burst) })
+	return all
+}
--- /dev/null
+++ b/internal/budgettrial/run.go
@@ -0,0 +1,397 @@
+package budgettrial
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"mothcleat/budget"
+	"mothcleat/internal/rig"
+	"mothcleat/internal/trial"
+	"mothcleat/lease"
+)
+
+// Options say what is played.
+type Options struct {
+	Seed      uint64
+	Instances int
+	For       time.Duration
+	Load      float64
+	Shards    int
+	Compare   bool   // notes as well, and even parts, undisturbed
+	Bin       string // built with the tag faults; "": it is built
+}
+
+// Text is an operators' file's tables for a fleet that divides, is recorded, and was just founded.
+func Text(shards int) string {
+	return fmt.Sprintf("[budgets]\non = true\nshards = %d\nbegin_full = true\nrecord = %q\n%s", shards, recordName, refusals)
+}
+
+const (
+	refusals = "[record]\nrefusals = \"refusals\"\n"
+	shift    = 5 * time.Second // the busiest gateway of a customer changes so often
+)
+
+// Run plays a fleet amid faults, and beside it the same traffic with a fleet that has none and through one gateway.
+func Run(ctx context.Context, o Options, progress io.Writer) (*trial.Figures, error) {
+	if o.Load == 0 {
+		o.Load = 0.35
+	}
+	if o.Shards == 0 {
+		o.Shards = 1
+	}
+	if o.Bin == "" {
+		bin, remove, err := rig.Build(ctx)
+		if err != nil {
+			return nil, err
+		}
+		defer remove()
+		o.Bin = bin
+	}
+	disturbed, err := o.play(ctx, o.Instances, Text(o.Shards), true, progress)
+	if err != nil {
+		return nil, err
+	}
+	fig := disturbed.fig
+	worlds := []struct {
+		name      string
+		instances int
+		text      string
+	}{{"undisturbed", o.Instances, Text(o.Shards)}, {"one_gateway", 1, Text(o.Shards)}}
+	if o.Compare {
+		worlds = append(worlds, struct {
+			name      string
+			instances int
+			text      string
+		}{"notes", o.Instances, refusals})
+	}
+	for _, w := range worlds {
+		p, err := o.play(ctx, w.instances, w.text, false, io.Discard)
+		if err != nil {
+			return fig, err
+		}
+		fig.Extra["service_"+w.name], fig.Extra["over_"+w.name], fig.Extra["refused_with_room_"+w.name] = p.fig.Service, p.fig.Over, p.withRoom
+		for rule, n := range p.fig.Broken {
+			if n > 0 && w.name != "notes" {
+				fig.Miss(fmt.Sprintf("%s: %s broken %d times", w.name, rule, n))
+			}
+		}
+	}
+	for _, k := range []string{"redivisions", "joins", "leaves", "kills", "stops", "cuts"} {
+		if n, ok := fig.Extra[k].(int); !ok || n == 0 {
+			fig.Miss("no " + k + ": nothing was shown")
+		}
+	}
+	return fig, nil
+}
+
+// played is one world's figures.
+type played struct {
+	fig      *trial.Figures
+	withRoom float64 // refused though the whole store held the units, of the tries inside quotas
+}
+
+// play plays one world.
+func (o *Options) play(ctx context.Context, instances int, text string, disturb bool, progress io.Writer) (p played, err error) {
+	f, err := rig.New(ctx, rig.Options{Seed: o.Seed, Instances: instances, Voters: min(3, instances), Load: o.Load, Bin: o.Bin, Log: progress, Operators: text})
+	if err != nil {
+		return p, err
+	}
+	defer f.Close()
+	f.Site.Shift = shift
+	t := &trialRun{f: f, o: o, progress: progress, did: map[string]int{}}
+	if err := t.settled(ctx); err != nil {
+		return p, err
+	}
+	asking, cancel := context.WithTimeout(ctx, o.For)
+	defer cancel()
+	before := f.Passed()
+	var wg sync.WaitGroup
+	if disturb {
+		wg.Add(1)
+		go func() { defer wg.Done(); t.faults(asking) }()
+	}
+	f.Clients.Run(asking)
+	wg.Wait()
+	p.fig = f.Figures("budgets")
+	p.withRoom = withRoom(f.Site, f.Record)
+	fig := p.fig
+	if strings.Contains(text, "[budgets]") {
+		if err := t.judge(fig); err != nil {
+			return p, err
+		}
+	}
+	fig.Extra["refused_with_room_share"] = p.withRoom
+	fig.Extra["bytes_per_second_gateway"] = float64(f.Passed()-before) / o.For.Seconds() / float64(instances)
+	for _, k := range []string{"joins", "leaves", "kills", "stops", "cuts"} {
+		fig.Extra[k] = t.did[k]
+	}
+	fig.Extra["memory_mb"] = f.Memory()
+	for _, err := range t.errs {
+		fig.Miss(err.Error())
+	}
+	return p, nil
+}
+
+// judge holds against the wholes what servers took and what processes held.
+func (t *trialRun) judge(fig *trial.Figures) error {
+	// One request a stop may slip through between the last look at the clock and the write.
+	slack := Slack{Late: budget.Defaults().LoanSpan, Units: 4 * float64(t.did["stops"])}
+	fig.Broken["window_over_whole"], fig.Broken["sum_over_whole"] = 0, 0
+	all := Windows(t.f.Site, t.f.Record, slack)
+	for _, w := range all {
+		if w.Over > 0 {
+			fig.Broken["window_over_whole"]++
+			fig.Miss(w.String())
+		}
+	}
+	strict := Windows(t.f.Site, t.f.Record, Slack{})
+	if len(strict) > 0 {
+		fig.Extra["worst_window_units"] = strict[0].Over
+	}
+	r, err := ReadRights(t.f)
+	if err != nil {
+		return err
+	}
+	const rounding = 1e-6
+	for _, s := range r.Sums(t.f.Site) {
+		if s.Over.Burst > rounding || s.Over.Rate > rounding {
+			fig.Broken["sum_over_whole"]++
+			fig.Miss(fmt.Sprintf("budget %x: %+v beyond the whole at %v", s.Budget, s.Over, s.At))
+		}
+	}
+	if len(r.Terms) == 0 {
+		fig.Miss("no gateway has written down any right")
+	}
+	fig.Extra["redivisions"] = r.Changes
+	var newcomers []time.Duration
+	for who, began := range r.Began {
+		if first, ok := r.First[who]; ok {
+			newcomers = append(newcomers, first-began)
+		}
+	}
+	fig.Extra["newcomer_ms_p99"] = trial.Quantile(newcomers, 0.99)
+	return nil
+}
+
+// withRoom is which part of the tries inside their quotas was refused while the whole store held the units.
+func withRoom(s *trial.Site, rec *trial.Record) float64 {
+	losses, inside := 0, 0
+	for _, o := range trial.Outcomes(s, rec) {
+		if o.Inside {
+			inside++
+			if o.Kind == trial.Refused {
+				losses++
+			}
+		}
+	}
+	return float64(losses) / math.Max(1, float64(inside))
+}
+
+// trialRun is one world that runs.
+type trialRun struct {
+	f        *rig.Fleet
+	o        *Options
+	progress io.Writer
+	mu       sync.Mutex // guards what follows
+	did      map[string]int
+	busy     map[int]bool // gateways that something is done to
+	errs     []error
+}
+
+func (t *trialRun) count(what string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.did[what]++
+}
+
+func (t *trialRun) fail(err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err != nil {
+		t.errs = append(t.errs, err)
+	}
+}
+
+func (t *trialRun) note(format string, args ...any) {
+	fmt.Fprintf(t.progress, "  %6.2fs "+format+"\n", append([]any{t.f.Record.Now().Seconds()}, args...)...)
+}
+
+// view asks one gateway after another until one answers.
+func (t *trialRun) view(line string, into any) (err error) {
+	for i, g := range t.f.Gateways {
+		if !g.Running() || t.f.Stopped(i) {
+			continue
+		}
+		if err = t.f.Call(i, line, into); err == nil {
+			return nil
+		}
+	}
+	return errors.Join(errors.New("nobody tells "+line), err)
+}
+
+// owner is who owns a duty; -1: nobody, or nobody tells.
+func (t *trialRun) owner(duty string) int {
+	var v lease.View
+	if t.view("owners", &v) != nil {
+		return -1
+	}
+	for _, h := range v.Duties {
+		if i, err := strconv.Atoi(strings.TrimPrefix(h.Owner.ID, "n")); err == nil && h.Duty == duty && v.At <= h.Until {
+			return i
+		}
+	}
+	return -1
+}
+
+// settled waits until each shard has an owner.
+func (t *trialRun) settled(ctx context.Context) error {
+	if !strings.Contains(t.f.Operators(0), "[budgets]") {
+		return nil
+	}
+	for deadline := time.Now().Add(30 * time.Second); time.Now().Before(deadline) && ctx.Err() == nil; {
+		n := 0
+		for shard := range t.o.Shards {
+			if t.owner(budget.Duty(shard)) >= 0 {
+				n++
+			}
+		}
+		if n == t.o.Shards {
+			pass(ctx, time.Second) // all have heard of it
+			return nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return errors.New("the budgets have no owners")
+}
+
+func pass(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func span(r *rand.Rand, least, most float64) time.Duration {
+	return time.Duration(trial.Between(r, least, most) * float64(time.Second))
+}
+
+// faults does one thing after another to processes, and beside that to links.
+func (t *trialRun) faults(ctx context.Context) {
+	t.busy = map[int]bool{}
+	defer func() {
+		t.f.Heal()
+		for i, g := range t.f.Gateways {
+			if t.f.Stopped(i) {
+				t.fail(t.f.Wake(i))
+			}
+			if !g.Running() {
+				t.fail(t.f.Begin(i))
+			}
+		}
+	}()
+	var wg sync.WaitGroup
+	track := func(seed uint64, least, most float64, kinds ...func(context.Context, *rand.Rand, int)) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			r := rand.New(rand.NewPCG(t.o.Seed, seed))
+			for {
+				r.Shuffle(len(kinds), func(i, j int) { kinds[i], kinds[j] = kinds[j], kinds[i] })
+				for _, kind := range kinds {
+					if !pass(ctx, span(r, least, most)) {
+						return
+					}
+					if i := t.pick(r); i >= 0 {
+						kind(ctx, r, i)
+						t.free(i)
+					}
+				}
+			}
+		}()
+	}
+	track(0xb1, 1, 3, t.kill, t.leave, t.stop, t.stop)
+	track(0xb2, 1, 3, t.isolate, t.oneWay, t.isolate)
+	wg.Wait()
+}
+
+// pick draws a gateway that nothing is done to, every third time the owner of a shard.
+func (t *trialRun) pick(r *rand.Rand) int {
+	i := r.IntN(t.o.Instances)
+	if r.IntN(3) == 0 {
+		if own := t.owner(budget.Duty(r.IntN(t.o.Shards))); own >= 0 {
+			i = own
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.busy[i] {
+		return -1
+	}
+	t.busy[i] = true
+	return i
+}
+
+func (t *trialRun) free(i int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.busy[i] = false
+}
+
+func (t *trialRun) kill(ctx context.Context, r *rand.Rand, i int) {
+	t.note("kill %s", rig.Name(i))
+	t.count("kills")
+	t.fail(t.f.End(i, syscall.SIGKILL))
+	pass(ctx, span(r, 0.1, 5))
+	t.fail(t.f.Begin(i))
+	t.count("joins")
+}
+
+func (t *trialRun) leave(ctx context.Context, r *rand.Rand, i int) {
+	t.note("%s leaves", rig.Name(i))
+	t.count("leaves")
+	t.fail(t.f.End(i, syscall.SIGTERM))
+	pass(ctx, span(r, 0.1, 4))
+	t.fail(t.f.Begin(i))
+	t.count("joins")
+}
+
+func (t *trialRun) stop(ctx context.Context, r *rand.Rand, i int) {
+	d := span(r, 0.5, 2.2*budget.Defaults().Span.Seconds())
+	t.note("stop %s for %v", rig.Name(i), d.Round(time.Millisecond))
+	if err := t.f.Stop(i); err != nil {
+		t.fail(err)
+		return
+	}
+	t.count("stops")
+	pass(ctx, d)
+	t.fail(t.f.Wake(i))
+}
+
+func (t *trialRun) isolate(ctx context.Context, r *rand.Rand, i int) {
+	d := span(r, 0.5, 8)
+	t.note("cut %s off for %v", rig.Name(i), d.Round(time.Millisecond))
+	t.count("cuts")
+	t.f.Isolate(i, true, true, true)
+	pass(ctx, d)
+	t.f.Isolate(i, true, true, false)
+}
+
+func (t *trialRun) oneWay(ctx context.Context, r *rand.Rand, i int) {
+	to := r.IntN(2) == 0
+	t.note("cut %s off one way", rig.Name(i))
+	t.count("cuts")
+	t.f.Isolate(i, to, !to, true)
+	pass(ctx, span(r, 0.5, 5))
+	t.f.Isolate(i, to, !to, false)
+}
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -54,6 +55,7 @@
 	// Budgets are the rules by which quotas are divided; nil: they are not.
 	Budgets      *budget.Rules
 	BudgetShards int
+	Rights       io.Writer     // gets a line for each renewal of rights; nil: none
 	Silent       time.Duration // see fleetwatch.Watch
 }
 
@@ -137,6 +139,7 @@
 			n.duties.Add(budget.Duty(shard), n.divide.Work)
 		}
 		n.rights = budgets.NewUser(*cfg.Budgets, cfg.BudgetShards, n.client, n.duties, cfg.Log)
+		n.rights.Record(cfg.Rights)
 	}
 	go n.run(holding)
 	return n
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -39,6 +39,7 @@
 	Reserve   float64  `toml:"reserve"`
 	Every     Duration `toml:"every"`
 	BeginFull bool     `toml:"begin_full"`
+	Record    string   `toml:"record"` // a file; "": none
 }
 
 // Fleet is what the gateways agree on among themselves, and who does work on behalf of them all.
@@ -164,7 +165,7 @@
 		Fleet: Fleet{Folder: "fleet", Voters: []Voter{}, Addresses: map[string]string{}, Span: Duration(time.Second), Margin: 0.125,
 			Offer: Duration(500 * time.Millisecond), Tick: Duration(40 * time.Millisecond), Keep: 4096, Shards: 1, Period: Duration(5 * time.Second),
 			Silent: Duration(time.Second)},
-		Budgets: Budgets{Shards: 1, Span: Duration(3 * time.Second), FloorSpan: Duration(time.Minute), Floor: 0.2, Reserve: 0.4, Every: Duration(200 * time.Millisecond)},
+		Budgets: Budgets{Shards: 1, Span: Duration(3 * time.Second), FloorSpan: Duration(time.Minute), Floor: 0.15, Reserve: 0.8, Every: Duration(200 * time.Millisecond)},
 	}
 }
 
