--- a/budget/machine.go
+++ b/budget/machine.go
@@ -249,6 +249,7 @@
 type HeldBy struct {
 	Member lease.Member `json:"member"`
 	Held
+	Gone bool `json:"gone,omitempty"` // another process has its id now, or none: what it holds runs out
 }
 
 // Views reads what Query gave.
@@ -264,7 +265,7 @@
 	for _, id := range slices.Sorted(maps.Keys(books)) {
 		v := View{Budget: id, Whole: books[id].whole, Spread: books[id].spread, Spare: books[id].spare}
 		for _, who := range sorted(books[id].held) {
-			v.Held = append(v.Held, HeldBy{who, books[id].held[who]})
+			v.Held = append(v.Held, HeldBy{Member: who, Held: books[id].held[who]})
 		}
 		all = append(all, v)
 	}
--- a/cmd/mothcleat/fleet_test.go
+++ b/cmd/mothcleat/fleet_test.go
@@ -50,5 +50,13 @@
 	run(1, "copied", "check", "--operators", write(t, "copy.toml", strings.Replace(table, dir, copied, 1)))
 	run(1, "RELAY_CONFIG is not set", "fleet", "status")
 	run(1, "connection refused", "fleet", "status", "--door", "127.0.0.1:1")
+	run(2, "one customer at most", "fleet", "budgets", "a", "b")
+	var shown strings.Builder
+	err = showBudgets([]byte(`[{"budget":10,"whole":{"rate":4,"burst":9},"spare":2.5,"held":[{"member":{"id":"n1","boot":7},"part":{"rate":1,"burst":3},"floor":{"rate":0.5,"burst":1},"gone":true}]}]`), &shown)
+	for _, want := range []string{"000000000000000a", "4.00/s, 9.0", "n1", "1.00/s, 3.0", "gone", "3.00/s, 6.0", "2.5 kept"} {
+		if err != nil || !strings.Contains(shown.String(), want) {
+			t.Errorf("%v, no %q in %q", err, want, shown.String())
+		}
+	}
 	run(2, "unknown flag", "fleet", "status", "--dor", "x")
 }
--- a/cmd/mothcleat/fleetcommands.go
+++ b/cmd/mothcleat/fleetcommands.go
@@ -17,6 +17,7 @@
 	"github.com/spf13/cobra"
 
 	"mothcleat/agree"
+	"mothcleat/budget"
 	"mothcleat/exports"
 	"mothcleat/internal/exporter"
 	"mothcleat/internal/fleetnode"
@@ -70,7 +71,15 @@
 		}
 		return verifyExports(raw, dir, out)
 	}
-	c.AddCommand(
+	budgets := asking("budgets [CUSTOMER]", "quotas as they are divided: all that are, or one customer's", 0, showBudgets)
+	budgets.Args = func(_ *cobra.Command, args []string) error {
+		if len(args) > 1 {
+			return misuse{errors.New("one customer at most is wanted")}
+		}
+		return nil
+	}
+	c.AddCommand(budgets,
+		asking("rights", "what the gateway at the door may use of the quotas, and what it divides", 0, nil),
 		asking("here", "what the gateway at the door knows of itself", 0, nil),
 		asking("status", "voters, and processes with a session", 0, showStatus),
 		asking("owners", "the duties and who holds them", 0, showOwners),
@@ -192,6 +201,30 @@
 	return nil
 }
 
+func showBudgets(raw []byte, w io.Writer) error {
+	var all []budget.View
+	if err := json.Unmarshal(raw, &all); err != nil {
+		return err
+	}
+	fmt.Fprint(w, "CUSTOMER\tWHOLE\tBY\tPART\tFLOOR\tSTATE\n")
+	for _, v := range all {
+		rest := v.Whole
+		for _, h := range v.Held {
+			state := ""
+			if h.Gone {
+				state = "gone: it runs out"
+			}
+			fmt.Fprintf(w, "%016x\t%s\t%s\t%s\t%s\t%s\n", v.Budget, share(v.Whole), h.Member.ID, share(h.Part), share(h.Floor), state)
+			rest.Rate, rest.Burst = rest.Rate-h.Part.Rate, rest.Burst-h.Part.Burst
+		}
+		fmt.Fprintf(w, "%016x\t%s\treserve\t%s\t\t%.1f kept for a next owner\n", v.Budget, share(v.Whole), share(rest), v.Spare)
+	}
+	return nil
+}
+
+// share is a part as rate and burst.
+func share(s budget.Share) string { return fmt.Sprintf("%.2f/s, %.1f", s.Rate, s.Burst) }
+
 func showHistory(raw []byte, w io.Writer) error {
 	var all []lease.Holding
 	if err := json.Unmarshal(raw, &all); err != nil {
--- a/internal/fleetnode/call.go
+++ b/internal/fleetnode/call.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -83,7 +84,7 @@
 		held, did := n.rights.Rights()
 		what = Rights{n.me, steady.Now(), held, did, n.divide.Figures()}
 	case len(words) <= 2 && len(words) > 0 && words[0] == "budgets":
-		what, err = n.books(ctx)
+		what, err = n.books(ctx, words[1:])
 	case len(words) == 3 && words[0] == "transfer":
 		what, err = n.transfer(ctx, words[1], words[2])
 	case len(words) == 2 && words[0] == "remove":
@@ -98,7 +99,7 @@
 			what = s.Voter().Status().Applied
 		}
 	default:
-		err = fmt.Errorf("unknown call %.64q; here, status, owners, history DUTY, exports, rights, budgets, transfer DUTY ID, add, remove NAME or snapshot", argument)
+		err = fmt.Errorf("unknown call %.64q; here, status, owners, history DUTY, exports, rights, budgets [CUSTOMER], transfer DUTY ID, add, remove NAME or snapshot", argument)
 	}
 	var raw []byte
 	if err == nil {
@@ -120,14 +121,42 @@
 }
 
 // books are all budgets as they are agreed.
-func (n *Node) books(ctx context.Context) ([]budget.View, error) {
+func (n *Node) books(ctx context.Context, customer []string) (some []budget.View, err error) {
+	wanted := uint64(0)
+	if len(customer) > 0 {
+		if wanted, err = strconv.ParseUint(customer[0], 16, 64); err != nil {
+			return nil, fmt.Errorf("customer %.32q: up to 16 hexadecimal digits wanted", customer[0])
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, callWithin)
 	defer cancel()
 	raw, err := n.client.Ask(ctx, budget.MachineName, nil)
 	if err != nil {
 		return nil, err
 	}
-	return budget.Views(raw)
+	all, err := budget.Views(raw)
+	if err != nil {
+		return nil, err
+	}
+	l, err := n.List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	here := map[lease.Member]bool{}
+	for _, m := range l.Members {
+		here[m.Member] = true
+	}
+	some = []budget.View{}
+	for _, v := range all {
+		if len(customer) > 0 && v.Budget != wanted {
+			continue
+		}
+		for i := range v.Held {
+			v.Held[i].Gone = !here[v.Held[i].Member]
+		}
+		some = append(some, v)
+	}
+	return some, nil
 }
 
 // transfer has a duty go to another gateway: its owner hands it on when it hears of that.
