duties: those that are spread go home; a shard that is handed on keeps its reserve

The gateway that was up first owned all shards of the budgets until it went, and its loss stopped all loans. A duty that is spread goes to the first in rank once that has been there for 4 s, tried again after 30 s at the soonest. A term that is handed on ends with a round that keeps all of the reserve, so that the next owner begins with what there was. Shown by a fleet of four with six shards.

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -486,3 +486,27 @@
 		}
 	})
 }
+
+// A term that is handed on keeps all of its reserve for the next, and lends and renews nothing afterwards.
+func TestCloseKeepsAll(t *testing.T) {
+	r := newRig(t, Share{10, 100})
+	a := r.member("a", 1)
+	r.settle(20*time.Second, map[*Holder]float64{a: 2})
+	_, had := r.owner.Reserve(r.now, 1)
+	p := r.owner.Close(r.now)
+	if p == nil {
+		t.Fatal("nothing is kept")
+	}
+	var res Result
+	if err := json.Unmarshal(r.log.Apply(r.now, 0, r.terms.who, marshal(p)), &res); err != nil || !res.OK {
+		t.Fatal(err, res)
+	}
+	r.owner.Committed(r.now)
+	if r.lend(0.1) || r.owner.Renew(r.now, a.Renewal(r.now, 0)).Code != fleetpb.Code_NOT_LEADER {
+		t.Error("it lends or renews after its last round")
+	}
+	r.elect()
+	if _, began := r.owner.Reserve(r.now, 1); began < had-1e-9 || began > had+1e-9 {
+		t.Errorf("the next begins with %v of %v", began, had)
+	}
+}
--- a/budget/owner.go
+++ b/budget/owner.go
@@ -20,6 +20,7 @@
 	term   uint64
 	began  time.Duration
 	full   bool   // it is the first ever
+	closes bool   // it lends nothing any more
 	id     string // of the gateway that it runs in
 	number uint64 // of the last word
 
@@ -217,6 +218,9 @@
 	if ask.Duty != o.duty || !whole.sound() || whole.none() || !(ask.Units > 0) {
 		return &fleetpb.LoanAnswer{Code: fleetpb.Code_REFUSED, Why: "not an asking for this owner"}
 	}
+	if o.closes {
+		return &fleetpb.LoanAnswer{Code: fleetpb.Code_NOT_LEADER, Why: handsOn}
+	}
 	a := o.account(ask.Budget, whole, int(ask.Spread))
 	free := o.reserve(now, a)
 	a.most = math.Max(a.most, ask.Units)
@@ -243,6 +247,9 @@
 // Renew takes in a member's asking, and tells it all words that it has not acted on.
 func (o *Owner) Renew(now time.Duration, ask *fleetpb.RightsAsk) *fleetpb.RightsAnswer {
 	who := memberOf(ask.Member)
+	if o.closes {
+		return &fleetpb.RightsAnswer{Code: fleetpb.Code_NOT_LEADER, Why: handsOn}
+	}
 	if ask.Duty != o.duty || who.ID == "" {
 		return &fleetpb.RightsAnswer{Code: fleetpb.Code_REFUSED, Why: "not an asking for this owner"}
 	}
@@ -543,6 +550,33 @@
 	return math.Max(0, a.bank.level-2*a.most-math.Min(demand, a.whole.Rate)*keepFor.Seconds())
 }
 
+// Close gives the last round of a term that is handed on: all units of the reserve are kept for the next owner. Nothing is
+// lent or renewed any more. No other round may be proposed; nil: there is nothing to keep.
+func (o *Owner) Close(now time.Duration) *fleetpb.Round {
+	o.closes = true
+	if o.saving != nil {
+		return nil
+	}
+	round := &fleetpb.Round{Duty: o.duty, Term: o.term}
+	for _, id := range slices.Sorted(maps.Keys(o.budgets)) {
+		a := o.budgets[id]
+		o.reserve(now, a)
+		keep := math.Min(a.bank.level, math.Max(0, a.whole.Burst-a.held.Burst))
+		if keep <= a.spare {
+			continue
+		}
+		a.saving = keep
+		o.saving = append(o.saving, id)
+		round.Changes = append(round.Changes, &fleetpb.BudgetChange{Budget: id, Whole: a.whole.proto(), Spread: uint32(a.spread), Spare: keep})
+	}
+	if len(round.Changes) == 0 {
+		return nil
+	}
+	return round
+}
+
+const handsOn = "the shard is being handed on"
+
 // Refused takes in that the round is not agreed and never will be.
 func (o *Owner) Refused(now time.Duration) {
 	out := o.out
--- a/internal/budgets/divider.go
+++ b/internal/budgets/divider.go
@@ -43,7 +43,9 @@
 const (
 	planEach  = 20 * time.Millisecond // at most so long nothing is planned; a renewal that changes something has it looked at at once
 	readAgain = 50 * time.Millisecond
-	soonMost  = 80 * time.Millisecond // a loan waits for a round
+	// The last round of a term; the duty is handed on after 300 ms in any case.
+	closeWithin = 250 * time.Millisecond
+	soonMost    = 80 * time.Millisecond // a loan waits for a round
 )
 
 var notOwner = "this process does not own the shard"
@@ -76,8 +78,19 @@
 	}()
 	tick := time.NewTicker(planEach)
 	defer tick.Stop()
+	// A round that is under way when the duty is to be handed on is seen through.
+	through, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	defer context.AfterFunc(ctx, func() { time.AfterFunc(closeWithin, cancel) })()
+	defer func() {
+		if ctx.Err() != nil && o.tenure.Holds() {
+			if err := d.agree(through, o, (*budget.Owner).Close); err != nil {
+				d.Log.Info("budgets: what the reserve holds is not handed on", "duty", t.Duty, "error", err)
+			}
+		}
+	}()
 	for ctx.Err() == nil {
-		if err := d.round(ctx, o); err != nil {
+		if err := d.agree(through, o, (*budget.Owner).Plan); err != nil {
 			if ctx.Err() == nil {
 				// Whether it is agreed can't be known any more. Another term begins with what is.
 				d.Log.Error("budgets: a round is lost; the shard is given up", "duty", t.Duty, "term", t.Term, "error", err)
@@ -111,10 +124,10 @@
 	}
 }
 
-// round has what is planned agreed, if there is anything. It is asked for until it is known whether it was.
-func (d *Divider) round(ctx context.Context, o *office) error {
+// agree has what is planned agreed, if there is anything. It is asked for until it is known whether it was.
+func (d *Divider) agree(ctx context.Context, o *office, plan func(*budget.Owner, time.Duration) *fleetpb.Round) error {
 	o.mu.Lock()
-	round := o.owner.Plan(steady.Now())
+	round := plan(o.owner, steady.Now())
 	o.mu.Unlock()
 	if round == nil {
 		return nil
--- a/internal/budgettrial/budget_test.go
+++ b/internal/budgettrial/budget_test.go
@@ -44,7 +44,10 @@
 func fleet(t *testing.T, o rig.Options, clock func(i int) string) *trialRun {
 	t.Helper()
 	t.Parallel()
-	o.Bin, o.Load, o.Operators, o.Seed = bin, 0.3, Text(1), o.Seed+1
+	o.Bin, o.Load, o.Seed = bin, 0.3, o.Seed+1
+	if o.Operators == "" {
+		o.Operators = Text(1)
+	}
 	f, err := rig.New(t.Context(), o)
 	if err != nil {
 		t.Fatal(err)
@@ -297,3 +300,23 @@
 		t.Errorf("%v", all[0])
 	}
 }
+
+// Whoever was up first, the shards go to several gateways, and back when one of those has been replaced.
+func TestShardsAreSpread(t *testing.T) {
+	const shards = 6
+	run := fleet(t, rig.Options{Instances: 4, Seed: 7, Operators: Text(shards)}, nil)
+	spread := func() bool {
+		owners := map[int]bool{}
+		for shard := range shards {
+			owners[run.owner(budget.Duty(shard))] = true
+		}
+		return len(owners) >= 3 && !owners[-1]
+	}
+	play(t, run, func() {
+		eventually(t, "three owners", spread)
+		i := ownerOf(t, run)
+		check(t, run.f.End(i, syscall.SIGTERM), run.f.Begin(i))
+		eventually(t, "three owners again", spread)
+	})
+	kept(t, run)
+}
--- a/internal/duties/duties.go
+++ b/internal/duties/duties.go
@@ -62,25 +62,28 @@
 
 	mu      sync.Mutex
 	members []string                 // that have a session, this one among them
+	since   map[string]time.Duration // from when on they were there, whenever looked
 	at      map[string]string        // where they are reached, by id
 	owners  map[string]lease.Holding // as a voter last told, by duty
 	unknown chan struct{}            // an owner is not among the members that are known
 }
 
 const (
-	membersEach = 3 * time.Second
-	rankWait    = 60 * time.Millisecond // a member waits so long for each that comes before it
-	ranks       = 5                     // those behind look seldom: they are for when all of these are gone
-	lookMost    = 700 * time.Millisecond
-	lookSeldom  = 3 * time.Second
-	askWithin   = 2 * time.Second
-	failedAfter = 100 * time.Millisecond
-	endWithin   = 300 * time.Millisecond // for work to end before its duty is handed on
+	membersEach  = 3 * time.Second
+	rankWait     = 60 * time.Millisecond // a member waits so long for each that comes before it
+	ranks        = 5                     // those behind look seldom: they are for when all of these are gone
+	lookMost     = 700 * time.Millisecond
+	lookSeldom   = 3 * time.Second
+	askWithin    = 2 * time.Second
+	failedAfter  = 100 * time.Millisecond
+	settledAfter = 4 * time.Second
+	moveEach     = 30 * time.Second       // a duty that did not go home is tried again
+	endWithin    = 300 * time.Millisecond // for work to end before its duty is handed on
 )
 
 // New makes a set; Run has it begin.
 func New(opt Options) *Set {
-	return &Set{opt: opt, runners: map[string]*runner{}, at: map[string]string{}, owners: map[string]lease.Holding{}, unknown: make(chan struct{}, 1)}
+	return &Set{opt: opt, runners: map[string]*runner{}, at: map[string]string{}, since: map[string]time.Duration{}, owners: map[string]lease.Holding{}, unknown: make(chan struct{}, 1)}
 }
 
 // Owner is who owns a duty as far as this process has heard, and where it is reached. It may be over: whoever is asked
@@ -98,6 +101,32 @@
 		holder: lease.NewHolder(s.opt.Rules, name, s.opt.Client.Me())}
 }
 
+// Spread names a duty like Add. Of several that are named so each goes to the first in rank once that has been there for a while: so
+// they are spread evenly, whoever was up first.
+func (s *Set) Spread(name string, work Work) {
+	s.Add(name, work)
+	s.runners[name].spread = true
+}
+
+// home is who a duty that is spread should go to now; "": it stays.
+func (s *Set) home(r *runner, now time.Duration) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !r.spread || now < r.moveAt {
+		return ""
+	}
+	for _, id := range s.members {
+		if lease.Rank(r.name, id, s.members) == 0 {
+			if since, ok := s.since[id]; !ok || id == s.opt.Client.Me().ID || now-since < settledAfter {
+				return ""
+			}
+			r.moveAt = now + moveEach // it may be there and not able to take it
+			return id
+		}
+	}
+	return ""
+}
+
 // Run holds duties until the context ends, and then hands on what it holds. It returns when that is done, or after the
 // holdings are over.
 func (s *Set) Run(ctx context.Context) {
@@ -138,9 +167,14 @@
 		if err == nil {
 			s.mu.Lock()
 			s.members = idsOf(all)
+			there := map[string]time.Duration{}
 			for _, m := range all {
 				s.at[m.ID] = m.Address
+				if there[m.ID] = steady.Now(); s.since[m.ID] > 0 {
+					there[m.ID] = s.since[m.ID]
+				}
 			}
+			s.since = there
 			s.mu.Unlock()
 		}
 		select {
@@ -248,8 +282,10 @@
 	holder *lease.Holder
 	wish   string // hand it on to that one
 	quit   bool   // hand it on to whoever is there
-	soon   bool   // it was offered to this process
-	freed  bool   // nobody holds it
+	spread bool
+	moveAt time.Duration // it is not moved home before
+	soon   bool          // it was offered to this process
+	freed  bool          // nobody holds it
 	cancel context.CancelFunc
 	ender  *time.Timer // ends the work with the holding, whatever this runner waits for
 	worked chan struct{}
@@ -300,6 +336,9 @@
 			r.holder.Failed(now, -1, time.Duration(rank)*rankWait)
 		}
 	}
+	if held && wish == "" && !quit {
+		wish = r.set.home(r, now)
+	}
 	if r.soon {
 		r.soon = false
 		r.holder.Failed(now, -1, 0)
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -136,7 +136,7 @@
 	if cfg.Budgets != nil {
 		n.divide = &budgets.Divider{Rules: *cfg.Budgets, Client: n.client, Log: cfg.Log}
 		for shard := range cfg.BudgetShards {
-			n.duties.Add(budget.Duty(shard), n.divide.Work)
+			n.duties.Spread(budget.Duty(shard), n.divide.Work)
 		}
 		n.rights = budgets.NewUser(*cfg.Budgets, cfg.BudgetShards, n.client, n.duties, cfg.Log)
 		n.rights.Record(cfg.Rights)
