budget: demand is taken over the time in which a store fills twice

At the size of 300 gateways and 20,000 customers half of all parts changed each second, as small quotas are asked for now and then and a window of 2 s is chance.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -107,7 +107,7 @@
 // Defaults are rules that docs/budgets.md gives the reasons for.
 func Defaults() Rules {
 	return Rules{Span: 3 * time.Second, FloorSpan: time.Minute, LoanSpan: 250 * time.Millisecond, Margin: 0.125,
-		Floor: 0.3, Reserve: 0.5, Parting: 0.7, Step: 0.1, Every: 200 * time.Millisecond, Forget: time.Minute}
+		Floor: 0.3, Reserve: 0.5, Parting: 0.7, Step: 0.15, Every: 200 * time.Millisecond, Forget: time.Minute}
 }
 
 func (r *Rules) withMargin(d time.Duration) time.Duration {
--- a/budget/owner.go
+++ b/budget/owner.go
@@ -92,11 +92,12 @@
 }
 
 const (
-	claimTime  = 2 * time.Second // over which demand is taken
-	settle     = time.Second     // between two divisions of one budget by demand
-	claimLeast = 0.01            // units a second: below, there is no demand
-	soon       = 30 * time.Millisecond
-	keepFor    = time.Second // in which a round is agreed, or the duty is lost
+	claimLeastTime = 2 * time.Second // over which demand is taken, at least and at most
+	claimMostTime  = 20 * time.Second
+	settle         = time.Second // between two divisions of one budget by demand
+	claimLeast     = 0.01        // units a second: below, there is no demand
+	soon           = 30 * time.Millisecond
+	keepFor        = time.Second // in which a round is agreed, or the duty is lost
 )
 
 // NewOwner begins a term with what is agreed. Members that the books name are taken to have been renewed just now:
@@ -325,8 +326,9 @@
 		a.whole, a.next = whole, 0 // it has changed at this member: a newer configuration
 	}
 	h.whole = whole
-	part := math.Exp(-max(0, now-h.at).Seconds() / claimTime.Seconds())
-	h.claim.Demand, h.claim.Most, h.at = h.claim.Demand*part+w.Asked/claimTime.Seconds(), math.Max(h.claim.Most*part, w.Most), now
+	window := a.window().Seconds()
+	part := math.Exp(-max(0, now-h.at).Seconds() / window)
+	h.claim.Demand, h.claim.Most, h.at = h.claim.Demand*part+w.Asked/window, math.Max(h.claim.Most*part, w.Most), now
 	if w.Asked > 0 {
 		h.wants, h.wanted = true, now
 		o.stirred[w.Budget] = true
@@ -357,6 +359,15 @@
 	}
 }
 
+// window is over which time a budget's demand is taken: a small quota is asked for now and then, and its parts are not to follow
+// chance.
+func (a *account) window() time.Duration {
+	if a.whole.Rate <= 0 {
+		return claimMostTime
+	}
+	return min(claimMostTime, max(claimLeastTime, time.Duration(2*a.whole.Burst/a.whole.Rate*float64(time.Second))))
+}
+
 // lapsed tells what a member may be using of what it holds, by the owner's clock and the margin.
 func (o *Owner) lapsed(now time.Duration, m *member, h Held) Held {
 	switch since := now - m.heard; {
@@ -429,7 +440,7 @@
 		if now-m.heard < o.rules.Span && !m.gone {
 			alive = append(alive, w)
 			c := h.claim
-			if c.Demand *= math.Exp(-max(0, now-h.at).Seconds() / claimTime.Seconds()); c.Demand < claimLeast {
+			if c.Demand *= math.Exp(-max(0, now-h.at).Seconds() / a.window().Seconds()); c.Demand < claimLeast {
 				c.Demand = 0
 			}
 			c.Idle = now-h.wanted > o.rules.Forget
@@ -492,7 +503,7 @@
 			o.figures.Raised++
 		}
 	}
-	a.next = now + settle
+	a.next = now + max(settle, a.window()/4)
 	if a.wanting() {
 		o.stirred[id] = true
 		a.next = now + o.rules.Every
