budget: less is left unkept, and a loan that waits for a round gets it

A next owner began with nothing of small quotas: two of the largest requests and a second's demand were left unkept. Now it is two usual ones and 300 ms, and what a loan that waits needs is let go with the next round.

--- a/budget/owner.go
+++ b/budget/owner.go
@@ -60,7 +60,8 @@
 	bank   bank          // the reserve's units
 	spare  float64       // units of the bank that are lent no one, as agreed: the next owner begins with them
 	saving float64       // and as is proposed; below 0: nothing is
-	most   float64       // units of the largest request of late
+	usual  float64       // units of a loan
+	short  float64       // units of the largest loan that waits for less to be kept
 	room   *rooms        // nil: nothing was ever given back
 	next   time.Duration // it is not divided anew before
 }
@@ -97,7 +98,7 @@
 	settle         = time.Second // between two divisions of one budget by demand
 	claimLeast     = 0.01        // units a second: below, there is no demand
 	soon           = 30 * time.Millisecond
-	keepFor        = time.Second // in which a round is agreed, or the duty is lost
+	keepFor        = 300 * time.Millisecond // in which a round is agreed but for a change of leader
 )
 
 // NewOwner begins a term with what is agreed. Members that the books name are taken to have been renewed just now:
@@ -224,9 +225,10 @@
 	}
 	a := o.account(ask.Budget, whole, int(ask.Spread))
 	free := o.reserve(now, a)
-	a.most = math.Max(a.most, ask.Units)
+	a.usual += (ask.Units - a.usual) * 0.1
 	if a.bank.level >= ask.Units && a.bank.level-ask.Units < math.Max(a.spare, a.saving) {
 		o.stirred[ask.Budget] = true
+		a.short = math.Max(a.short, ask.Units)
 		return &fleetpb.LoanAnswer{Term: o.term, Soon: true, After: int64(soon)}
 	}
 	if a.bank.level < ask.Units {
@@ -239,7 +241,7 @@
 	}
 	o.figures.Lent++
 	a.bank.level -= ask.Units
-	if a.bank.level-a.spare < a.most {
+	if a.bank.level-a.spare < a.usual {
 		o.stirred[ask.Budget] = true
 	}
 	return &fleetpb.LoanAnswer{Lent: true, Term: o.term}
@@ -400,7 +402,7 @@
 		// What is kept for the next owner goes up and down with the bank: in steps, and at once where it stands in the way.
 		o.reserve(now, a) // it is smaller by what is to be raised
 		keep := math.Min(a.keep(), math.Max(0, a.whole.Burst-a.held.Burst-a.rising.Burst))
-		if len(changes) == 0 && math.Abs(keep-a.spare) < a.whole.Burst*o.rules.Step && (keep >= a.spare || a.bank.level-a.spare >= a.most) {
+		if len(changes) == 0 && a.short == 0 && math.Abs(keep-a.spare) < a.whole.Burst*o.rules.Step && (keep >= a.spare || a.bank.level-a.spare >= a.usual) {
 			continue
 		}
 		a.saving = keep
@@ -547,7 +549,7 @@
 	}
 	for _, id := range o.saving {
 		a := o.budgets[id]
-		a.spare, a.saving = a.saving, -1
+		a.spare, a.saving, a.short = a.saving, -1, 0
 	}
 	o.out, o.saving = nil, nil
 }
@@ -558,7 +560,7 @@
 	for _, h := range a.holds {
 		demand += h.claim.Demand
 	}
-	return math.Max(0, a.bank.level-2*a.most-math.Min(demand, a.whole.Rate)*keepFor.Seconds())
+	return math.Max(0, a.bank.level-2*a.usual-a.short-math.Min(demand, a.whole.Rate)*keepFor.Seconds())
 }
 
 // Close gives the last round of a term that is handed on: all units of the reserve are kept for the next owner. Nothing is
