budget: the process that was started last says what a quota is

Plans change with new processes, and a quota was changed only when one process said two things: it never was. Now each asking says how old its process is, and the youngest is believed, for loans as well. Shown by four gateways that are replaced one after another with quotas of a quarter: no window passes the new ones.

--- a/budget/holder.go
+++ b/budget/holder.go
@@ -17,6 +17,7 @@
 	rules  Rules
 	me     lease.Member
 	shards []side
+	born   time.Duration // when it first asked; 0: it has not
 }
 
 // side is what the owner of one shard has told.
@@ -150,10 +151,18 @@
 	}
 }
 
+// Age is how old this process is, in nanoseconds, as it tells owners.
+func (h *Holder) Age(now time.Duration) int64 {
+	if h.born == 0 {
+		h.born = now
+	}
+	return int64(now - h.born)
+}
+
 // Renewal is the asking to be sent to the owner of a shard now, of which Answer takes the answer.
 func (h *Holder) Renewal(now time.Duration, shard int) *fleetpb.RightsAsk {
 	s := &h.shards[shard]
-	a := &fleetpb.RightsAsk{Member: &fleetpb.Member{Id: h.me.ID, Boot: h.me.Boot}, Duty: s.duty, Term: s.term, Number: s.number, Heard: s.heard}
+	a := &fleetpb.RightsAsk{Age: h.Age(now), Member: &fleetpb.Member{Id: h.me.ID, Boot: h.me.Boot}, Duty: s.duty, Term: s.term, Number: s.number, Heard: s.heard}
 	for _, id := range slices.Sorted(maps.Keys(s.rights)) {
 		r := s.rights[id]
 		s.refill(r, now)
--- a/budget/owner.go
+++ b/budget/owner.go
@@ -46,6 +46,7 @@
 type member struct {
 	heard   time.Duration // when it was last renewed
 	number  uint64        // up to which it has acted on words
+	started time.Duration // about
 	gone    bool          // it runs no more, or uses nothing any more: by its own word or its heir's
 	budgets map[uint64]bool
 }
@@ -53,6 +54,7 @@
 // account is a budget as its owner keeps it.
 type account struct {
 	whole  Share
+	from   time.Duration // when the process was started that said so
 	spread int
 	holds  map[lease.Member]*hold
 	held   Share         // what members may be using, as agreed
@@ -73,7 +75,6 @@
 	number   uint64        // of that word
 	given    float64       // units that went with words
 	returned float64       // units that it has told of
-	whole    Share         // as it last said
 	late     float64       // of those, units that come free with what the member was told to lessen
 	since    time.Duration // units that it has not told of yet came free after that; 0: not known
 	claim    Claim
@@ -224,6 +225,7 @@
 		return &fleetpb.LoanAnswer{Code: fleetpb.Code_NOT_LEADER, Why: handsOn}
 	}
 	a := o.account(ask.Budget, whole, int(ask.Spread))
+	o.believe(a, whole, o.age(now, o.member(now, memberOf(ask.Member)), ask.Age))
 	free := o.reserve(now, a)
 	a.usual += (ask.Units - a.usual) * 0.1
 	if a.bank.level >= ask.Units && a.bank.level-ask.Units < math.Max(a.spare, a.saving) {
@@ -268,6 +270,7 @@
 	if m.gone {
 		return &fleetpb.RightsAnswer{Code: fleetpb.Code_SUPERSEDED, Why: fmt.Sprintf("%s has left, by its own word or its heir's", who)}
 	}
+	o.age(now, m, ask.Age)
 	ours := ask.Term == o.term // else its words and sums are about another owner's
 	if ours {
 		m.number = max(m.number, ask.Number)
@@ -324,10 +327,7 @@
 		a.holds[who], a.next = h, 0
 		m.budgets[w.Budget] = true
 	}
-	if h.whole != (Share{}) && h.whole != whole && a.whole != whole {
-		a.whole, a.next = whole, 0 // it has changed at this member: a newer configuration
-	}
-	h.whole = whole
+	o.believe(a, whole, m.started)
 	window := a.window().Seconds()
 	part := math.Exp(-max(0, now-h.at).Seconds() / window)
 	h.claim.Demand, h.claim.Most, h.at = h.claim.Demand*part+w.Asked/window, math.Max(h.claim.Most*part, w.Most), now
@@ -341,6 +341,25 @@
 	}
 }
 
+// age takes note of when a member's process was started, and gives it.
+func (o *Owner) age(now time.Duration, m *member, age int64) time.Duration {
+	if m.started == 0 {
+		m.started = now - time.Duration(max(0, age))
+	}
+	return m.started
+}
+
+// believe takes in what a budget's whole is by a process's configuration. Configurations change with processes: the youngest is
+// believed.
+func (o *Owner) believe(a *account, whole Share, started time.Duration) {
+	if started < a.from {
+		return
+	}
+	if a.from = started; a.whole != whole {
+		a.whole, a.next = whole, 0
+	}
+}
+
 // back takes in units that a member has given back.
 func (o *Owner) back(now time.Duration, a *account, h *hold, units float64) {
 	if units == 0 {
--- a/internal/budgets/user.go
+++ b/internal/budgets/user.go
@@ -152,7 +152,10 @@
 	defer func() { <-u.loans }()
 	ctx, cancel := context.WithTimeout(context.Background(), lendWithin)
 	defer cancel()
-	ask := &fleetpb.LoanAsk{Duty: budget.Duty(shard), Budget: l.Budget.ID, Units: units,
+	u.mu.Lock()
+	age := u.holder.Age(steady.Now())
+	u.mu.Unlock()
+	ask := &fleetpb.LoanAsk{Age: age, Duty: budget.Duty(shard), Budget: l.Budget.ID, Units: units,
 		Whole: &fleetpb.Share{Rate: l.Budget.Rate, Burst: l.Budget.Burst}, Spread: uint32(l.Budget.Spread)}
 	a, err := u.client.Borrow(ctx, owner.ID, address, ask)
 	u.mu.Lock()
--- a/internal/budgettrial/budget_test.go
+++ b/internal/budgettrial/budget_test.go
@@ -320,3 +320,53 @@
 	})
 	kept(t, run)
 }
+
+// Quotas are lessened to a quarter while all of them are out, by a configuration that comes with one new process after another.
+func TestQuotaLessenedByANewConfiguration(t *testing.T) {
+	run := fleet(t, rig.Options{Instances: 4, Seed: 8}, nil)
+	var since time.Duration
+	play(t, run, func() {
+		for i := range run.f.Site.Plans {
+			p := &run.f.Site.Plans[i]
+			p.Rate, p.Burst = p.Rate/4, p.Burst/4
+		}
+		for i := range 4 {
+			check(t, run.f.End(i, syscall.SIGTERM), run.f.Begin(i))
+		}
+		plans := map[float64]bool{}
+		for _, p := range run.f.Site.Plans {
+			plans[p.Burst] = true
+		}
+		eventually(t, "the new wholes", func() bool {
+			var books []budget.View
+			if run.f.Call(0, "budgets", &books) != nil {
+				return false
+			}
+			seen := 0
+			for _, b := range books {
+				sum := 0.0
+				for _, h := range b.Held {
+					sum += h.Part.Burst
+				}
+				if len(b.Held) == 0 {
+					continue // nobody was asked for it since
+				}
+				if seen++; !plans[b.Whole.Burst] || sum > b.Whole.Burst+1e-6 {
+					return false
+				}
+			}
+			return seen > 0
+		})
+		since = run.f.Record.Now() + 2*time.Second // customers that ask now and then are heard of
+		pass(t.Context(), 4*time.Second)
+	})
+	all := WindowsSince(run.f.Site, run.f.Record, Slack{Late: budget.Defaults().LoanSpan}, since)
+	for _, w := range all {
+		if w.Over > 0 {
+			t.Error(w)
+		}
+	}
+	if len(all) == 0 {
+		t.Error("nothing was taken under the new quotas")
+	}
+}
--- a/internal/budgettrial/judge.go
+++ b/internal/budgettrial/judge.go
@@ -31,7 +31,12 @@
 
 // Windows holds against the whole what servers took of each customer, over every window, the worst first. A try's units
 // count once, when it first reached a server.
-func Windows(s *trial.Site, rec *trial.Record, slack Slack) (all []Window) {
+func Windows(s *trial.Site, rec *trial.Record, slack Slack) []Window {
+	return WindowsSince(s, rec, slack, 0)
+}
+
+// WindowsSince is Windows of what reached servers from a time on.
+func WindowsSince(s *trial.Site, rec *trial.Record, slack Slack, since time.Duration) (all []Window) {
 	first := map[string]time.Duration{}
 	for _, a := range rec.Attempts {
 		if at, ok := first[a.ID]; !ok || a.Whole < at {
@@ -45,7 +50,7 @@
 	uses, plans := map[string][]use{}, map[string]int{}
 	for i := range rec.Tries {
 		t := &rec.Tries[i]
-		if at, ok := first[t.ID]; ok {
+		if at, ok := first[t.ID]; ok && at >= since {
 			uses[t.Customer] = append(uses[t.Customer], use{at, t.Units})
 			plans[t.Customer] = t.Plan
 		}
