--- a/internal/budgets/divider.go
+++ b/internal/budgets/divider.go
@@ -28,6 +28,7 @@
 
 	mu      sync.Mutex
 	offices map[string]*office
+	divided map[string]uint64 // the last term under which this process divided a shard
 }
 
 // office is one shard that this process owns now.
@@ -52,6 +53,12 @@
 
 // Work divides a shard for as long as the duty is held.
 func (d *Divider) Work(ctx context.Context, t *duties.Tenure) {
+	if !d.first(t) {
+		// The duty lapsed, and was renewed under the same term, as nobody else asked. What was given since the term began is
+		// known to an Owner that has ended: another one begins with another term.
+		t.GiveUp()
+		return
+	}
 	books, err := d.read(ctx, t.Duty)
 	if err != nil {
 		return
@@ -106,6 +113,20 @@
 	}
 }
 
+// first tells whether this process divides under a term for the first time.
+func (d *Divider) first(t *duties.Tenure) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.divided == nil {
+		d.divided = map[string]uint64{}
+	}
+	if t.Term <= d.divided[t.Duty] {
+		return false
+	}
+	d.divided[t.Duty] = t.Term
+	return true
+}
+
 // read has the books as they are agreed under the term.
 func (d *Divider) read(ctx context.Context, duty string) (*fleetpb.Books, error) {
 	for {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -33,11 +33,12 @@
 	Instances int
 	Voters    int // the first so many; 0: three, or five of seven and more
 	Load      float64
-	Servers   int    // 0: ten
-	Bin       string // built with the tag faults; "": it is built
-	Consul    bool   // the register is Consul, with an agent for each gateway, which one gateway watches for all
-	Fleet     string // further lines of [fleet]
-	Operators string // further tables
+	Servers   int                // 0: ten
+	Bin       string             // built with the tag faults; "": it is built
+	Consul    bool               // the register is Consul, with an agent for each gateway, which one gateway watches for all
+	Fleet     string             // further lines of [fleet]
+	Operators string             // further tables
+	Env       func(i int) string // a variable more for each gateway; nil: none
 	Log       io.Writer
 }
 
@@ -124,6 +125,9 @@
 			}
 		}
 	}
+	if f.opt.Env != nil {
+		g.SetEnv(f.opt.Env(g.Number))
+	}
 	text := f.Operators(g.Number)
 	if f.opt.Consul {
 		text += fmt.Sprintf("[register]\nsource = \"consul\"\nservice = \"quotes\"\nagents = [%q]\nwait = \"2s\"\n", w.Consul.Agent(g.Number).Address)
