sim/plays: one loop for both searches; rig.Pass for both trials

The searches of owners and of budgets had the same loop over all cores, and the trials the same wait.

--- a/internal/budgettrial/budget_test.go
+++ b/internal/budgettrial/budget_test.go
@@ -100,9 +100,9 @@
 		defer close(done)
 		run.f.Clients.Run(ctx)
 	}()
-	pass(ctx, time.Second)
+	rig.Pass(ctx, time.Second)
 	do()
-	pass(ctx, time.Second)
+	rig.Pass(ctx, time.Second)
 	cancel()
 	<-done
 }
@@ -209,7 +209,7 @@
 		// A holder stops between taking units and its last look at the clock, for twice its span, and is woken with requests queued.
 		i := (ownerOf(t, run) + 1) % 4
 		run.stands(t, i, "stop", "right-taken")
-		pass(t.Context(), 2*budget.Defaults().Span)
+		rig.Pass(t.Context(), 2*budget.Defaults().Span)
 		check(t, run.f.Wake(i))
 		run.f.Record.AddLife(i, trial.Woken)
 		// The owner stops between having a round agreed and telling it, and before: its words come after those of the next.
@@ -217,7 +217,7 @@
 			i := ownerOf(t, run)
 			run.stands(t, i, "stop", point)
 			eventually(t, "another owner", func() bool { own := run.owner(budget.Duty(0)); return own >= 0 && own != i })
-			pass(t.Context(), time.Second)
+			rig.Pass(t.Context(), time.Second)
 			check(t, run.f.Wake(i))
 			run.f.Record.AddLife(i, trial.Woken)
 		}
@@ -277,7 +277,7 @@
 	run := fleet(t, rig.Options{Instances: 4, Seed: 6}, func(i int) string {
 		return []string{"pace=0.9", "ahead=30s", "", "jump=1m@12s"}[i]
 	})
-	play(t, run, func() { pass(t.Context(), 4*time.Second) })
+	play(t, run, func() { rig.Pass(t.Context(), 4*time.Second) })
 	all := Windows(run.f.Site, run.f.Record, Slack{Late: budget.Defaults().LoanSpan, Pace: budget.Defaults().Margin})
 	if len(all) == 0 || all[0].Over > 0 {
 		t.Errorf("%v", all[0])
@@ -341,7 +341,7 @@
 			return seen > 0
 		})
 		since = run.f.Record.Now() + 2*time.Second // customers that ask now and then are heard of
-		pass(t.Context(), 4*time.Second)
+		rig.Pass(t.Context(), 4*time.Second)
 	})
 	all := WindowsSince(run.f.Site, run.f.Record, Slack{Late: budget.Defaults().LoanSpan}, since)
 	for _, w := range all {
--- a/internal/budgettrial/run.go
+++ b/internal/budgettrial/run.go
@@ -282,7 +282,7 @@
 			}
 		}
 		if n == t.o.Shards {
-			pass(ctx, time.Second) // all have heard of it
+			rig.Pass(ctx, time.Second) // all have heard of it
 			return nil
 		}
 		time.Sleep(50 * time.Millisecond)
@@ -290,15 +290,6 @@
 	return errors.New("the budgets have no owners")
 }
 
-func pass(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 func span(r *rand.Rand, least, most float64) time.Duration {
 	return time.Duration(trial.Between(r, least, most) * float64(time.Second))
 }
@@ -326,7 +317,7 @@
 			for {
 				r.Shuffle(len(kinds), func(i, j int) { kinds[i], kinds[j] = kinds[j], kinds[i] })
 				for _, kind := range kinds {
-					if !pass(ctx, span(r, least, most)) {
+					if !rig.Pass(ctx, span(r, least, most)) {
 						return
 					}
 					if i := t.pick(r); i >= 0 {
@@ -372,7 +363,7 @@
 	t.note("kill %s", rig.Name(i))
 	t.count("kills")
 	t.fail(t.f.End(i, syscall.SIGKILL))
-	pass(ctx, span(r, 0.1, 5))
+	rig.Pass(ctx, span(r, 0.1, 5))
 	t.fail(t.f.Begin(i))
 	t.count("joins")
 }
@@ -381,7 +372,7 @@
 	t.note("%s leaves", rig.Name(i))
 	t.count("leaves")
 	t.fail(t.f.End(i, syscall.SIGTERM))
-	pass(ctx, span(r, 0.1, 4))
+	rig.Pass(ctx, span(r, 0.1, 4))
 	t.fail(t.f.Begin(i))
 	t.count("joins")
 }
@@ -394,7 +385,7 @@
 		return
 	}
 	t.count("stops")
-	pass(ctx, d)
+	rig.Pass(ctx, d)
 	t.fail(t.f.Wake(i))
 }
 
@@ -403,7 +394,7 @@
 	t.note("cut %s off for %v", rig.Name(i), d.Round(time.Millisecond))
 	t.count("cuts")
 	t.f.Isolate(i, true, true, true)
-	pass(ctx, d)
+	rig.Pass(ctx, d)
 	t.f.Isolate(i, true, true, false)
 }
 
@@ -412,6 +403,6 @@
 	t.note("cut %s off one way", rig.Name(i))
 	t.count("cuts")
 	t.f.Isolate(i, to, !to, true)
-	pass(ctx, span(r, 0.5, 5))
+	rig.Pass(ctx, span(r, 0.5, 5))
 	t.f.Isolate(i, to, !to, false)
 }
--- a/internal/ownertrial/run.go
+++ b/internal/ownertrial/run.go
@@ -137,7 +137,7 @@
 func (t *trialRun) atRest(ctx context.Context) float64 {
 	const length = 3 * time.Second
 	before := t.f.Passed()
-	if !pass(ctx, length) {
+	if !rig.Pass(ctx, length) {
 		return 0
 	}
 	return float64(t.f.Passed()-before) / length.Seconds() / float64(t.o.Instances)
@@ -243,15 +243,6 @@
 	}
 }
 
-func pass(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // faults does one thing to processes after another, and beside that one thing to links after another, each kind in
 // turn in an order that the seed draws.
 func (t *trialRun) faults(ctx context.Context) {
@@ -265,7 +256,7 @@
 			for {
 				r.Shuffle(len(kinds), func(i, j int) { kinds[i], kinds[j] = kinds[j], kinds[i] })
 				for _, kind := range kinds {
-					if !pass(ctx, span(r, least, most)) {
+					if !rig.Pass(ctx, span(r, least, most)) {
 						return
 					}
 					kind(ctx, r)
@@ -305,7 +296,7 @@
 		return
 	}
 	t.count("stops")
-	pass(ctx, d)
+	rig.Pass(ctx, d)
 	t.fail(t.f.Wake(i))
 }
 
@@ -338,7 +329,7 @@
 		return
 	}
 	for wait := time.Now(); !t.f.Stopped(i); {
-		if time.Since(wait) > 4*time.Second || !pass(ctx, 5*time.Millisecond) {
+		if time.Since(wait) > 4*time.Second || !rig.Pass(ctx, 5*time.Millisecond) {
 			_ = os.Remove(flag)
 			return
 		}
@@ -347,7 +338,7 @@
 	t.ended(duty, h, false)
 	t.note("%s stopped itself at %s, owner of %s under term %d", rig.Name(i), point, duty, h.Term)
 	t.count("stops")
-	pass(ctx, span(r, 3, 5))
+	rig.Pass(ctx, span(r, 3, 5))
 	if _, next := t.owner(duty); next.Term > h.Term {
 		t.count("late_wakes")
 	}
@@ -369,7 +360,7 @@
 	if then != nil {
 		then()
 	}
-	pass(ctx, span(r, 0.2, 2))
+	rig.Pass(ctx, span(r, 0.2, 2))
 	t.fail(t.f.Begin(i))
 }
 
@@ -404,7 +395,7 @@
 	}
 	t.f.Gateways[i].Expect(syscall.SIGKILL)
 	for wait := time.Now(); t.f.Gateways[i].Running(); {
-		if time.Since(wait) > 4*time.Second || !pass(ctx, 5*time.Millisecond) {
+		if time.Since(wait) > 4*time.Second || !rig.Pass(ctx, 5*time.Millisecond) {
 			_ = os.Remove(flag)
 			t.f.Gateways[i].Expect(0)
 			return
@@ -417,7 +408,7 @@
 	t.count("kills")
 	t.killed[i]++
 	t.note("%s killed itself at %s", rig.Name(i), point)
-	pass(ctx, span(r, 0.2, 1.5))
+	rig.Pass(ctx, span(r, 0.2, 1.5))
 	t.fail(t.f.Begin(i))
 }
 
@@ -430,7 +421,7 @@
 	says := r.IntN(2) == 0
 	t.note("%s %s", rig.Name(i), map[bool]string{true: "is heard by nobody", false: "hears nobody"}[says])
 	t.f.Isolate(i, says, !says, true)
-	pass(ctx, span(r, 2, 4))
+	rig.Pass(ctx, span(r, 2, 4))
 	t.f.Isolate(i, says, !says, false)
 	t.count("cuts")
 }
@@ -444,12 +435,12 @@
 	if i == j || r.IntN(2) == 0 {
 		t.note("%s is cut off", rig.Name(i))
 		t.f.Isolate(i, true, true, true)
-		pass(ctx, span(r, 2, 5))
+		rig.Pass(ctx, span(r, 2, 5))
 		t.f.Isolate(i, true, true, false)
 	} else {
 		t.note("%s and %s don't hear each other", rig.Name(i), rig.Name(j))
 		t.f.Between(i, j, true)
-		pass(ctx, span(r, 2, 5))
+		rig.Pass(ctx, span(r, 2, 5))
 		t.f.Between(i, j, false)
 	}
 	t.count("cuts")
@@ -477,7 +468,7 @@
 		}
 	}
 	t.count("weather")
-	pass(ctx, span(r, 1, 3))
+	rig.Pass(ctx, span(r, 1, 3))
 	t.f.Heal()
 }
 
@@ -492,7 +483,7 @@
 	t.ended(duty, h, true)
 	t.fail(t.f.End(i, syscall.SIGTERM))
 	t.count("stopped in order")
-	pass(ctx, span(r, 0.1, 1))
+	rig.Pass(ctx, span(r, 0.1, 1))
 	t.fail(t.f.Begin(i))
 }
 
@@ -524,7 +515,7 @@
 		t.fail(err)
 		return
 	}
-	pass(ctx, span(r, 2, 4))
+	rig.Pass(ctx, span(r, 2, 4))
 	t.fail(os.Remove(flag))
 	t.count("slow disks")
 }
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -370,3 +370,13 @@
 	}
 	f.remove()
 }
+
+// Pass waits for a while, and tells whether the context is still there.
+func Pass(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- a/sim/budgets/search.go
+++ b/sim/budgets/search.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"runtime"
-	"sync"
 	"time"
+
+	"mothcleat/sim/plays"
 )
 
 // Finding is a play that breaks a promise; its seed plays it again.
@@ -33,44 +33,30 @@
 const steps = 600 // of a play
 
 // Search plays one schedule after another, on all cores, until so many were played or one was found.
-func Search(ctx context.Context, seed uint64, plays int) Found {
+func Search(ctx context.Context, seed uint64, most int) Found {
 	f := Found{Faults: map[string]int{}}
 	began := time.Now()
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	next := 0
-	for range runtime.GOMAXPROCS(0) {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			for {
-				mu.Lock()
-				n := next
-				next++
-				over := n >= plays || len(f.Findings) > 0 || ctx.Err() != nil
-				mu.Unlock()
-				if over {
-					return
-				}
-				one := Finding{Seed: seed*1_000_003 + uint64(n), Members: 2 + n%4, Budgets: 1 + n%2, After: n + 1}
-				r := Play(Random(one.Seed), one.Members, one.Budgets, steps)
-				mu.Lock()
-				f.Plays++
-				f.Events += r.Events
-				f.Rounds += r.Rounds
-				f.Taken += r.Taken
-				for k, x := range r.Faults {
-					f.Faults[k] += x
-				}
-				if r.Breach != nil {
-					one.Breach = *r.Breach
-					f.Findings = append(f.Findings, one)
-				}
-				mu.Unlock()
-			}
-		}()
+	draw := func(n int) Finding {
+		return Finding{Seed: seed*1_000_003 + uint64(n), Members: 2 + n%4, Budgets: 1 + n%2, After: n + 1}
 	}
-	wg.Wait()
+	plays.Until(ctx, most, func(n int) Result {
+		one := draw(n)
+		return Play(Random(one.Seed), one.Members, one.Budgets, steps)
+	}, func(n int, r Result) bool {
+		f.Plays++
+		f.Events += r.Events
+		f.Rounds += r.Rounds
+		f.Taken += r.Taken
+		for k, x := range r.Faults {
+			f.Faults[k] += x
+		}
+		if r.Breach != nil {
+			one := draw(n)
+			one.Breach = *r.Breach
+			f.Findings = append(f.Findings, one)
+		}
+		return r.Breach != nil
+	})
 	f.Took = time.Since(began)
 	return f
 }
--- a/sim/owners/search.go
+++ b/sim/owners/search.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"runtime"
-	"sync"
 	"time"
+
+	"mothcleat/sim/plays"
 )
 
 // Finding is a play that breaks a promise; its options play it again.
@@ -30,42 +30,21 @@
 }
 
 // Search plays one schedule after another, on all cores, until so many were played or one was found.
-func Search(ctx context.Context, seed uint64, plays int, length time.Duration) Found {
+func Search(ctx context.Context, seed uint64, most int, length time.Duration) Found {
 	f := Found{Faults: map[string]int{}}
 	began := time.Now()
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	next := 0
-	for range runtime.GOMAXPROCS(0) {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			for {
-				mu.Lock()
-				n := next
-				next++
-				over := n >= plays || len(f.Findings) > 0 || ctx.Err() != nil
-				mu.Unlock()
-				if over {
-					return
-				}
-				o := draw(seed, n, length)
-				r := Play(o)
-				mu.Lock()
-				f.Plays++
-				f.Events += r.Events
-				f.Acked += r.Acked
-				for k, x := range r.Faults {
-					f.Faults[k] += x
-				}
-				if r.Breach != nil {
-					f.Findings = append(f.Findings, Finding{o, *r.Breach, n + 1})
-				}
-				mu.Unlock()
-			}
-		}()
-	}
-	wg.Wait()
+	plays.Until(ctx, most, func(n int) Result { return Play(draw(seed, n, length)) }, func(n int, r Result) bool {
+		f.Plays++
+		f.Events += r.Events
+		f.Acked += r.Acked
+		for k, x := range r.Faults {
+			f.Faults[k] += x
+		}
+		if r.Breach != nil {
+			f.Findings = append(f.Findings, Finding{draw(seed, n, length), *r.Breach, n + 1})
+		}
+		return r.Breach != nil
+	})
 	f.Took = time.Since(began)
 	return f
 }
