--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -61,7 +61,7 @@
 		r.t.Fatal(err)
 	}
 	var err error
-	if r.owner, err = NewOwner(r.now, rules(), Duty(0), r.terms.term, "o", &books); err != nil {
+	if r.owner, err = NewOwner(r.now, rules(), Duty(0), r.terms.term, &books); err != nil {
 		r.t.Fatal(err)
 	}
 }
--- a/budget/owner.go
+++ b/budget/owner.go
@@ -21,7 +21,6 @@
 	began  time.Duration
 	full   bool   // it is the first ever
 	closes bool   // it lends nothing any more
-	id     string // of the gateway that it runs in
 	number uint64 // of the last word
 
 	members map[lease.Member]*member
@@ -104,8 +103,8 @@
 
 // NewOwner begins a term with what is agreed. Members that the books name are taken to have been renewed just now:
 // the owner before may have done so until its holding was over.
-func NewOwner(now time.Duration, r Rules, duty string, term uint64, id string, books *fleetpb.Books) (*Owner, error) {
-	o := &Owner{rules: r, duty: duty, term: term, began: now, id: id, number: 1, members: map[lease.Member]*member{},
+func NewOwner(now time.Duration, r Rules, duty string, term uint64, books *fleetpb.Books) (*Owner, error) {
+	o := &Owner{rules: r, duty: duty, term: term, began: now, number: 1, members: map[lease.Member]*member{},
 		budgets: map[uint64]*account{}, stirred: map[uint64]bool{}}
 	agreed, err := readBooks(books)
 	if err != nil {
--- a/budget/size_test.go
+++ b/budget/size_test.go
@@ -21,7 +21,7 @@
 	now := time.Hour
 	f := &terms{1, lease.Member{ID: "o", Boot: 1}}
 	log := NewMachine(f)
-	owner, err := NewOwner(now, Defaults(), Duty(0), 1, "o", &fleetpb.Books{})
+	owner, err := NewOwner(now, Defaults(), Duty(0), 1, &fleetpb.Books{})
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/budgets/divider.go
+++ b/internal/budgets/divider.go
@@ -64,7 +64,7 @@
 		return
 	}
 	// All that the owner before may have given was given before now.
-	owner, err := budget.NewOwner(steady.Now(), d.Rules, t.Duty, t.Term, d.Client.Me().ID, books)
+	owner, err := budget.NewOwner(steady.Now(), d.Rules, t.Duty, t.Term, books)
 	if err != nil {
 		d.Log.Error("budgets: what is agreed can't be used", "duty", t.Duty, "error", err)
 		return
--- a/sim/budgets/price.go
+++ b/sim/budgets/price.go
@@ -102,7 +102,7 @@
 		rules.Parting = math.Inf(1)
 	}
 	rights := s == Parts || s == Lending || s == Loans
-	owner, err := budget.NewOwner(0, rules, budget.Duty(0), 1, "o", &fleetpb.Books{})
+	owner, err := budget.NewOwner(0, rules, budget.Duty(0), 1, &fleetpb.Books{})
 	if err != nil {
 		panic(err)
 	}
--- a/sim/budgets/world.go
+++ b/sim/budgets/world.go
@@ -199,7 +199,7 @@
 	if err := proto.Unmarshal(w.log.Query(0, []byte(budget.Duty(0))), &books); err != nil {
 		panic(err)
 	}
-	own, err := budget.NewOwner(o.at(w.now), w.rules, budget.Duty(0), o.term, o.me.ID, &books)
+	own, err := budget.NewOwner(o.at(w.now), w.rules, budget.Duty(0), o.term, &books)
 	if err != nil {
 		panic(err)
 	}
