Reread: lapsed parts are planned once; one build for trials' tests; what nobody used goes

A member that stays unheard had all its budgets planned anew every 20 ms for as long as the owner's term lasted; now only while something of it lapses. Both packages of process tests build the gateway by rig.Main. A name for budgets and a record of ends that nothing used are gone, and a loop that slices.DeleteFunc has. Two comments said more than the figure they stand at.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -31,7 +31,6 @@
 
 import (
 	"fmt"
-	"hash/fnv"
 	"math"
 	"time"
 
@@ -51,13 +50,6 @@
 	return int((budget * mix) >> 33 % uint64(max(1, shards)))
 }
 
-// IDOf is the number of a budget that has a name, such as one of the whole fleet.
-func IDOf(name string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(name))
-	return h.Sum64()
-}
-
 // Share is a budget or a part of one.
 type Share struct {
 	Rate  float64 `json:"rate"`  // units a second
--- a/budget/owner.go
+++ b/budget/owner.go
@@ -404,10 +404,13 @@
 	if o.saving != nil {
 		return nil
 	}
-	for _, m := range o.members {
-		if now-m.heard >= o.rules.withMargin(o.rules.Span) && !m.gone {
-			for id := range m.budgets {
-				o.stirred[id] = true
+	for who, m := range o.members {
+		if now-m.heard < o.rules.withMargin(o.rules.Span) || m.gone {
+			continue
+		}
+		for id := range m.budgets {
+			if h := o.budgets[id].holds[who]; o.lapsed(now, m, h.agreed) != h.agreed {
+				o.stirred[id] = true // it lapses now; what lapsed before is done with
 			}
 		}
 	}
--- a/decide/rights.go
+++ b/decide/rights.go
@@ -1,5 +1,7 @@
 package decide
 
+import "slices"
+
 // Budget is what gateways share of one customer: units that come at a rate, stored up to a burst.
 type Budget struct {
 	ID     uint64
@@ -68,14 +70,7 @@
 		}
 		return
 	}
-	kept := g.waiting[:0]
-	for _, w := range g.waiting {
-		if w != r {
-			kept = append(kept, w)
-		}
-	}
-	clear(g.waiting[len(kept):])
-	g.waiting = kept
+	g.waiting = slices.DeleteFunc(g.waiting, func(w *request) bool { return w == r })
 	delete(g.requests, id)
 	r.borrows, r.lent, r.after = false, units, after
 	if units == 0 || !g.mayOpen(r.c) {
--- a/internal/budgettrial/budget_test.go
+++ b/internal/budgettrial/budget_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -17,17 +16,7 @@
 
 var bin string
 
-func TestMain(m *testing.M) {
-	b, remove, err := rig.Build(context.Background())
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	bin = b
-	code := m.Run()
-	remove()
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { os.Exit(rig.Main(&bin, m.Run)) }
 
 // points are where processes stop or kill themselves, by a file in their folder.
 var points = []string{"budgets-before-agree", "budgets-after-agree", "right-taken", "right-told", "right-lessened"}
--- a/internal/budgettrial/rights.go
+++ b/internal/budgettrial/rights.go
@@ -36,12 +36,11 @@
 	Changes int               // of parts
 	Began   map[lease.Member]time.Duration
 	First   map[lease.Member]time.Duration // when it first held something
-	Ended   map[lease.Member]time.Duration // when the next process of its gateway wrote something
 }
 
 // ReadRights reads and joins the records of a fleet's gateways.
 func ReadRights(f *rig.Fleet) (*Rights, error) {
-	r := &Rights{Terms: map[uint64][]term{}, Began: map[lease.Member]time.Duration{}, First: map[lease.Member]time.Duration{}, Ended: map[lease.Member]time.Duration{}}
+	r := &Rights{Terms: map[uint64][]term{}, Began: map[lease.Member]time.Duration{}, First: map[lease.Member]time.Duration{}}
 	var errs []error
 	for _, g := range f.Gateways {
 		lines, err := readLines(filepath.Join(g.Dir(), recordName))
@@ -103,9 +102,6 @@
 			for other := range last {
 				if other.who != l.Member {
 					close(other, l.At)
-					if _, ok := r.Ended[other.who]; !ok {
-						r.Ended[other.who] = l.At
-					}
 					delete(last, other)
 				}
 			}
--- a/internal/budgettrial/run.go
+++ b/internal/budgettrial/run.go
@@ -96,7 +96,7 @@
 // played is one world's figures.
 type played struct {
 	fig      *trial.Figures
-	withRoom float64 // refused though the whole store held the units, of the tries inside quotas
+	withRoom float64 // refused, of the requests inside quotas
 }
 
 // play plays one world.
@@ -183,7 +183,7 @@
 	return nil
 }
 
-// withRoom is which part of the tries inside their quotas was refused while the whole store held the units.
+// withRoom is which part of the requests was refused that one who sees the whole store would have taken.
 func withRoom(s *trial.Site, rec *trial.Record) float64 {
 	losses, inside := 0, 0
 	for _, o := range trial.Outcomes(s, rec) {
--- a/internal/ownertrial/owner_test.go
+++ b/internal/ownertrial/owner_test.go
@@ -27,17 +27,7 @@
 
 var bin string
 
-func TestMain(m *testing.M) {
-	b, remove, err := rig.Build(context.Background())
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	bin = b
-	code := m.Run()
-	remove()
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { os.Exit(rig.Main(&bin, m.Run)) }
 
 // fleet starts a fleet for a test.
 func fleet(t *testing.T, o rig.Options) *rig.Fleet {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -66,6 +66,18 @@
 	return bin, remove, err
 }
 
+// Main builds the gateway for a package's tests, runs them, and gives the exit code.
+func Main(bin *string, run func() int) int {
+	b, remove, err := Build(context.Background())
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer remove()
+	*bin = b
+	return run()
+}
+
 // New founds a fleet and starts it.
 func New(ctx context.Context, o Options) (f *Fleet, err error) {
 	if o.Voters == 0 {
