agree: a process that is always refused stays a member

Asking for a duty that another holds is answered without an entry, and the client took that answer for a sign that its session had been renewed. So a process whose askings were all refused was never written of again: after half a minute no duty could be handed on to it, and after a minute its session ended, and the exporter no longer asked it for its use.

A command is now answered without an entry only if its session had one within the last 10 s.

--- /dev/null
+++ b/agree/agree_test.go
@@ -0,0 +1,107 @@
+package agree
+
+import (
+	"io"
+	"log"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"go.etcd.io/raft/v3"
+
+	"mothcleat/internal/fleetpb"
+	"mothcleat/lease"
+)
+
+// alone is a fleet of one voter, in virtual time.
+type alone struct {
+	t    *testing.T
+	node *Node
+	now  time.Duration
+}
+
+func newAlone(t *testing.T, machines map[string]Machine) *alone {
+	t.Helper()
+	saved, err := Found("test", []*fleetpb.Voter{{Number: 7, Name: "v"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := Open(0, Config{Number: 7, Machines: machines, Random: rand.New(rand.NewPCG(1, 1)), ElectionTicks: 10, HeartbeatTicks: 2,
+		Log: &raft.DefaultLogger{Logger: log.New(io.Discard, "", 0)}}, saved)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.Begin(0); err != nil {
+		t.Fatal(err)
+	}
+	a := &alone{t: t, node: n}
+	for !n.Role().Leads {
+		if a.pass(40 * time.Millisecond); a.now > time.Minute {
+			t.Fatal("it does not lead")
+		}
+	}
+	return a
+}
+
+// pass has time go by, and does what follows.
+func (a *alone) pass(d time.Duration) {
+	a.now += d
+	a.node.Tick(a.now)
+	for {
+		if _, ok := a.node.Work(a.now); !ok {
+			return
+		}
+		if _, err := a.node.Saved(a.now); err != nil {
+			a.t.Fatal(err)
+		}
+	}
+}
+
+// do has a command carried out and gives its answer.
+func (a *alone) do(c *fleetpb.Command) *fleetpb.Answer {
+	a.t.Helper()
+	a.node.Submit(a.now, c, c)
+	a.pass(0)
+	for _, d := range a.node.Ended() {
+		if d.Tag == c {
+			return d.Answer
+		}
+	}
+	a.t.Fatal("no answer")
+	return nil
+}
+
+// A process that asks for what another holds is refused each time, mostly without an entry: its session lasts all the
+// same, and so it is one that a duty can be handed on to.
+func TestOneThatIsAlwaysRefusedStaysAMember(t *testing.T) {
+	a := newAlone(t, map[string]Machine{lease.MachineName: lease.NewMachine(lease.Defaults())})
+	var sessions, seqs [2]uint64
+	who := []lease.Member{{ID: "owner", Boot: 1}, {ID: "other", Boot: 2}}
+	ask := func(i int) *fleetpb.Answer {
+		seqs[i]++
+		return a.do(&fleetpb.Command{Session: sessions[i], Seq: seqs[i], Floor: seqs[i] - 1, Machine: lease.MachineName, Body: lease.Op{Do: "ask", Duty: "d", Term: 1}.Encode(),
+			Member: &fleetpb.Member{Id: who[i].ID, Boot: who[i].Boot}})
+	}
+	for i := range who {
+		sessions[i] = a.do(&fleetpb.Command{Member: &fleetpb.Member{Id: who[i].ID, Boot: who[i].Boot}}).Session
+	}
+	entries := a.node.applied
+	for a.now = 0; a.now < 10*SessionSpan; a.pass(500 * time.Millisecond) {
+		for i := range who {
+			if answer := ask(i); answer.Code != fleetpb.Code_OK {
+				t.Fatalf("at %v: %v", a.now, answer)
+			}
+		}
+		for _, m := range a.node.sessions.members() {
+			if a.node.lastAt-m.Seen > SessionSpan/4 {
+				t.Fatalf("at %v %s was last seen at %v", a.node.lastAt, m.ID, m.Seen)
+			}
+		}
+	}
+	if n := len(a.node.sessions.members()); n != 2 {
+		t.Fatalf("%d members", n)
+	}
+	if rounds := uint64(10 * SessionSpan / (500 * time.Millisecond)); a.node.applied-entries > rounds+rounds/4 {
+		t.Errorf("%d entries for %d renewals: refusals are entries", a.node.applied-entries, rounds)
+	}
+}
--- a/agree/node.go
+++ b/agree/node.go
@@ -36,6 +36,9 @@
 	Refuse(at time.Duration, who lease.Member, body []byte) (answer []byte, refused bool)
 }
 
+// freshFor is how long ago a session's last entry may be for a command of it to be answered without one.
+const freshFor = SessionSpan / 6
+
 // Config is how a voter is set up.
 type Config struct {
 	Number   uint64 // of the voter's folder, never 0
@@ -399,7 +402,8 @@
 			n.refuse(tag, fleetpb.Code_REFUSED, fmt.Sprintf("no part of the agreed state is called %q", c.Machine))
 			return
 		}
-		if r, ok := m.(Refuser); ok {
+		// A word without an entry leaves no trace in the session: one that is always refused would be taken for gone.
+		if r, ok := m.(Refuser); ok && at-in.seen < freshFor {
 			if answer, refused := r.Refuse(at, in.member, c.Body); refused {
 				n.done = append(n.done, Done{tag, &fleetpb.Answer{Body: answer}})
 				return
