Faults at points: a stop takes hold at once; tests wait for owners that know themselves

The same test could choose an owner that had just been restarted, as the table names it while no leader has stamped the time: hasOwner now asks the process as well.

--- a/internal/faultpoint/on.go
+++ b/internal/faultpoint/on.go
@@ -5,11 +5,14 @@
 import (
 	"fmt"
 	"os"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Built tells whether this program has faults.
@@ -86,12 +89,21 @@
 				time.Sleep(f.wait)
 				continue
 			}
-			_ = syscall.Kill(os.Getpid(), f.signal)
-			time.Sleep(time.Millisecond) // a stop takes hold before anything else is done here
+			here(f.signal)
 		}
 	}
 }
 
+// here has a signal take hold before this goroutine does anything else. Sent to the process it may go to any of its threads, which
+// a busy machine has run later than this one goes on; sent to this thread it is taken on the way out of the call.
+func here(s syscall.Signal) {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	if err := unix.Tgkill(os.Getpid(), unix.Gettid(), s); err != nil {
+		panic(err)
+	}
+}
+
 // due tells whether the fault is to happen now. A file asks for it once, but for one that makes slow: that lasts
 // for as long as the file is there.
 func (f *fault) due() bool {
--- a/internal/ownertrial/owner_test.go
+++ b/internal/ownertrial/owner_test.go
@@ -81,11 +81,17 @@
 	return -1, lease.Holding{}
 }
 
+// hasOwner waits for an owner that knows itself to be one: the table alone still names a process that has just ended while the fleet's
+// time stands still.
 func hasOwner(t *testing.T, f *rig.Fleet, at int, duty string, but uint64) (i int, h lease.Holding) {
 	t.Helper()
 	eventually(t, "an owner of "+duty, func() (bool, string) {
-		i, h = owner(f, at, duty)
-		return i >= 0 && h.Term > but, fmt.Sprintf("%d %+v", i, h)
+		var here fleetnode.Here
+		if i, h = owner(f, at, duty); i < 0 || h.Term <= but {
+			return false, fmt.Sprintf("%d %+v", i, h)
+		}
+		err := f.Call(i, "here", &here)
+		return err == nil && here.Duties[duty] == h.Term, fmt.Sprintf("%+v, here %+v %v", h, here, err)
 	})
 	return i, h
 }
@@ -135,17 +141,6 @@
 	}
 }
 
-// again starts all gateways anew with an environment each.
-func again(t *testing.T, f *rig.Fleet, env func(i int) string) {
-	t.Helper()
-	for i, g := range f.Gateways {
-		g.SetEnv(env(i))
-		if err := errors.Join(f.End(i, syscall.SIGTERM), f.Begin(i)); err != nil {
-			t.Fatal(err)
-		}
-	}
-}
-
 func logged(t *testing.T, f *rig.Fleet, i int, what string) {
 	t.Helper()
 	eventually(t, rig.Name(i)+" logs "+what, func() (bool, string) {
@@ -199,8 +194,7 @@
 // An owner that lies stopped (by SIGSTOP to itself, at a named point) between its check and its write, and wakes when
 // another has gone on: its word is refused, nothing is exported twice, and it notices by itself.
 func TestAnOwnerThatWakesLateDoesNoHarm(t *testing.T) {
-	f := fleet(t, rig.Options{Instances: 4})
-	again(t, f, func(int) string { return "MOTHCLEAT_FAULTS=stop=export-before-agree@stop" })
+	f := fleet(t, rig.Options{Instances: 4, Env: func(int) string { return "MOTHCLEAT_FAULTS=stop=export-before-agree@stop" }})
 	duty := exports.Duty(0)
 	i, h := hasOwner(t, f, 0, duty, 0)
 	flag(t, f, i, "stop")
@@ -359,10 +353,9 @@
 
 // Clocks that are far off, slow, or leap under way: the duty is handed on, and effects have one owner.
 func TestClocksThatAreOff(t *testing.T) {
-	f := fleet(t, rig.Options{Instances: 4})
-	again(t, f, func(i int) string {
-		return "MOTHCLEAT_FAULTS=" + []string{"ahead=30s", "pace=0.9", "jump=40s@6s", "pace=1.02"}[i]
-	})
+	f := fleet(t, rig.Options{Instances: 4, Env: func(i int) string {
+		return "MOTHCLEAT_FAULTS=" + []string{"ahead=30s", "pace=0.9", "jump=40s@3s", "pace=1.02"}[i]
+	}})
 	duty := exports.Duty(0)
 	for range 3 {
 		i, h := hasOwner(t, f, 0, duty, 0)
@@ -379,8 +372,7 @@
 
 // A disk that stalls, at the leader: another leads, and the slow one comes back.
 func TestALeaderWithASlowDisk(t *testing.T) {
-	f := fleet(t, rig.Options{Instances: 3})
-	again(t, f, func(int) string { return "MOTHCLEAT_FAULTS=slow=voter-before-sync:3s@slow" })
+	f := fleet(t, rig.Options{Instances: 3, Env: func(int) string { return "MOTHCLEAT_FAULTS=slow=voter-before-sync:3s@slow" }})
 	run := &trialRun{f: f, o: Options{Instances: 3, Shards: 1}}
 	hasOwner(t, f, 0, exports.Duty(0), 0)
 	i := run.leader()
