budgets: the last hard cases; an owner that leaves still finds the next one

Four of [budgets]' hard cases had no test of several processes: nobody dividing for 30 s, no voters for 30 s, folders of long before, and a surge with a rolling replacement.

A gateway that left and owned a shard stopped hearing who owns what as soon as it had handed its last duty on, so it could give its parts back to nobody and they ran out after the span: duties.Set.Run now goes on telling owners until the process is done. With a span of 50 s the new test fails without that.

refused_with_room_share counted every refusal inside a quota; it now replays what servers took and counts those for which there was room. dead_part_back_ms_p99 is measured.

--- a/cmd/lab/real.go
+++ b/cmd/lab/real.go
@@ -115,6 +115,7 @@
 		f.IntVar(&o.Shards, "shards", 4, "duties that the quotas are shared out in, 1 to 16")
 		f.Float64Var(&o.Load, "load", 0.35, "part of what the servers can do that is asked inside the quotas")
 		f.BoolVar(&o.Compare, "compare", true, "the same traffic through a fleet that divides by notes as well")
+		f.BoolVar(&o.Surge, "surge", false, "all but three leave, join within a second, and all are replaced: in place of faults at random")
 		check := func() error {
 			return errors.Join(within("instances", o.Instances, 3, 40), within("shards", o.Shards, 1, 16), within("load", o.Load, 0.01, 2))
 		}
--- a/internal/budgets/divider.go
+++ b/internal/budgets/divider.go
@@ -59,6 +59,7 @@
 		t.GiveUp()
 		return
 	}
+	faultpoint.At("budgets-begin")
 	books, err := d.read(ctx, t.Duty)
 	if err != nil {
 		return
--- a/internal/budgettrial/budget_test.go
+++ b/internal/budgettrial/budget_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -228,21 +229,153 @@
 		for i := range 3 {
 			check(t, run.f.End(i, syscall.SIGKILL))
 		}
-		eventually(t, "floors alone", func() bool {
-			held := rights(t, run.f, 3).Held
-			return len(held) > 0 && held[0].Until == 0 && held[0].Floor > 0
-		})
+		eventually(t, "floors alone", func() bool { return floorsAlone(t, run.f, 3) })
+		alone := run.f.Record.Now()
+		rig.Pass(t.Context(), without)
+		served(t, run, alone, 3)
 		for i := range 3 {
 			check(t, run.f.Begin(i))
 		}
+		eventually(t, "renewed rights", func() bool { return renewed(t, run.f, 3) })
+	})
+	kept(t, run)
+}
+
+// without is for how long nobody divides: less than floors last.
+const without = 30 * time.Second
+
+// floorsAlone tells whether a gateway has floors of quotas and no parts; renewed, whether it has parts again.
+func floorsAlone(t *testing.T, f *rig.Fleet, i int) (floors bool) {
+	for _, r := range rights(t, f, i).Held {
+		if r.Until > 0 {
+			return false
+		}
+		floors = floors || r.Floor > 0 && r.Held.Floor.Burst > 0
+	}
+	return floors
+}
+
+func renewed(t *testing.T, f *rig.Fleet, i int) bool {
+	return slices.ContainsFunc(rights(t, f, i).Held, func(r budget.Right) bool { return r.Until > 0 })
+}
+
+// served fails the test if a gateway has sent nothing on since some time.
+func served(t *testing.T, run *trialRun, since time.Duration, i int) {
+	t.Helper()
+	some := false
+	run.f.Record.Look(func() {
+		some = slices.ContainsFunc(run.f.Record.Attempts, func(a trial.Attempt) bool { return a.Whole > since && a.Gateway == i })
+	})
+	if !some {
+		t.Errorf("%s sent nothing on by its floors", rig.Name(i))
+	}
+}
+
+// The shard's owner holds its duty and divides nothing for 30 s: parts run out, floors serve, and then all is back. Whoever
+// takes the duty on has the same trouble.
+func TestNoOwnerFor30Seconds(t *testing.T) {
+	run := fleet(t, rig.Options{Instances: 4, Seed: 9}, func(int) string { return "slow=budgets-begin:" + without.String() + "@slow" })
+	play(t, run, func() {
+		for i := range run.f.Gateways {
+			check(t, os.WriteFile(filepath.Join(run.f.Gateways[i].Dir(), "slow"), nil, 0o600))
+		}
+		from := ownerOf(t, run)
+		to := (from + 1) % 4
+		eventually(t, "the duty handed on", func() bool {
+			_ = run.f.Call(from, "transfer "+budget.Duty(0)+" "+rig.Name(to), nil)
+			own := run.owner(budget.Duty(0))
+			return own >= 0 && own != from
+		})
+		began := time.Now()
+		eventually(t, "floors alone everywhere", func() bool {
+			for i := range run.f.Gateways {
+				if !floorsAlone(t, run.f, i) {
+					return false
+				}
+			}
+			return true
+		})
+		alone := run.f.Record.Now()
+		rig.Pass(t.Context(), without/2)
+		for i := range run.f.Gateways {
+			served(t, run, alone, i)
+			check(t, os.Remove(filepath.Join(run.f.Gateways[i].Dir(), "slow")))
+		}
 		eventually(t, "renewed rights", func() bool {
-			held := rights(t, run.f, 3).Held
-			return len(held) > 0 && held[0].Until > 0
+			for i := range run.f.Gateways {
+				if !renewed(t, run.f, i) {
+					return false
+				}
+			}
+			return true
+		})
+		if time.Since(began) < without/2 {
+			t.Error("an owner divided all the time: nothing was shown")
+		}
+	})
+	kept(t, run)
+}
+
+// A voter's folder, and a gateway's that does not vote, are put back as they were long before, with the boots and terms of then:
+// the voter does not vote, the gateway takes what it held for nothing, and the sum holds.
+func TestFoldersOfLongBefore(t *testing.T) {
+	run := fleet(t, rig.Options{Instances: 4, Seed: 10}, nil)
+	voter := 1
+	check(t, run.f.Save(voter), run.f.Save(3))
+	play(t, run, func() {
+		for _, i := range []int{3, voter, 3} { // boots that the copies know nothing of
+			check(t, run.f.End(i, syscall.SIGKILL), run.f.Begin(i))
+			eventually(t, "rights", func() bool { return renewed(t, run.f, i) })
+		}
+		for _, i := range []int{voter, 3} {
+			check(t, run.f.End(i, syscall.SIGKILL), run.f.Restore(i), run.f.Begin(i))
+			eventually(t, "rights with the older folder", func() bool { return renewed(t, run.f, i) })
+		}
+		eventually(t, "the voter with the older folder says that it must not vote", func() bool {
+			var here fleetnode.Here
+			return run.f.Call(voter, "here", &here) == nil && here.Trouble != ""
 		})
 	})
 	kept(t, run)
 }
 
+// The shard's owner leaves: it hands the shard on, and gives back its parts to the next owner, long before they run out.
+func TestAnOwnerThatLeavesGivesBack(t *testing.T) {
+	run := fleet(t, rig.Options{Instances: 4, Seed: 12, Operators: Text(1, "span = \"50s\"")}, nil)
+	play(t, run, func() {
+		i := ownerOf(t, run)
+		var here fleetnode.Here
+		check(t, run.f.Call(i, "here", &here))
+		holds := func() bool {
+			var books []budget.View
+			if run.f.Call((i+1)%4, "budgets", &books) != nil {
+				return true
+			}
+			return slices.ContainsFunc(books, func(b budget.View) bool {
+				return slices.ContainsFunc(b.Held, func(h budget.HeldBy) bool { return h.Member == here.Member })
+			})
+		}
+		eventually(t, "parts of the owner's own", holds)
+		check(t, run.f.End(i, syscall.SIGTERM))
+		eventually(t, "nothing held by the one that left", func() bool { return !holds() })
+		check(t, run.f.Begin(i))
+	})
+	kept(t, run)
+}
+
+// Many join within a second, and then all are replaced, some at a time and in any order. lab budgets --surge plays it with forty.
+func TestSurgeAndRollingReplacement(t *testing.T) {
+	run := fleet(t, rig.Options{Instances: 10, Voters: 3, Seed: 11}, nil)
+	play(t, run, func() { check(t, run.surge(t.Context(), 3, 2)) })
+	fig := kept(t, run)
+	if fig.Broken[trial.Lost] > 0 {
+		t.Error("requests were lost")
+	}
+	if run.did["joins"] < 17 {
+		t.Errorf("%d joins", run.did["joins"])
+	}
+}
+
 // All are replaced one after another, in order or not, and the parts go to whoever is there.
 func TestRollingReplacement(t *testing.T) {
 	run := fleet(t, rig.Options{Instances: 3, Seed: 5}, nil)
--- a/internal/budgettrial/judge.go
+++ b/internal/budgettrial/judge.go
@@ -29,35 +29,45 @@
 	Units    float64 // taken in all
 }
 
-// Windows holds against the whole what servers took of each customer, over every window, the worst first. A try's units
-// count once, when it first reached a server.
-func Windows(s *trial.Site, rec *trial.Record, slack Slack) []Window {
-	return WindowsSince(s, rec, slack, 0)
+// use is what reached a server of a customer's quota.
+type use struct {
+	at    time.Duration
+	units float64
 }
 
-// WindowsSince is Windows of what reached servers from a time on.
-func WindowsSince(s *trial.Site, rec *trial.Record, slack Slack, since time.Duration) (all []Window) {
+// uses are what servers took of each customer, and which plan that has. A try's units count once, when it first reached a
+// server.
+func uses(rec *trial.Record, since time.Duration) (all map[string][]use, plans map[string]int) {
 	first := map[string]time.Duration{}
 	for _, a := range rec.Attempts {
 		if at, ok := first[a.ID]; !ok || a.Whole < at {
 			first[a.ID] = a.Whole
 		}
 	}
-	type use struct {
-		at    time.Duration
-		units float64
-	}
-	uses, plans := map[string][]use{}, map[string]int{}
+	all, plans = map[string][]use{}, map[string]int{}
 	for i := range rec.Tries {
 		t := &rec.Tries[i]
 		if at, ok := first[t.ID]; ok && at >= since {
-			uses[t.Customer] = append(uses[t.Customer], use{at, t.Units})
+			all[t.Customer] = append(all[t.Customer], use{at, t.Units})
 			plans[t.Customer] = t.Plan
 		}
 	}
-	for customer, list := range uses {
-		p := &s.Plans[plans[customer]]
+	for _, list := range all {
 		slices.SortFunc(list, func(a, b use) int { return cmp.Compare(a.at, b.at) })
+	}
+	return all, plans
+}
+
+// Windows holds against the whole what servers took of each customer, over every window, the worst first.
+func Windows(s *trial.Site, rec *trial.Record, slack Slack) []Window {
+	return WindowsSince(s, rec, slack, 0)
+}
+
+// WindowsSince is Windows of what reached servers from a time on.
+func WindowsSince(s *trial.Site, rec *trial.Record, slack Slack, since time.Duration) (all []Window) {
+	used, plans := uses(rec, since)
+	for customer, list := range used {
+		p := &s.Plans[plans[customer]]
 		// A bank that is full at first and never refuses shows all windows at once: how far it is overdrawn is how
 		// far the worst one that ends there is over.
 		rate := p.Rate * (1 + slack.Pace)
@@ -82,3 +92,52 @@
 func (w Window) String() string {
 	return fmt.Sprintf("customer %s of plan %d: %.2f units beyond at %v, %.0f taken in all", w.Customer, w.Plan, w.Over, w.At.Round(time.Millisecond), w.Units)
 }
+
+// RefusedWithRoom is which part of the first tries inside their quotas was refused although one who sees all that servers took would
+// have found the units in the customer's store.
+func RefusedWithRoom(s *trial.Site, rec *trial.Record) float64 {
+	used, _ := uses(rec, 0)
+	levels := map[string]float64{}
+	at, next := map[string]time.Duration{}, map[string]int{}
+	refused, inside := 0, 0
+	for _, o := range trial.Outcomes(s, rec) { // in the order of their asking
+		if !o.Inside {
+			continue
+		}
+		inside++
+		if o.Kind != trial.Refused {
+			continue
+		}
+		c, p := o.Try.Customer, &s.Plans[o.Try.Plan]
+		level, known := levels[c]
+		if !known {
+			level = p.Burst
+		}
+		now := max(at[c], o.Try.Sent)
+		for ; next[c] < len(used[c]) && used[c][next[c]].at <= now; next[c]++ {
+			u := used[c][next[c]]
+			level = math.Min(p.Burst, level+p.Rate*max(0, u.at-at[c]).Seconds()) - u.units
+			at[c] = max(at[c], u.at)
+		}
+		level = math.Min(p.Burst, level+p.Rate*(now-at[c]).Seconds())
+		levels[c], at[c] = level, now
+		if level >= o.Try.Units {
+			refused++
+		}
+	}
+	return float64(refused) / math.Max(1, float64(inside))
+}
+
+// refusedInside is which part of them was refused at all.
+func refusedInside(s *trial.Site, rec *trial.Record) float64 {
+	refused, inside := 0, 0
+	for _, o := range trial.Outcomes(s, rec) {
+		if o.Inside {
+			inside++
+			if o.Kind == trial.Refused {
+				refused++
+			}
+		}
+	}
+	return float64(refused) / math.Max(1, float64(inside))
+}
--- a/internal/budgettrial/run.go
+++ b/internal/budgettrial/run.go
@@ -5,8 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,6 +14,7 @@
 	"time"
 
 	"mothcleat/budget"
+	"mothcleat/internal/fleetnode"
 	"mothcleat/internal/rig"
 	"mothcleat/internal/trial"
 	"mothcleat/lease"
@@ -27,12 +28,13 @@
 	Load      float64
 	Shards    int
 	Compare   bool   // notes as well, and even parts, undisturbed
+	Surge     bool   // most leave, join within a second, and all are replaced, in place of faults at random
 	Bin       string // built with the tag faults; "": it is built
 }
 
 // Text is an operators' file's tables for a fleet that divides, is recorded, and was just founded.
-func Text(shards int) string {
-	return fmt.Sprintf("[budgets]\non = true\nshards = %d\nbegin_full = true\nrecord = %q\n%s", shards, recordName, refusals)
+func Text(shards int, more ...string) string {
+	return fmt.Sprintf("[budgets]\non = true\nshards = %d\nbegin_full = true\nrecord = %q\n%s\n%s", shards, recordName, strings.Join(more, "\n"), refusals)
 }
 
 const (
@@ -85,7 +87,11 @@
 			}
 		}
 	}
-	for _, k := range []string{"redivisions", "joins", "leaves", "kills", "stops", "cuts"} {
+	wanted := []string{"redivisions", "joins", "leaves", "kills"}
+	if !o.Surge {
+		wanted = append(wanted, "stops", "cuts")
+	}
+	for _, k := range wanted {
 		if n, ok := fig.Extra[k].(int); !ok || n == 0 {
 			fig.Miss("no " + k + ": nothing was shown")
 		}
@@ -117,12 +123,20 @@
 	var wg sync.WaitGroup
 	if disturb {
 		wg.Add(1)
-		go func() { defer wg.Done(); t.faults(asking) }()
+		go func() {
+			defer wg.Done()
+			if o.Surge {
+				t.fail(t.surge(ctx, voters, 4))
+				cancel()
+				return
+			}
+			t.faults(asking)
+		}()
 	}
 	f.Clients.Run(asking)
 	wg.Wait()
 	p.fig = f.Figures("budgets")
-	p.withRoom = withRoom(f.Site, f.Record)
+	p.withRoom = RefusedWithRoom(f.Site, f.Record)
 	t.course()
 	fig := p.fig
 	if strings.Contains(text, "[budgets]") {
@@ -136,6 +150,10 @@
 		fig.Extra[k] = t.did[k]
 	}
 	fig.Extra["memory_mb"] = f.Memory()
+	fig.Extra["refused_inside_share"] = refusedInside(f.Site, f.Record)
+	if len(t.back) > 0 {
+		fig.Extra["dead_part_back_ms_p99"] = trial.Quantile(t.back, 0.99)
+	}
 	for _, err := range t.errs {
 		fig.Miss(err.Error())
 	}
@@ -183,20 +201,6 @@
 	return nil
 }
 
-// withRoom is which part of the requests was refused that one who sees the whole store would have taken.
-func withRoom(s *trial.Site, rec *trial.Record) float64 {
-	losses, inside := 0, 0
-	for _, o := range trial.Outcomes(s, rec) {
-		if o.Inside {
-			inside++
-			if o.Kind == trial.Refused {
-				losses++
-			}
-		}
-	}
-	return float64(losses) / math.Max(1, float64(inside))
-}
-
 // course tells how service went, second by second.
 func (t *trialRun) course() {
 	by := map[int][]trial.Outcome{}
@@ -222,6 +226,7 @@
 	did      map[string]int
 	busy     map[int]bool // gateways that something is done to
 	errs     []error
+	back     []time.Duration // from a kill until the parts of the dead were taken back
 }
 
 func (t *trialRun) count(what string) {
@@ -362,12 +367,36 @@
 func (t *trialRun) kill(ctx context.Context, r *rand.Rand, i int) {
 	t.note("kill %s", rig.Name(i))
 	t.count("kills")
+	var dead fleetnode.Here
+	err := t.f.Call(i, "here", &dead)
 	t.fail(t.f.End(i, syscall.SIGKILL))
-	rig.Pass(ctx, span(r, 0.1, 5))
+	again := time.Now().Add(span(r, 0.1, 5))
+	if err == nil {
+		t.takenBack(ctx, dead.Member, again)
+	}
+	rig.Pass(ctx, time.Until(again))
 	t.fail(t.f.Begin(i))
 	t.count("joins")
 }
 
+// takenBack waits until nobody has a dead process down for more than its floors, or until a time.
+func (t *trialRun) takenBack(ctx context.Context, dead lease.Member, limit time.Time) {
+	for began := time.Now(); time.Now().Before(limit); {
+		var books []budget.View
+		if t.view("budgets", &books) == nil && len(books) > 0 && !slices.ContainsFunc(books, func(b budget.View) bool {
+			return slices.ContainsFunc(b.Held, func(h budget.HeldBy) bool { return h.Member == dead && h.Part.Burst > h.Floor.Burst })
+		}) {
+			t.mu.Lock()
+			t.back = append(t.back, time.Since(began))
+			t.mu.Unlock()
+			return
+		}
+		if !rig.Pass(ctx, 50*time.Millisecond) {
+			return
+		}
+	}
+}
+
 func (t *trialRun) leave(ctx context.Context, r *rand.Rand, i int) {
 	t.note("%s leaves", rig.Name(i))
 	t.count("leaves")
--- /dev/null
+++ b/internal/budgettrial/surge.go
@@ -0,0 +1,84 @@
+package budgettrial
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"mothcleat/internal/rig"
+)
+
+// surge has all but a few gateways leave, all of those join within a second, and then all replaced in any order, so many at a time, of
+// which every third is killed. Of the voters one is replaced at a time.
+func (t *trialRun) surge(ctx context.Context, few, each int) error {
+	n := len(t.f.Gateways)
+	few = max(few, min(voters, n))
+	all := func(from, to int, do func(i int) error) error {
+		var wg sync.WaitGroup
+		errs := make([]error, to-from)
+		for i := from; i < to; i++ {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				errs[i-from] = do(i)
+			}()
+		}
+		wg.Wait()
+		return errors.Join(errs...)
+	}
+	if err := all(few, n, func(i int) error { t.count("leaves"); return t.f.End(i, syscall.SIGTERM) }); err != nil {
+		return err
+	}
+	t.note("%d are left", few)
+	rig.Pass(ctx, 2*time.Second) // the few have all of it
+	began := time.Now()
+	if err := all(few, n, func(i int) error { t.count("joins"); return t.f.Begin(i) }); err != nil {
+		return err
+	}
+	t.note("%d joined within %v", n-few, time.Since(began).Round(time.Millisecond))
+	rig.Pass(ctx, 3*time.Second)
+
+	r := rand.New(rand.NewPCG(t.o.Seed, 0x5a))
+	order := r.Perm(n)
+	replace := func(k, i int) error {
+		how := syscall.SIGTERM
+		if k%3 == 2 {
+			how = syscall.SIGKILL
+			t.count("kills")
+		} else {
+			t.count("leaves")
+		}
+		if err := t.f.End(i, how); err != nil {
+			return err
+		}
+		t.count("joins")
+		return t.f.Begin(i)
+	}
+	var some, voting []int
+	for _, i := range order {
+		if i < min(voters, n) {
+			voting = append(voting, i)
+		} else {
+			some = append(some, i)
+		}
+	}
+	for at := 0; at < len(some); at += each {
+		batch := some[at:min(at+each, len(some))]
+		if err := all(0, len(batch), func(k int) error { return replace(at+k, batch[k]) }); err != nil {
+			return err
+		}
+	}
+	for k, i := range voting {
+		if err := replace(k, i); err != nil {
+			return err
+		}
+		if err := t.settled(ctx); err != nil {
+			return err
+		}
+	}
+	t.note("all are replaced")
+	return nil
+}
--- a/internal/duties/duties.go
+++ b/internal/duties/duties.go
@@ -128,12 +128,11 @@
 }
 
 // Run holds duties until the context ends, and then hands on what it holds. It returns when that is done, or after the
-// holdings are over.
-func (s *Set) Run(ctx context.Context) {
-	around, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go s.opt.Client.Watch(around, lease.MachineName, s.heard)
-	go s.look(around)
+// holdings are over. Owner goes on being told until the other context ends: one that has handed on all that it held still has to
+// find those who own now.
+func (s *Set) Run(ctx, told context.Context) {
+	go s.opt.Client.Watch(told, lease.MachineName, s.heard)
+	go s.look(told)
 	var wg sync.WaitGroup
 	for _, r := range s.runners {
 		wg.Add(1)
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -172,7 +172,7 @@
 	if n.rights != nil {
 		go n.rights.Run(holding)
 	}
-	n.duties.Run(holding)
+	n.duties.Run(holding, n.ctx)
 }
 
 // open takes the folder and the address, and tries again for as long as another process has them.
--- a/internal/ownertrial/owner_test.go
+++ b/internal/ownertrial/owner_test.go
@@ -32,6 +32,7 @@
 // fleet starts a fleet for a test.
 func fleet(t *testing.T, o rig.Options) *rig.Fleet {
 	t.Helper()
+	t.Parallel() // the tests mostly wait
 	o.Bin, o.Load = bin, 0.2
 	if o.Seed == 0 {
 		o.Seed = 1
--- a/internal/ownertrial/watch_test.go
+++ b/internal/ownertrial/watch_test.go
@@ -29,7 +29,6 @@
 // One gateway watches the register for all: a drain told to it alone ends all work there, with its owner stopped or
 // killed amid it as well; one that hears of nobody watches by itself.
 func TestOneWatchOfTheRegister(t *testing.T) {
-	t.Parallel()
 	f := fleet(t, rig.Options{Instances: 4, Consul: true, Load: 0.2})
 	i, h := hasOwner(t, f, 0, roster.Duty, 0)
 	only := func() {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -66,8 +67,17 @@
 	return bin, remove, err
 }
 
+// fleetsAtOnce is how many of a package's tests run beside one another, however few cores there are: a fleet of a few gateways mostly
+// waits.
+const fleetsAtOnce = "4"
+
 // Main builds the gateway for a package's tests, runs them, and gives the exit code.
 func Main(bin *string, run func() int) int {
+	flag.Parse()
+	if err := flag.Set("test.parallel", fleetsAtOnce); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
 	b, remove, err := Build(context.Background())
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
