versions: what the fleet acts on, as permits that run out by themselves

An item's versions are agreed with number and digest; a gateway asks again and again what it may act on, and each answer is a permit for a span counted from its asking. So a straggler is harmless without any message: a withdrawn or followed version ends a span and its margin after the entry, or as soon as all enrolled processes say that they went on. Guide takes a roll-out from one gateway to a tenth to all, and holds it where one refuses it.

--- a/cmd/lab/virtual.go
+++ b/cmd/lab/virtual.go
@@ -19,6 +19,7 @@
 	"mothcleat/sim"
 	"mothcleat/sim/budgets"
 	"mothcleat/sim/owners"
+	"mothcleat/sim/versions"
 )
 
 // The commands that play the real decisions in virtual time.
@@ -208,6 +209,53 @@
 		})
 }
 
+// auditsearch looks for acts on versions that nobody is to act on.
+func (b *bench) auditsearch() *cobra.Command {
+	return b.play("auditsearch", "looks in virtual time for faults by which a gateway acts on what was withdrawn, and for wrong variants", 30*time.Second,
+		func(c *cobra.Command) (func() error, player) {
+			f := c.Flags()
+			most := f.Int("schedules", 1_000_000, "so many plays at most")
+			wrong := f.Bool("mutants", true, "search wrong variants as well; needs Go and the sources")
+			plays := f.Int("mutant-schedules", 2000, "so many plays at most for each of them")
+			check := func() error {
+				return errors.Join(within("schedules", *most, 1, 100_000_000), within("mutant-schedules", *plays, 1, 10_000_000))
+			}
+			return check, func(ctx context.Context, seed uint64, length time.Duration) (*trial.Figures, error) {
+				limited, cancel := context.WithTimeout(ctx, length)
+				defer cancel()
+				found := versions.Search(limited, seed, *most)
+				fig := trial.NewFigures("auditsearch", seed)
+				fig.Seconds = found.Took.Seconds()
+				type finding struct {
+					Rule  string           `json:"rule"`
+					What  string           `json:"what"`
+					After int              `json:"after"`
+					Play  versions.Finding `json:"play"`
+				}
+				var all []finding
+				for _, x := range found.Findings {
+					all = append(all, finding{x.Breach.What, x.Breach.How + " at " + x.Breach.At, x.After, x})
+					fig.Broken[trial.Rule(x.Breach.What)]++
+					fig.Miss(x.Breach.What + ": " + x.Breach.How)
+				}
+				fig.Extra["schedules"], fig.Extra["findings"], fig.Extra["faults"] = found.Plays, all, found.Faults
+				fig.Extra["acts"], fig.Extra["rollouts"], fig.Extra["withdrawn"], fig.Extra["shut_out"] = found.Acts, found.RollOuts, found.Withdrawn, found.Outs
+				fig.Extra["schedules_per_second"] = float64(found.Plays) / found.Took.Seconds()
+				for _, k := range versions.Kinds {
+					if found.Faults[k] == 0 {
+						fig.Miss("no fault " + k + ": nothing was shown")
+					}
+				}
+				if *wrong {
+					if err := b.mutants(ctx, fig, mutants.Versions, seed, *plays); err != nil {
+						return fig, err
+					}
+				}
+				return fig, nil
+			}
+		})
+}
+
 // mutants adds to the figures what the search makes of wrong variants.
 func (b *bench) mutants(ctx context.Context, f *trial.Figures, list func() ([]mutants.Mutant, error), seed uint64, schedules int) error {
 	all, err := list()
--- a/internal/mutants/mutants.go
+++ b/internal/mutants/mutants.go
@@ -33,6 +33,9 @@
 //go:embed budgets.toml
 var budgets []byte
 
+//go:embed versions.toml
+var versions []byte
+
 // Mutant is one wrong variant.
 type Mutant struct {
 	Name string `toml:"name"`
@@ -63,6 +66,9 @@
 // Budgets is all mutants of how budgets are divided.
 func Budgets() ([]Mutant, error) { return read(budgets) }
 
+// Versions is all mutants of what the fleet is to act on.
+func Versions() ([]Mutant, error) { return read(versions) }
+
 func read(list []byte) ([]Mutant, error) {
 	var f struct {
 		Mutant []Mutant `toml:"mutant"`
--- /dev/null
+++ b/versions/guide.go
@@ -0,0 +1,113 @@
+package versions
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"mothcleat/lease"
+)
+
+// Pilots are the gateways that act on a version in a stage, by rendezvous: other ones each time.
+func Pilots(item string, number uint64, stage Stage, ids []string) []string {
+	n := 1
+	if stage == Tenth {
+		n = (len(ids) + 9) / 10
+	}
+	name := item + "/" + strconv.FormatUint(number, 10)
+	all := slices.Clone(ids)
+	slices.SortFunc(all, func(a, b string) int { return lease.Rank(name, a, ids) - lease.Rank(name, b, ids) })
+	all = all[:min(n, len(all))]
+	slices.Sort(all)
+	return all
+}
+
+// Guide gives what is to become of the roll-outs under way, by what is agreed: the next stage where one went well, a hold
+// where a gateway refused it or nobody has it in force. term is that of whoever asks.
+func Guide(r Rules, term uint64, v *View) (ops []Op) {
+	var ids []string
+	for _, m := range v.Members {
+		if !slices.Contains(ids, m.Member.ID) {
+			ids = append(ids, m.Member.ID)
+		}
+	}
+	for i := range v.Versions {
+		if one := &v.Versions[i]; one.State == Rolling {
+			if op, ok := guide(r, v, one, ids); ok {
+				op.Item, op.Number, op.Term = one.Item, one.Number, term
+				ops = append(ops, op)
+			}
+		}
+	}
+	return ops
+}
+
+func guide(r Rules, v *View, one *Version, ids []string) (op Op, ok bool) {
+	began := max(one.Staged, one.From)
+	wanting, since, has := 0, began, 0
+	for _, m := range v.Members {
+		if f, refused := m.Refused[one.Item]; refused && f.Number == one.Number {
+			return Op{Do: "hold", Why: m.Member.ID + " refuses it: " + f.Why}, true
+		}
+		if !slices.Contains(one.Pilots, m.Member.ID) {
+			continue
+		}
+		if m.InForce[one.Item] < one.Number {
+			wanting++
+			continue
+		}
+		has++
+		since = max(since, m.At)
+	}
+	switch {
+	case has > 0 && wanting == 0 && v.At-since >= r.Settle:
+		if one.Stage == One && len(ids) > 10 {
+			return Op{Do: "go-on", Stage: Tenth, Pilots: Pilots(one.Item, one.Number, Tenth, ids)}, true
+		}
+		return Op{Do: "go-on", Stage: All}, true
+	case v.At-began >= r.Patience:
+		if has > 0 {
+			return Op{Do: "hold", Why: "not all of its stage have it in force in time"}, true
+		}
+		return Op{Do: "hold", Why: "nobody has it in force in time"}, true
+	}
+	return op, false
+}
+
+// Behind are the processes that are not on what they are to act on, and since when that was to be.
+type Behind struct {
+	Member lease.Member  `json:"member"`
+	Item   string        `json:"item"`
+	Has    uint64        `json:"has"` // 0: it said nothing
+	Wants  uint64        `json:"wants"`
+	Since  time.Duration `json:"since"`
+	Why    string        `json:"why,omitempty"`
+}
+
+// Stragglers tells who is behind.
+func Stragglers(v *View) (all []Behind) {
+	for _, m := range v.Members {
+		wants := map[string]*Version{}
+		for i := range v.Versions {
+			one := &v.Versions[i]
+			if one.State == Whole || (one.State == Rolling || one.State == Held) && slices.Contains(one.Pilots, m.Member.ID) {
+				wants[one.Item] = one
+			}
+		}
+		for item, one := range wants {
+			if m.InForce[item] >= one.Number {
+				continue
+			}
+			b := Behind{Member: m.Member, Item: item, Has: m.InForce[item], Wants: one.Number, Since: max(one.Staged, one.From, m.Since)}
+			if f := m.Refused[item]; f.Number == one.Number {
+				b.Why = f.Why
+			}
+			all = append(all, b)
+		}
+	}
+	slices.SortFunc(all, func(a, b Behind) int {
+		return cmp.Or(cmp.Compare(a.Member.ID, b.Member.ID), cmp.Compare(a.Member.Boot, b.Member.Boot), cmp.Compare(a.Item, b.Item))
+	})
+	return all
+}
--- /dev/null
+++ b/versions/versions_test.go
@@ -0,0 +1,181 @@
+package versions
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"mothcleat/lease"
+)
+
+type anyTerm struct{}
+
+func (anyTerm) Fence(string, uint64, lease.Member) error { return nil }
+
+var (
+	a, b = lease.Member{ID: "a", Boot: 1}, lease.Member{ID: "b", Boot: 2}
+	one  = strings.Repeat("1", 64)
+	two  = strings.Repeat("2", 64)
+)
+
+func do(t *testing.T, m *Machine, at time.Duration, who lease.Member, op Op) Result {
+	t.Helper()
+	var r Result
+	if err := json.Unmarshal(m.Apply(at, 1, who, op.Encode()), &r); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func must(t *testing.T, r Result) uint64 {
+	t.Helper()
+	if !r.OK {
+		t.Fatal(r.Why)
+	}
+	return r.Number
+}
+
+// A version goes from one gateway to all; what came before ends when all say so, or after the span; a withdrawal brings back what was
+// there, under a new number.
+func TestARollOut(t *testing.T) {
+	r := Defaults()
+	m := NewMachine(r, anyTerm{})
+	for _, who := range []lease.Member{a, b} {
+		must(t, do(t, m, 0, who, Op{Do: "here"}))
+	}
+	n := must(t, do(t, m, 1*time.Second, a, Op{Do: "propose", Item: "plans", Digest: one, Size: 3, Stage: One, Pilots: []string{"a"}}))
+	if n != 2 {
+		t.Fatalf("number %d", n) // 1 is what each has by its own configuration
+	}
+	if got := m.Tell(1*time.Second, b).Target[0]; got.Number != 1 || len(got.Beside) != 1 || got.Beside[0].Digest != one {
+		t.Errorf("one that does not try it is told %+v", got)
+	}
+	if got := m.Tell(1*time.Second, a).Target[0]; got.Number != 2 || len(got.May) != 2 {
+		t.Errorf("the one that tries it is told %+v", got)
+	}
+	if r := do(t, m, 1*time.Second, b, Op{Do: "propose", Item: "plans", Digest: two, Stage: All, Number: 2}); r.OK {
+		t.Error("two roll-outs at once")
+	}
+	view := m.View(2 * time.Second)
+	if ops := Guide(r, 1, &view); len(ops) != 0 {
+		t.Errorf("it goes on before anybody has it: %+v", ops)
+	}
+	must(t, do(t, m, 2*time.Second, a, Op{Do: "report", Item: "plans", Number: 2}))
+	view = m.View(4 * time.Second)
+	ops := Guide(r, 1, &view)
+	if len(ops) != 1 || ops[0].Do != "go-on" || ops[0].Stage != All {
+		t.Fatalf("%+v", ops)
+	}
+	must(t, do(t, m, 4*time.Second, a, ops[0]))
+	if got := m.Tell(4*time.Second, b).Target[0]; got.Number != 2 || got.May[1] != r.Span {
+		t.Errorf("one that has to catch up is told %+v", got)
+	}
+	if s := Stragglers(ptr(m.View(5 * time.Second))); len(s) != 1 || s[0].Member != b || s[0].Wants != 2 {
+		t.Errorf("%+v", s)
+	}
+	must(t, do(t, m, 5*time.Second, b, Op{Do: "report", Item: "plans", Number: 2}))
+	if got := m.Tell(5*time.Second, b).Target[0]; len(got.Beside) != 0 || len(got.May) != 1 {
+		t.Errorf("all have it, and it is told %+v", got)
+	}
+	n = must(t, do(t, m, 6*time.Second, b, Op{Do: "withdraw", Item: "plans", Number: 2, Why: "wrong"}))
+	got := m.Tell(6*time.Second, a).Target[0]
+	if n != 3 || got.Number != 3 || got.Digest != "" || got.May[2] != 0 {
+		t.Errorf("after it was withdrawn %+v", got)
+	}
+	if r := do(t, m, 7*time.Second, a, Op{Do: "go-on", Item: "plans", Number: 2, Stage: All}); r.OK {
+		t.Error("a withdrawn version went on")
+	}
+}
+
+func ptr[T any](v T) *T { return &v }
+
+// A version that a gateway can't act on is held, and goes on only by a person's word.
+func TestARefusalHolds(t *testing.T) {
+	r := Defaults()
+	m := NewMachine(r, anyTerm{})
+	must(t, do(t, m, 0, a, Op{Do: "here"}))
+	must(t, do(t, m, 0, a, Op{Do: "propose", Item: "plans", Digest: one, Stage: One, Pilots: []string{"a"}}))
+	must(t, do(t, m, 1, a, Op{Do: "report", Item: "plans", Number: 2, Refused: true, Why: "no such plan"}))
+	view := m.View(2)
+	ops := Guide(r, 1, &view)
+	if len(ops) != 1 || ops[0].Do != "hold" || !strings.Contains(ops[0].Why, "no such plan") {
+		t.Fatalf("%+v", ops)
+	}
+	must(t, do(t, m, 3, a, ops[0]))
+	if got := m.Tell(3, a).Target[0]; got.Number != 1 {
+		t.Errorf("one that can't act on it is to act on %d", got.Number)
+	}
+	if r := do(t, m, 4, a, Op{Do: "go-on", Item: "plans", Number: 2, Stage: All, Term: 1}); r.OK {
+		t.Error("the guide let a held version go on")
+	}
+	must(t, do(t, m, 4, a, Op{Do: "go-on", Item: "plans", Number: 2, Stage: All}))
+}
+
+// No permit is given for longer than a process is enrolled: after that nobody waits for its word.
+func TestAPermitEndsWithTheEnrolment(t *testing.T) {
+	r := Defaults()
+	m := NewMachine(r, anyTerm{})
+	must(t, do(t, m, 0, a, Op{Do: "here"}))
+	must(t, do(t, m, 0, b, Op{Do: "here"}))
+	must(t, do(t, m, 0, b, Op{Do: "propose", Item: "plans", Digest: one, Stage: All}))
+	late := r.Enrol - time.Second
+	told := m.Tell(late, a)
+	if !told.Enrol {
+		t.Error("one whose enrolment ends is not told so")
+	}
+	for number, span := range told.Target[0].May {
+		if late+r.withMargin(span) > r.Enrol {
+			t.Errorf("%d is permitted for %v, %v before the enrolment ends", number, span, r.Enrol-late)
+		}
+	}
+	if told := m.Tell(r.Enrol, a); told.Out == "" || len(told.Target) > 0 {
+		t.Errorf("one that is not enrolled any more is told %+v", told)
+	}
+}
+
+// Without any item a gateway acts for as long as it hears the fleet, and not before.
+func TestActsForASpan(t *testing.T) {
+	r := Defaults()
+	h := NewHolder(r)
+	if h.Acts(0) != 0 {
+		t.Error("it acts before it has heard anything")
+	}
+	h.Hear(2*time.Second, time.Second, &Told{Seq: 1})
+	if got := h.Acts(2 * time.Second); got != time.Second+r.Span {
+		t.Errorf("it acts until %v", got)
+	}
+	if h.Acts(time.Second+r.Span) != 0 {
+		t.Error("it acts when its permit is over")
+	}
+	h.Hear(12*time.Second, 12*time.Second, &Told{Seq: 2, Out: "by hand"})
+	if h.Acts(12*time.Second) != 0 || !strings.Contains(h.Why(12*time.Second), "by hand") {
+		t.Error("it acts though it was shut out")
+	}
+}
+
+// One that flaps stays out longer each time.
+func TestFlappingIsDamped(t *testing.T) {
+	r := Defaults()
+	h := NewHolder(r)
+	now := time.Second
+	var waits []time.Duration
+	for range 5 {
+		h.Hear(now, now, &Told{Seq: 1})
+		began := now
+		for ; h.Acts(now) == 0; now += 10 * time.Millisecond {
+			h.Hear(now, now, &Told{Seq: 1})
+		}
+		waits = append(waits, now-began)
+		h.Hear(now, now, &Told{Seq: 1, Out: "not enrolled"})
+		now += time.Second
+	}
+	for i := 3; i < len(waits); i++ {
+		if waits[i] <= waits[i-1] {
+			t.Errorf("it waited %v", waits)
+		}
+	}
+	if waits[1] != 0 || waits[2] != r.Damp || h.Outs() != 5 {
+		t.Errorf("it waited %v, and was out %d times", waits, h.Outs())
+	}
+}
