--- a/budget/machine.go
+++ b/budget/machine.go
@@ -28,9 +28,11 @@
 
 // book is a budget as agreed.
 type book struct {
-	whole  Share
-	spread int
-	held   map[lease.Member]Held
+	whole Share
+	// version is that of the terms that the whole is by: a lower one's is not believed any more.
+	version uint64
+	spread  int
+	held    map[lease.Member]Held
 	// spare is how many units of the reserve its owner keeps: the next one begins with them.
 	spare float64
 }
@@ -107,7 +109,7 @@
 		m.books[r.Duty] = map[uint64]*book{}
 	}
 	for id, b := range after {
-		if len(b.held) == 0 && b.spare == 0 {
+		if len(b.held) == 0 && b.spare == 0 && b.version == 0 {
 			delete(m.books[r.Duty], id) // nobody holds anything: it is as one that was never heard of
 			continue
 		}
@@ -118,7 +120,7 @@
 
 // changed is a book after a change, or why it can't be.
 func changed(before *book, c *fleetpb.BudgetChange, who []*fleetpb.Member) (*book, error) {
-	b := &book{whole: shareOf(c.Whole), spread: int(c.Spread), held: map[lease.Member]Held{}, spare: c.Spare}
+	b := &book{whole: shareOf(c.Whole), version: c.Version, spread: int(c.Spread), held: map[lease.Member]Held{}, spare: c.Spare}
 	if before != nil {
 		maps.Copy(b.held, before.held)
 	}
@@ -165,7 +167,7 @@
 func (m *Machine) write(b *fleetpb.Books, index map[lease.Member]uint32, books map[uint64]*book) {
 	for _, id := range slices.Sorted(maps.Keys(books)) {
 		k := books[id]
-		c := &fleetpb.BudgetChange{Budget: id, Whole: k.whole.proto(), Spread: uint32(k.spread), Spare: k.spare}
+		c := &fleetpb.BudgetChange{Budget: id, Whole: k.whole.proto(), Version: k.version, Spread: uint32(k.spread), Spare: k.spare}
 		for _, who := range sorted(k.held) {
 			h := k.held[who]
 			c.Held = append(c.Held, &fleetpb.HeldPart{Who: indexOf(&b.Who, index, who), Part: h.Part.proto(), Floor: h.Floor.proto()})
@@ -224,7 +226,7 @@
 func readBooks(b *fleetpb.Books) (map[uint64]*book, error) {
 	books := make(map[uint64]*book, len(b.Budgets))
 	for _, c := range b.Budgets {
-		k := &book{whole: shareOf(c.Whole), spread: int(c.Spread), held: map[lease.Member]Held{}, spare: c.Spare}
+		k := &book{whole: shareOf(c.Whole), version: c.Version, spread: int(c.Spread), held: map[lease.Member]Held{}, spare: c.Spare}
 		for _, h := range c.Held {
 			if int(h.Who) >= len(b.Who) {
 				return nil, fmt.Errorf("budget: member %d of %d", h.Who, len(b.Who))
@@ -238,11 +240,13 @@
 
 // View is a budget as it is agreed, for those who look.
 type View struct {
-	Budget uint64   `json:"budget"`
-	Whole  Share    `json:"whole"`
-	Spread int      `json:"spread"`
-	Spare  float64  `json:"spare"` // units of the reserve that the next owner would begin with
-	Held   []HeldBy `json:"held"`
+	Budget uint64 `json:"budget"`
+	Whole  Share  `json:"whole"`
+	// Version is that of the terms, twice, and one more where no others are acted on any more; 0: by configurations.
+	Version uint64   `json:"version,omitempty"`
+	Spread  int      `json:"spread"`
+	Spare   float64  `json:"spare"` // units of the reserve that the next owner would begin with
+	Held    []HeldBy `json:"held"`
 }
 
 // HeldBy is what one member may be using.
@@ -263,7 +267,7 @@
 		return nil, err
 	}
 	for _, id := range slices.Sorted(maps.Keys(books)) {
-		v := View{Budget: id, Whole: books[id].whole, Spread: books[id].spread, Spare: books[id].spare}
+		v := View{Budget: id, Whole: books[id].whole, Version: books[id].version, Spread: books[id].spread, Spare: books[id].spare}
 		for _, who := range sorted(books[id].held) {
 			v.Held = append(v.Held, HeldBy{Member: who, Held: books[id].held[who]})
 		}
--- a/budget/owner.go
+++ b/budget/owner.go
@@ -52,19 +52,22 @@
 
 // account is a budget as its owner keeps it.
 type account struct {
-	whole  Share
-	from   time.Duration // when the process was started that said so
-	spread int
-	holds  map[lease.Member]*hold
-	held   Share         // what members may be using, as agreed
-	rising Share         // and what is proposed beside that: it is given already, as an entry may be agreed whatever becomes of its answer
-	bank   bank          // the reserve's units
-	spare  float64       // units of the bank that are lent no one, as agreed: the next owner begins with them
-	saving float64       // and as is proposed; below 0: nothing is
-	usual  float64       // units of a loan
-	short  float64       // units of the largest loan that waits for less to be kept
-	room   *rooms        // nil: nothing was ever given back
-	next   time.Duration // it is not divided anew before
+	whole    Share
+	version  uint64        // of the terms that it is by
+	known    uint64        // the version as is agreed
+	proposed uint64        // and as is proposed
+	from     time.Duration // when the process was started that said so
+	spread   int
+	holds    map[lease.Member]*hold
+	held     Share         // what members may be using, as agreed
+	rising   Share         // and what is proposed beside that: it is given already, as an entry may be agreed whatever becomes of its answer
+	bank     bank          // the reserve's units
+	spare    float64       // units of the bank that are lent no one, as agreed: the next owner begins with them
+	saving   float64       // and as is proposed; below 0: nothing is
+	usual    float64       // units of a loan
+	short    float64       // units of the largest loan that waits for less to be kept
+	room     *rooms        // nil: nothing was ever given back
+	next     time.Duration // it is not divided anew before
 }
 
 // hold is a member's part.
@@ -115,7 +118,7 @@
 	}
 	for id, k := range agreed {
 		a := o.account(id, k.whole, k.spread)
-		a.spare, a.bank.level = k.spare, k.spare
+		a.spare, a.bank.level, a.version, a.known = k.spare, k.spare, k.version, k.version
 		o.stirred[id] = true
 		for who, h := range k.held {
 			a.holds[who] = &hold{agreed: h, word: h, number: 1, at: now, wanted: now}
@@ -224,7 +227,7 @@
 		return &fleetpb.LoanAnswer{Code: fleetpb.Code_NOT_LEADER, Why: handsOn}
 	}
 	a := o.account(ask.Budget, whole, int(ask.Spread))
-	o.believe(a, whole, o.age(now, o.member(now, memberOf(ask.Member)), ask.Age))
+	o.believe(ask.Budget, a, whole, ask.Version, o.age(now, o.member(now, memberOf(ask.Member)), ask.Age))
 	free := o.reserve(now, a)
 	a.usual += (ask.Units - a.usual) * 0.1
 	if a.bank.level >= ask.Units && a.bank.level-ask.Units < math.Max(a.spare, a.saving) {
@@ -275,7 +278,7 @@
 		m.number = max(m.number, ask.Number)
 	}
 	for _, w := range ask.Wants {
-		o.want(now, who, m, w, ours, time.Duration(ask.Heard))
+		o.want(now, who, m, w, ask.Version, ours, time.Duration(ask.Heard))
 	}
 	for id := range m.budgets {
 		a := o.budgets[id]
@@ -314,7 +317,7 @@
 }
 
 // want takes in what a member was asked for.
-func (o *Owner) want(now time.Duration, who lease.Member, m *member, w *fleetpb.Want, ours bool, stamp time.Duration) {
+func (o *Owner) want(now time.Duration, who lease.Member, m *member, w *fleetpb.Want, version uint64, ours bool, stamp time.Duration) {
 	whole := shareOf(w.Whole)
 	if !whole.sound() || whole.none() || !(w.Asked >= 0) || !(w.Returned >= 0) {
 		return
@@ -326,7 +329,7 @@
 		a.holds[who], a.next = h, 0
 		m.budgets[w.Budget] = true
 	}
-	o.believe(a, whole, m.started)
+	o.believe(w.Budget, a, whole, version, m.started)
 	window := a.window().Seconds()
 	part := math.Exp(-max(0, now-h.at).Seconds() / window)
 	h.claim.Demand, h.claim.Most, h.at = h.claim.Demand*part+w.Asked/window, math.Max(h.claim.Most*part, w.Most), now
@@ -348,14 +351,16 @@
 	return m.started
 }
 
-// believe takes in what a budget's whole is by a process's configuration. Configurations change with processes: the youngest is
-// believed.
-func (o *Owner) believe(a *account, whole Share, started time.Duration) {
-	if started < a.from {
+// believe takes in what a budget's whole is by a process's terms. The highest version is believed, whoever else says something
+// else later; among those of one version, and where terms come with configurations, the youngest process.
+func (o *Owner) believe(id uint64, a *account, whole Share, version uint64, started time.Duration) {
+	if version < a.version || version == a.version && started < a.from {
 		return
 	}
-	if a.from = started; a.whole != whole {
-		a.whole, a.next = whole, 0
+	a.from = started
+	if a.whole != whole || a.version != version {
+		a.whole, a.version, a.next = whole, version, 0
+		o.stirred[id] = true
 	}
 }
 
@@ -423,12 +428,12 @@
 		// What is kept for the next owner goes up and down with the bank: in steps, and at once where it stands in the way.
 		o.reserve(now, a) // it is smaller by what is to be raised
 		keep := math.Min(a.keep(), math.Max(0, a.whole.Burst-a.held.Burst-a.rising.Burst))
-		if len(changes) == 0 && a.short == 0 && math.Abs(keep-a.spare) < a.whole.Burst*o.rules.Step && (keep >= a.spare || a.bank.level-a.spare >= a.usual) {
+		if len(changes) == 0 && a.short == 0 && a.version == a.known && math.Abs(keep-a.spare) < a.whole.Burst*o.rules.Step && (keep >= a.spare || a.bank.level-a.spare >= a.usual) {
 			continue
 		}
-		a.saving = keep
+		a.saving, a.proposed = keep, a.version
 		o.saving = append(o.saving, id)
-		c := &fleetpb.BudgetChange{Budget: id, Whole: a.whole.proto(), Spread: uint32(a.spread), Spare: keep}
+		c := &fleetpb.BudgetChange{Budget: id, Whole: a.whole.proto(), Version: a.version, Spread: uint32(a.spread), Spare: keep}
 		for _, p := range changes {
 			c.Held = append(c.Held, &fleetpb.HeldPart{Who: indexOf(&round.Who, index, p.who), Part: p.to.Part.proto(), Floor: p.to.Floor.proto()})
 		}
@@ -570,7 +575,7 @@
 	}
 	for _, id := range o.saving {
 		a := o.budgets[id]
-		a.spare, a.saving, a.short = a.saving, -1, 0
+		a.spare, a.saving, a.short, a.known = a.saving, -1, 0, a.proposed
 	}
 	o.out, o.saving = nil, nil
 }
@@ -599,9 +604,9 @@
 		if keep <= a.spare {
 			continue
 		}
-		a.saving = keep
+		a.saving, a.proposed = keep, a.version
 		o.saving = append(o.saving, id)
-		round.Changes = append(round.Changes, &fleetpb.BudgetChange{Budget: id, Whole: a.whole.proto(), Spread: uint32(a.spread), Spare: keep})
+		round.Changes = append(round.Changes, &fleetpb.BudgetChange{Budget: id, Whole: a.whole.proto(), Version: a.version, Spread: uint32(a.spread), Spare: keep})
 	}
 	if len(round.Changes) == 0 {
 		return nil
--- /dev/null
+++ b/chronicle/audit.go
@@ -0,0 +1,64 @@
+package chronicle
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Stretch is one gateway's acting on one version of an item.
+type Stretch struct {
+	ID     string `json:"id"`
+	Boot   string `json:"boot"`
+	Item   string `json:"item"`
+	Number uint64 `json:"number"`
+	From   int64  `json:"from"` // microseconds since 1970, by the gateway's clock
+	To     int64  `json:"to"`
+	Counts
+	First uint64 `json:"first"` // the entries that it rests on
+	Last  uint64 `json:"last"`
+}
+
+// Gap is a time of which a boot's record says nothing.
+type Gap struct {
+	ID   string `json:"id"`
+	Boot string `json:"boot"`
+	From int64  `json:"from"`
+	To   int64  `json:"to"` // 0: nothing follows
+	Why  string `json:"why"`
+}
+
+// Audit joins entries that hold: who acted on which version from when to when and how often. What no record tells is a gap: a
+// longer silence than most microseconds between two entries, or an end that is none.
+func Audit(good []Entry, most int64) (all []Stretch, gaps []Gap) {
+	type key struct{ id, boot, item string }
+	open := map[key]int{} // where the stretch under way stands
+	last := map[chain]*Entry{}
+	for i := range good {
+		e := &good[i]
+		c := chain{e.ID, e.Boot}
+		if before := last[c]; before != nil && e.Begun-before.Ended > most {
+			gaps = append(gaps, Gap{e.ID, e.Boot, before.Ended, e.Begun, "nothing was written"})
+		}
+		last[c] = e
+		for _, item := range slices.Sorted(maps.Keys(e.InForce)) {
+			k := key{e.ID, e.Boot, item}
+			at, ok := open[k]
+			if !ok || all[at].Number != e.InForce[item] {
+				at = len(all)
+				open[k] = at
+				all = append(all, Stretch{ID: e.ID, Boot: e.Boot, Item: item, Number: e.InForce[item], From: e.Begun, First: e.Seq})
+			}
+			s := &all[at]
+			s.To, s.Last, s.Counts = e.Ended, e.Seq, s.Counts.Plus(e.Counts)
+		}
+	}
+	for _, c := range slices.SortedFunc(maps.Keys(last), func(a, b chain) int {
+		return cmp.Or(cmp.Compare(a.id, b.id), cmp.Compare(a.boot, b.boot))
+	}) {
+		if e := last[c]; !e.Last {
+			gaps = append(gaps, Gap{c.id, c.boot, e.Ended, 0, "the record has no end: the process runs, or its folder was lost"})
+		}
+	}
+	return all, gaps
+}
--- a/cmd/mothcleat/fleet.go
+++ b/cmd/mothcleat/fleet.go
@@ -17,9 +17,11 @@
 	"mothcleat/internal/gateway"
 	"mothcleat/internal/operators"
 	"mothcleat/internal/registry"
+	"mothcleat/internal/rollout"
 	"mothcleat/internal/voter"
 	"mothcleat/lease"
 	"mothcleat/store"
+	"mothcleat/versions"
 )
 
 // fleetPart is this process's part in its fleet.
@@ -66,7 +68,20 @@
 			c.Rights = f // it ends with the process
 		}
 	}
+	if v := s.Versions; v.On {
+		r := versions.Defaults()
+		r.Span, r.Every, r.Settle, r.Patience, r.Margin = time.Duration(v.Span), time.Duration(v.Every), time.Duration(v.Settle), time.Duration(v.Patience), f.Margin
+		r.Enrol = max(r.Enrol, 4*r.Span)
+		if err := r.Check(); err != nil {
+			return nil, err
+		}
+		cfg.Terms = gateway.NewTerms(cfg)
+		c.Versions, c.Items = &r, map[string]rollout.Item{"plans": cfg.Terms}
+	}
 	n := fleetnode.Start(c)
+	if a := n.Permit(); a != nil {
+		cfg.Permit, cfg.Acts = a, n
+	}
 	if u := n.Rights(); u != nil {
 		cfg.Rights = u
 	}
--- /dev/null
+++ b/internal/audittrial/audit_test.go
@@ -0,0 +1,180 @@
+package audittrial
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"mothcleat/internal/budgettrial"
+	"mothcleat/internal/rig"
+	"mothcleat/versions"
+)
+
+var bin string
+
+func TestMain(m *testing.M) { os.Exit(rig.Main(&bin, m.Run)) }
+
+// fleet starts a fleet that acts on versions and waits until all may act.
+func fleet(t *testing.T, o rig.Options) *rig.Fleet {
+	t.Helper()
+	t.Parallel()
+	o.Bin, o.Load, o.Seed = bin, 0.3, o.Seed+1
+	if o.Operators == "" {
+		o.Operators = Text()
+	}
+	f, err := rig.New(t.Context(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			for _, g := range f.Gateways {
+				log := g.Log()
+				t.Logf("%s:\n%s", rig.Name(g.Number), log[max(0, len(log)-4000):])
+			}
+		}
+		f.Close()
+	})
+	for i := range f.Gateways {
+		acts(t, f, i, 0)
+	}
+	return f
+}
+
+// eventually waits for something, with a generous deadline.
+func eventually(t *testing.T, what string, is func() (bool, string)) {
+	t.Helper()
+	last := ""
+	for deadline := time.Now().Add(40 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		ok, state := is()
+		if ok {
+			return
+		}
+		last = state
+	}
+	t.Fatalf("not in time: %s; last: %s", what, last)
+}
+
+// acts waits until a gateway acts on a version of the plans, or a later one.
+func acts(t *testing.T, f *rig.Fleet, i int, number uint64) {
+	t.Helper()
+	eventually(t, fmt.Sprintf("%s acts on %d", rig.Name(i), number), func() (bool, string) {
+		h, err := here(f, i)
+		return err == nil && h.Until > 0 && h.InForce["plans"] >= number, fmt.Sprintf("%+v %v", h, err)
+	})
+}
+
+func check(t *testing.T, errs ...error) {
+	t.Helper()
+	for _, err := range errs {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// proposed has a text proposed, again while there is nobody to ask.
+func proposed(t *testing.T, f *rig.Fleet, at int, stage versions.Stage, text string) (number uint64) {
+	t.Helper()
+	eventually(t, "a proposal", func() (bool, string) {
+		n, err := propose(f, at, stage, 0, text)
+		number = n
+		return err == nil, fmt.Sprint(err)
+	})
+	return number
+}
+
+// ended waits until nobody may act on a version any more, by what is agreed.
+func ended(t *testing.T, f *rig.Fleet, at int, number uint64) {
+	t.Helper()
+	eventually(t, fmt.Sprintf("the end of %d", number), func() (bool, string) {
+		v, err := agreed(f, at)
+		one := version(&v, number)
+		return err == nil && one != nil && one.Until != 0 && v.At >= one.Until, fmt.Sprintf("%+v %v", one, err)
+	})
+}
+
+// play has clients ask for as long as something is done, and a little longer.
+func play(t *testing.T, f *rig.Fleet, do func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Clients.Run(ctx)
+	}()
+	rig.Pass(ctx, time.Second)
+	do()
+	rig.Pass(ctx, time.Second)
+	cancel()
+	<-done
+}
+
+// sentOn are the requests that a gateway sent on in a time, as the servers took them.
+func sentOn(f *rig.Fleet, i int, from, to time.Duration) (n int) {
+	f.Record.Look(func() {
+		for _, a := range f.Record.Attempts {
+			if a.Gateway == i && a.Whole >= from && a.Whole < to {
+				n++
+			}
+		}
+	})
+	return n
+}
+
+// kept fails the test if a rule was broken.
+func kept(t *testing.T, f *rig.Fleet) {
+	t.Helper()
+	if fig := f.Figures("audit"); !fig.OK {
+		t.Errorf("broken %v, why %v", fig.Broken, fig.Why)
+	}
+}
+
+// A gateway lies stopped through the whole of a roll-out that lessens all quotas, with requests in hand, and is woken when nobody may
+// act on what came before any more: it sends on nothing until it has caught up, but for the one write that it may have lain before.
+func TestStoppedThroughARollOut(t *testing.T) {
+	f := fleet(t, rig.Options{Instances: 4})
+	const stopped = 3
+	var number uint64
+	var since time.Duration
+	play(t, f, func() {
+		before := sentOn(f, stopped, 0, 1<<62)
+		check(t, f.Stop(stopped))
+		if before == 0 {
+			t.Fatal("the gateway sent nothing on before it was stopped: nothing is shown")
+		}
+		number = proposed(t, f, 0, versions.All, plansText(f.Site, 0.25))
+		for i := range 3 {
+			acts(t, f, i, number)
+		}
+		ended(t, f, 0, number-1)
+		rig.Pass(t.Context(), time.Second) // clients ask it meanwhile
+		since = f.Record.Now()
+		check(t, f.Wake(stopped))
+		acts(t, f, stopped, number)
+		rig.Pass(t.Context(), time.Second)
+	})
+	all, err := spans(f, stopped)
+	check(t, err)
+	if len(all) == 0 || all[len(all)-1].number != number {
+		t.Fatalf("%s wrote down %+v", rig.Name(stopped), all)
+	}
+	if n := sentOn(f, stopped, since, all[len(all)-1].from); n > 1 {
+		t.Errorf("%s sent %d requests on between waking and catching up", rig.Name(stopped), n)
+	}
+	if sentOn(f, stopped, all[len(all)-1].from, 1<<62) == 0 {
+		t.Error("it sent nothing on afterwards")
+	}
+	for i := range f.Site.Plans {
+		p := &f.Site.Plans[i]
+		p.Rate, p.Burst = p.Rate/4, p.Burst/4
+	}
+	for _, w := range budgettrial.WindowsSince(f.Site, f.Record, budgettrial.Slack{Late: 250 * time.Millisecond}, since) {
+		if w.Over > 0 {
+			t.Error(w)
+		}
+	}
+}
--- /dev/null
+++ b/internal/audittrial/fleet.go
@@ -0,0 +1,99 @@
+// Package audittrial has a fleet of real gateways act on versions while links and processes fail, and judges by what the stand-in servers
+// took, and by what the gateways wrote down, whether anybody acted on what was withdrawn.
+package audittrial
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"time"
+
+	"mothcleat/internal/fleetnode"
+	"mothcleat/internal/rig"
+	"mothcleat/internal/rollout"
+	"mothcleat/internal/trial"
+	"mothcleat/versions"
+)
+
+// Span is that of the permits of a trial's fleets.
+const Span = 2 * time.Second
+
+// Bound is how long after its end was agreed a version may be acted on at most: the span and its margin. Judged by one clock, a request
+// needs a moment more from its last look to a server.
+const Bound = Span + Span/8
+
+// Text is an operators' file's tables for a fleet that acts on versions, divides quotas, and was just founded.
+func Text(more ...string) string {
+	return fmt.Sprintf("[versions]\non = true\nspan = %q\nsettle = \"300ms\"\npatience = \"4s\"\n%s\n[budgets]\non = true\nbegin_full = true\n", Span, strings.Join(more, "\n"))
+}
+
+// plansText writes a version of a site's plans, with each quota times a factor.
+func plansText(s *trial.Site, factor float64) string {
+	var b strings.Builder
+	for _, p := range s.Plans {
+		if p.Rate > 0 {
+			fmt.Fprintf(&b, "[[plan]]\nname = %q\nrate = %g\nburst = %g\n", p.Name, p.Rate*factor, p.Burst*factor)
+			if p.CeilingRate > 0 {
+				fmt.Fprintf(&b, "ceiling_rate = %g\nceiling_burst = %g\n", p.CeilingRate, p.CeilingBurst)
+			}
+		}
+	}
+	return b.String()
+}
+
+// propose has a text proposed at a gateway.
+func propose(f *rig.Fleet, at int, stage versions.Stage, lead time.Duration, text string) (number uint64, err error) {
+	file := filepath.Join(f.Gateways[at].Dir(), fmt.Sprintf("plans-%d.toml", time.Now().UnixNano()))
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return 0, err
+	}
+	return number, f.Call(at, fmt.Sprintf("versions propose plans %s %v %s", stage, lead, file), &number)
+}
+
+// agreed is what is agreed, asked at a gateway.
+func agreed(f *rig.Fleet, at int) (v fleetnode.Versions, err error) {
+	return v, f.Call(at, "versions", &v)
+}
+
+// here is what a gateway acts on.
+func here(f *rig.Fleet, at int) (h rollout.Here, err error) {
+	return h, f.Call(at, "versions here", &h)
+}
+
+// version finds a version in what is agreed.
+func version(v *fleetnode.Versions, number uint64) *versions.Version {
+	for i := range v.Versions {
+		if v.Versions[i].Item == "plans" && v.Versions[i].Number == number {
+			return &v.Versions[i]
+		}
+	}
+	return nil
+}
+
+// span is when a gateway's process acted on a version, by what it wrote down.
+type span struct {
+	gateway  int
+	number   uint64
+	from, to time.Duration
+}
+
+var inForce = regexp.MustCompile(`(?m)^.*time=(\S+) .*msg="fleet: version in force" .*item=plans number=(\d+)`)
+
+// spans are all times in which a gateway acted on a version, from its log. Before the first of a process it acted on its
+// configuration, which is number 1, or on nothing.
+func spans(f *rig.Fleet, i int) (all []span, err error) {
+	for _, m := range inForce.FindAllStringSubmatch(f.Gateways[i].Log(), -1) {
+		at, bad := time.Parse(time.RFC3339Nano, m[1])
+		s := span{gateway: i, from: at.Sub(f.Record.Began()), to: 1 << 62}
+		_, worse := fmt.Sscan(m[2], &s.number)
+		err = errors.Join(err, bad, worse)
+		if len(all) > 0 {
+			all[len(all)-1].to = s.from
+		}
+		all = append(all, s)
+	}
+	return all, err
+}
--- a/internal/budgets/user.go
+++ b/internal/budgets/user.go
@@ -39,6 +39,7 @@
 	took     uint64   // the request that something was taken for last
 	tookBy   time.Duration
 	figures  Figures
+	order    uint64         // of the plans' version
 	record   io.Writer      // nil: none
 	lastTold []atomic.Int64 // by shard: when an owner last answered
 }
@@ -84,14 +85,14 @@
 func (u *User) Level(_ decide.Time, b *decide.Budget) float64 {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.holder.Level(steady.Now(), b.ID)
+	return min(u.holder.Level(steady.Now(), b.ID), b.Burst) // a part that is not lessened yet
 }
 
 // Rate is at which rate they come.
 func (u *User) Rate(_ decide.Time, b *decide.Budget) float64 {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.holder.Rate(steady.Now(), b.ID)
+	return min(u.holder.Rate(steady.Now(), b.ID), b.Rate)
 }
 
 // Take uses units for a request.
@@ -153,9 +154,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), lendWithin)
 	defer cancel()
 	u.mu.Lock()
-	age := u.holder.Age(steady.Now())
+	age, order := u.holder.Age(steady.Now()), u.order
 	u.mu.Unlock()
-	ask := &fleetpb.LoanAsk{Age: age, Duty: budget.Duty(shard), Budget: l.Budget.ID, Units: units,
+	ask := &fleetpb.LoanAsk{Version: order, Age: age, Duty: budget.Duty(shard), Budget: l.Budget.ID, Units: units,
 		Whole: &fleetpb.Share{Rate: l.Budget.Rate, Burst: l.Budget.Burst}, Spread: uint32(l.Budget.Spread)}
 	a, err := u.client.Borrow(ctx, owner.ID, address, ask)
 	u.mu.Lock()
@@ -174,6 +175,13 @@
 	u.lent(l)
 }
 
+// Order tells by which version of the plans wholes are from now on.
+func (u *User) Order(order uint64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.order = order
+}
+
 // Gone tells of boots of this process's id that run no more: whatever they held is free.
 func (u *User) Gone(boots []uint64) {
 	u.mu.Lock()
@@ -218,7 +226,7 @@
 	sent := steady.Now()
 	u.mu.Lock()
 	ask := u.holder.Renewal(sent, shard)
-	ask.Gone = u.gone
+	ask.Gone, ask.Version = u.gone, u.order
 	u.mu.Unlock()
 	if ask.Number == 0 && len(ask.Wants) == 0 && sent-time.Duration(u.lastTold[shard].Load()) < idleEach {
 		return false // it was never given anything, and wants nothing: the way to the owner is kept open
--- a/internal/fleetlink/client.go
+++ b/internal/fleetlink/client.go
@@ -369,3 +369,34 @@
 	ask.Fleet, ask.Member = c.fleet, c.member()
 	return to.Borrow(ctx, ask)
 }
+
+// Content asks a process for the content of a version, from a place on. The function that it gives returns one piece after another; an
+// error ends it, io.EOF where there is no more.
+func (c *Client) Content(ctx context.Context, id, address, digest string, from int64) (func() ([]byte, error), error) {
+	to, err := c.conns.to(c.addresses.of(id, address))
+	if err != nil {
+		return nil, err
+	}
+	s, err := to.Content(ctx, &fleetpb.ContentAsk{Fleet: c.fleet, Digest: digest, From: from})
+	if err != nil {
+		return nil, err
+	}
+	return func() ([]byte, error) {
+		p, err := s.Recv()
+		return p.GetData(), err
+	}, nil
+}
+
+// Keep asks a process to keep a content that this one has.
+func (c *Client) Keep(ctx context.Context, id, address string, ask *fleetpb.KeepAsk) error {
+	to, err := c.conns.to(c.addresses.of(id, address))
+	if err != nil {
+		return err
+	}
+	ask = &fleetpb.KeepAsk{Fleet: c.fleet, Digest: ask.Digest, Size: ask.Size, From: ask.From}
+	a, err := to.Keep(ctx, ask)
+	if err == nil && a.Code != fleetpb.Code_OK {
+		err = fmt.Errorf("%w: %s", ErrRefused, a.Why)
+	}
+	return err
+}
--- a/internal/fleetlink/server.go
+++ b/internal/fleetlink/server.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"errors"
+	"io/fs"
 	"net"
 	"sync"
 	"time"
@@ -37,6 +39,14 @@
 	Lend(ask *fleetpb.LoanAsk) *fleetpb.LoanAnswer
 }
 
+// Contents has the contents of versions.
+type Contents interface {
+	// Give sends a content from a place on; fs.ErrNotExist if it is not here.
+	Give(digest string, from int64, send func([]byte) error) error
+	// Keep fetches a content from the process that asks for that.
+	Keep(ctx context.Context, ask *fleetpb.KeepAsk) error
+}
+
 // Server answers other processes of the fleet.
 type Server struct {
 	fleetpb.UnimplementedFleetServer
@@ -47,6 +57,8 @@
 
 	// Budgets answers who uses budgets; nil: nobody does here. It is to be set before Serve.
 	Budgets Budgets
+	// Contents answers who fetches; nil: there are none here. It is to be set before Serve.
+	Contents Contents
 
 	mu    sync.Mutex
 	voter *voter.Voter // nil: this process has none
@@ -280,3 +292,34 @@
 	}
 	return s.Budgets.Lend(ask), nil
 }
+
+// Content gives the content of a version, if it is here.
+func (s *Server) Content(ask *fleetpb.ContentAsk, out grpc.ServerStreamingServer[fleetpb.Piece]) error {
+	switch {
+	case ask.Fleet != s.fleet:
+		return errOtherFleet
+	case s.Contents == nil:
+		return status.Error(codes.Unimplemented, "this process keeps no contents")
+	}
+	err := s.Contents.Give(ask.Digest, ask.From, func(data []byte) error { return out.Send(&fleetpb.Piece{Data: data}) })
+	if errors.Is(err, fs.ErrNotExist) {
+		return status.Error(codes.NotFound, "it is not here")
+	}
+	return err
+}
+
+// Keep fetches a content from the process that asks for that.
+func (s *Server) Keep(ctx context.Context, ask *fleetpb.KeepAsk) (*fleetpb.Answer, error) {
+	switch {
+	case ask.Fleet != s.fleet:
+		return nil, errOtherFleet
+	case s.Contents == nil:
+		return &fleetpb.Answer{Code: fleetpb.Code_REFUSED, Why: "this process keeps no contents"}, nil
+	}
+	ctx, cancel := within(ctx)
+	defer cancel()
+	if err := s.Contents.Keep(ctx, ask); err != nil {
+		return &fleetpb.Answer{Code: fleetpb.Code_REFUSED, Why: err.Error()}, nil
+	}
+	return &fleetpb.Answer{}, nil
+}
--- a/internal/fleetnode/call.go
+++ b/internal/fleetnode/call.go
@@ -85,6 +85,8 @@
 		what = Rights{n.me, steady.Now(), held, did, n.divide.Figures()}
 	case len(words) <= 2 && len(words) > 0 && words[0] == "budgets":
 		what, err = n.books(ctx, words[1:])
+	case n.agent != nil && len(words) > 0 && words[0] == "versions":
+		what, err = n.versions(ctx, words[1:])
 	case len(words) == 3 && words[0] == "transfer":
 		what, err = n.transfer(ctx, words[1], words[2])
 	case len(words) == 2 && words[0] == "remove":
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -18,6 +18,7 @@
 
 	"mothcleat/agree"
 	"mothcleat/budget"
+	"mothcleat/chronicle"
 	"mothcleat/exports"
 	"mothcleat/internal/budgets"
 	"mothcleat/internal/duties"
@@ -25,12 +26,15 @@
 	"mothcleat/internal/fleetlink"
 	"mothcleat/internal/fleetpb"
 	"mothcleat/internal/fleetwatch"
+	"mothcleat/internal/recorder"
 	"mothcleat/internal/registry"
+	"mothcleat/internal/rollout"
 	"mothcleat/internal/usecount"
 	"mothcleat/internal/voter"
 	"mothcleat/lease"
 	"mothcleat/roster"
 	"mothcleat/standing"
+	"mothcleat/versions"
 )
 
 // Config is what a process is told of its fleet.
@@ -55,26 +59,32 @@
 	// Budgets are the rules by which quotas are divided; nil: they are not.
 	Budgets      *budget.Rules
 	BudgetShards int
-	Rights       io.Writer     // gets a line for each renewal of rights; nil: none
-	Silent       time.Duration // see fleetwatch.Watch
+	// Versions are the rules of what the fleet acts on, and Items what that is here; nil: each gateway acts on its configuration.
+	Versions *versions.Rules
+	Items    map[string]rollout.Item
+	Rights   io.Writer     // gets a line for each renewal of rights; nil: none
+	Silent   time.Duration // see fleetwatch.Watch
 }
 
 // Node is a process's part. Make it with Start.
 type Node struct {
-	cfg    Config
-	me     lease.Member
-	ctx    context.Context
-	cancel context.CancelFunc
-	client *fleetlink.Client
-	duties *duties.Set
-	watch  *fleetwatch.Watch // nil: the register is not watched for all
-	rights *budgets.User     // nil: quotas are not divided
-	divide *budgets.Divider
-	boots  atomic.Pointer[budgets.Boots]
-	server atomic.Pointer[fleetlink.Server]
+	cfg      Config
+	me       lease.Member
+	ctx      context.Context
+	cancel   context.CancelFunc
+	client   *fleetlink.Client
+	duties   *duties.Set
+	watch    *fleetwatch.Watch // nil: the register is not watched for all
+	rights   *budgets.User     // nil: quotas are not divided
+	agent    *rollout.Agent    // nil: there are no versions
+	divide   *budgets.Divider
+	contents *rollout.Contents
+	boots    atomic.Pointer[budgets.Boots]
+	server   atomic.Pointer[fleetlink.Server]
 
 	counter atomic.Pointer[usecount.Counter]
-	early   chan use // what was sent on before the counts were open
+	record  atomic.Pointer[recorder.Recorder] // nil: none yet, or there are no versions
+	early   chan use                          // what was sent on before the counts were open
 	missed  atomic.Uint64
 
 	leave   context.CancelFunc // ends the holding of duties
@@ -98,12 +108,41 @@
 )
 
 // Machines are the parts of the agreed state.
-func Machines(r lease.Rules) map[string]agree.Machine {
+func Machines(r lease.Rules, v versions.Rules) map[string]agree.Machine {
 	d := lease.NewMachine(r)
 	return map[string]agree.Machine{lease.MachineName: d, exports.MachineName: exports.NewMachine(d),
-		standing.MachineName: standing.NewMachine(d), roster.MachineName: roster.NewMachine(d), budget.MachineName: budget.NewMachine(d)}
+		standing.MachineName: standing.NewMachine(d), roster.MachineName: roster.NewMachine(d), budget.MachineName: budget.NewMachine(d),
+		versions.MachineName: versions.NewMachine(v, d)}
 }
 
+// versionRules are the rules of the versions' machine, which each voter has.
+func (n *Node) versionRules() versions.Rules {
+	if n.cfg.Versions != nil {
+		return *n.cfg.Versions
+	}
+	return versions.Defaults()
+}
+
+// RecordDir is where a gateway's record lies.
+func RecordDir(dir string) string { return filepath.Join(dir, "record") }
+
+// Sent counts an attempt that was sent on; see gateway.Acts.
+func (n *Node) Sent(first bool, units float64) {
+	if r := n.record.Load(); r != nil {
+		r.Sent(first, units)
+	}
+}
+
+// Refused counts a request that was refused.
+func (n *Node) Refused(turned bool) {
+	if r := n.record.Load(); r != nil {
+		r.Refused(turned)
+	}
+}
+
+// ContentsDir is where the contents of versions lie.
+func ContentsDir(dir string) string { return filepath.Join(dir, "versions") }
+
 // LogDir and UseDir are where a voter's log and a gateway's counts lie.
 func LogDir(dir string) string { return filepath.Join(dir, "log") }
 
@@ -141,10 +180,24 @@
 		n.rights = budgets.NewUser(*cfg.Budgets, cfg.BudgetShards, n.client, n.duties, cfg.Log)
 		n.rights.Record(cfg.Rights)
 	}
+	if cfg.Versions != nil {
+		n.contents = rollout.NewContents(ContentsDir(cfg.Dir))
+		n.agent = rollout.New(*cfg.Versions, n.client, n.contents, cfg.Items, cfg.Log)
+		n.agent.Follow(func(inForce map[string]uint64) {
+			if r := n.record.Load(); r != nil {
+				r.Change(inForce)
+			}
+		})
+		n.agent.Heads(func() *chronicle.Head { return n.record.Load().Head() })
+		n.duties.Add(versions.Duty, n.agent.Work)
+	}
 	go n.run(holding)
 	return n
 }
 
+// Permit tells whether this process may act; nil: it always may.
+func (n *Node) Permit() *rollout.Agent { return n.agent }
+
 // Rights are this process's parts of the quotas; nil: they are not divided.
 func (n *Node) Rights() *budgets.User { return n.rights }
 
@@ -172,6 +225,9 @@
 	if n.rights != nil {
 		go n.rights.Run(holding)
 	}
+	if n.agent != nil {
+		go n.agent.Run(n.ctx)
+	}
 	n.duties.Run(holding, n.ctx)
 }
 
@@ -219,7 +275,7 @@
 			}
 		}()
 	}
-	if n.rights != nil {
+	if n.rights != nil || n.agent != nil {
 		boots, bad := budgets.OpenBoots(n.cfg.Dir, n.me.Boot)
 		if bad != nil {
 			return bad
@@ -230,7 +286,26 @@
 			}
 		}()
 		n.boots.Store(boots)
-		n.rights.Gone(boots.Gone)
+		if n.rights != nil {
+			n.rights.Gone(boots.Gone)
+		}
+		if n.agent != nil {
+			if err := n.contents.Make(); err != nil {
+				return err
+			}
+			n.agent.Gone(boots.Gone)
+		}
+	}
+	var record *recorder.Recorder
+	if n.agent != nil {
+		if record, err = recorder.Open(RecordDir(n.cfg.Dir), n.cfg.ID, n.me.Boot, n.cfg.Log); err != nil {
+			return err
+		}
+		defer func() {
+			if err != nil {
+				err = errors.Join(err, record.Close())
+			}
+		}()
 	}
 	l, err := net.Listen("tcp", n.cfg.Listen)
 	if err != nil {
@@ -240,8 +315,11 @@
 	if n.divide != nil {
 		server.Budgets = n.divide
 	}
+	if n.agent != nil {
+		server.Contents = n.agent
+	}
 	err = server.Vote(n.ctx, voter.Options{Dir: LogDir(n.cfg.Dir), Address: n.cfg.Address, Tick: n.cfg.Tick, Keep: n.cfg.Keep, Log: n.cfg.Log,
-		Machines: func() map[string]agree.Machine { return Machines(n.cfg.Rules) }})
+		Machines: func() map[string]agree.Machine { return Machines(n.cfg.Rules, n.versionRules()) }})
 	switch {
 	case errors.Is(err, voter.ErrCopied):
 		n.mustNotVote(err.Error())
@@ -260,6 +338,10 @@
 	}
 	n.server.Store(server)
 	go func() { _ = server.Serve(l) }()
+	if record != nil {
+		n.record.Store(record)
+		go record.Run(n.ctx)
+	}
 	if counter != nil {
 		n.counter.Store(counter)
 		go counter.Run(n.ctx)
@@ -330,6 +412,11 @@
 		n.rights.Leave(ctx)
 		cancel()
 	}
+	if n.agent != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), giveBackMost)
+		n.agent.Leave(ctx)
+		cancel()
+	}
 	n.cancel()
 	<-n.ready // what was being opened is open, or is not any more
 	if b := n.boots.Load(); b != nil {
@@ -347,6 +434,11 @@
 	if lost > 0 {
 		n.cfg.Log.Error("fleet: use was not counted: its folder was not open", "requests", lost)
 	}
+	if r := n.record.Load(); r != nil {
+		if err := r.Close(); err != nil {
+			n.cfg.Log.Error("fleet: the last of the record could not be kept", "error", err)
+		}
+	}
 	if s := n.server.Load(); s != nil {
 		if v := s.Voter(); v != nil {
 			<-v.Done()
--- /dev/null
+++ b/internal/fleetnode/versions.go
@@ -0,0 +1,60 @@
+package fleetnode
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"mothcleat/versions"
+)
+
+const proposeWithin = 2500 * time.Millisecond
+
+// Versions is what is agreed on what to act on, and who is behind.
+type Versions struct {
+	versions.View
+	Behind []versions.Behind `json:"behind"`
+}
+
+// versions answers a call about what the fleet acts on.
+func (n *Node) versions(ctx context.Context, words []string) (any, error) {
+	if len(words) == 0 {
+		ctx, cancel := context.WithTimeout(ctx, callWithin)
+		defer cancel()
+		v, err := n.agent.View(ctx)
+		if err != nil {
+			return nil, err
+		}
+		return Versions{v, versions.Stragglers(&v)}, nil
+	}
+	switch do, words := words[0], words[1:]; {
+	case do == "here" && len(words) == 0:
+		return n.agent.Here(), nil
+	case do == "propose" && len(words) >= 4: // ITEM STAGE LEAD FILE
+		lead, err := time.ParseDuration(words[2])
+		if err != nil {
+			return nil, err
+		}
+		ctx, cancel := context.WithTimeout(ctx, proposeWithin)
+		defer cancel()
+		return n.agent.Propose(ctx, words[0], strings.Join(words[3:], " "), versions.Stage(words[1]), lead)
+	case do == "shut" && len(words) >= 1: // ID WHY
+		return n.agent.Say(ctx, versions.Op{Do: do, ID: words[0], Why: strings.Join(words[1:], " ")})
+	case do == "let" && len(words) == 1:
+		return n.agent.Say(ctx, versions.Op{Do: do, ID: words[0]})
+	case slices.Contains([]string{"go-on", "hold", "withdraw"}, do) && len(words) >= 2: // ITEM NUMBER STAGE or WHY
+		number, err := strconv.ParseUint(words[1], 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("number %.20q: a whole number wanted", words[1])
+		}
+		op := versions.Op{Do: do, Item: words[0], Number: number, Why: strings.Join(words[2:], " ")}
+		if do == "go-on" {
+			op.Stage, op.Why = versions.Stage(op.Why), ""
+		}
+		return n.agent.Say(ctx, op)
+	}
+	return nil, fmt.Errorf("unknown call versions %.64q; here, propose ITEM STAGE LEAD FILE, go-on ITEM NUMBER STAGE, hold ITEM NUMBER WHY, withdraw ITEM NUMBER WHY, shut ID WHY or let ID", strings.Join(words, " "))
+}
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -291,6 +291,9 @@
 	} else if a.r != nil {
 		l.tally.Sends.Add(1)
 	}
+	if a.r != nil && l.cfg.Acts != nil {
+		l.cfg.Acts.Sent(!a.r.counted, a.r.units)
+	}
 	if a.r != nil && !a.r.counted {
 		a.r.counted = true
 		if l.cfg.Fleet != nil {
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -372,7 +372,10 @@
 		l.permit(r, what)
 		return
 	}
-	l.module.Request(now, what)
+	if l.acts(r) {
+		l.planned(&what)
+		l.module.Request(now, what)
+	}
 }
 
 // refusal is the prompt answer where the gateway itself has no room.
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -43,6 +43,9 @@
 	Auth     Auth      // the same
 	Fleet    Fleet     // nil: none
 	Rights   Rights    // nil: quotas go by notes, or the counter
+	Permit   Permit    // nil: it acts on its configuration, whatever its fleet agrees on
+	Acts     Acts      // counts what is done, by what is in force; nil: nobody does
+	Terms    *Terms    // plans that its fleet agrees on; nil: those of the configuration
 	Refusals io.Writer // gets a line for each request refused: its id and the reason; nil: none
 
 	// Register makes the source of news of the servers; nil: the platform's discovery.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,6 +84,9 @@
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
 	l.useRights()
+	if cfg.Terms != nil {
+		cfg.Terms.attach(l.urgentPost)
+	}
 	l.recordRefusals(cfg.Refusals)
 	if l.heirs.before == nil {
 		l.peers, err = newPeers(&cfg, log)
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -84,6 +84,7 @@
 	door      *door.Door // nil: no address is given
 	accepting bool
 	done      bool
+	assigned  func(customer uint64) int // see replanned; nil: requests name the plan
 }
 
 // post hands an event to the loop.
@@ -229,6 +230,9 @@
 func (l *Loop) Refuse(id uint64, after decide.Time) {
 	if r := l.requests[id]; r != nil {
 		l.answer(r, busy(after))
+		if l.cfg.Acts != nil {
+			l.cfg.Acts.Refused(false)
+		}
 	}
 }
 
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -69,7 +69,10 @@
 	case v == authz.Pass && l.life.Takes(l.now()):
 		now := l.now()
 		what.Grace = max(0, r.deadline-now)
-		l.module.Request(now, what)
+		if l.acts(r) {
+			l.planned(&what)
+			l.module.Request(now, what)
+		}
 	case v == authz.Later:
 		l.answer(r, l.comeBack(after))
 	default:
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -25,8 +25,10 @@
 	class    int
 	customer uint64
 	units    float64
-	counted  bool            // it was sent on, and its units with it
-	use      time.Duration   // until when what it was decided by may be used, by the clock of Config.Rights; 0: no end
+	counted  bool          // it was sent on, and its units with it
+	use      time.Duration // until when what it was decided by may be used, by the clock of Config.Rights; 0: no end
+	until    time.Duration // until when it may be acted on, and by what; see Permit
+	stamp    uint64
 	name     uint64          // the id that the client gave
 	asks     *decide.Request // it waits for a verdict on whether it may go on; nil: not so
 	backstop *timer
--- a/internal/gateway/rights.go
+++ b/internal/gateway/rights.go
@@ -14,6 +14,8 @@
 	By(id uint64) time.Duration
 	// Over tells whether that time is over, by the clock as it is now.
 	Over(by time.Duration) bool
+	// Order tells by which version of the plans customers' wholes are from now on.
+	Order(order uint64)
 	// Follow has the answers to Borrow go to a function, which may be called from any goroutine.
 	Follow(lent func(Loan))
 }
@@ -59,6 +61,15 @@
 // lapsed ends an attempt whose request was decided by a right that is over: this process lay stopped, or the request
 // waited long for a connection. Nothing of it was sent, and it is refused. It is asked at the last moment before a write.
 func (l *Loop) lapsed(a *attempt) bool {
+	if a.r != nil && l.forbidden(a.r) {
+		if a.r.counted {
+			l.answer(a.r, failed) // it was sent on before, and may have run
+		} else {
+			l.turnAway(a.r)
+		}
+		l.finish(a, decide.Moot, nil)
+		return true
+	}
 	if a.r == nil || a.r.counted || a.r.use == 0 || !l.cfg.Rights.Over(a.r.use) {
 		return false
 	}
--- /dev/null
+++ b/internal/gateway/versions.go
@@ -0,0 +1,187 @@
+package gateway
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"mothcleat/decide"
+	"mothcleat/plans"
+)
+
+// Permit tells whether this gateway may act on what is in force in it. The loop calls it, and it must not wait.
+type Permit interface {
+	// Acts gives until when it may, by a clock that goes on while the process is stopped, and a stamp of what is in force;
+	// 0: it may not.
+	Acts() (until time.Duration, stamp uint64)
+	// Over tells whether what was decided under a permit may not be done any more.
+	Over(until time.Duration, stamp uint64) bool
+}
+
+// Acts counts what a gateway does, under what is in force in it at the time. The loop calls it, and it must not wait.
+type Acts interface {
+	// Sent counts an attempt that was sent on: a request's first one, with its units, or another.
+	Sent(first bool, units float64)
+	// Refused counts a request that was refused; turned: as this gateway may not act.
+	Refused(turned bool)
+}
+
+// shutAfter is when those come back that a gateway turns away because it may not act.
+const shutAfter decide.Time = 500_000
+
+// acts takes a permit for a request, or turns it away: unsent, and at once.
+func (l *Loop) acts(r *request) bool {
+	if l.cfg.Permit == nil {
+		return true
+	}
+	if r.until, r.stamp = l.cfg.Permit.Acts(); r.until != 0 {
+		return true
+	}
+	l.turnAway(r)
+	return false
+}
+
+// turnAway answers a request that may not be acted on. Nothing of it was sent.
+func (l *Loop) turnAway(r *request) {
+	l.answer(r, l.comeBack(shutAfter))
+	if l.cfg.Acts != nil {
+		l.cfg.Acts.Refused(true)
+	}
+}
+
+// forbidden tells whether an attempt may not be written any more, as the permit is over under which its request was decided.
+func (l *Loop) forbidden(r *request) bool {
+	return l.cfg.Permit != nil && l.cfg.Permit.Over(r.until, r.stamp)
+}
+
+// Terms are the plans of a gateway, as one of the things that its fleet acts on. What a version does not name stays as the
+// configuration has it. Its methods may be called from any goroutine.
+type Terms struct {
+	names   []string
+	offered []decide.Plan
+
+	mu      sync.Mutex
+	post    func(event)
+	pending event // until there is a loop
+}
+
+// NewTerms are the plans of a configuration.
+func NewTerms(c *Config) *Terms { return &Terms{names: c.Host.Plans, offered: c.Settings.Plans} }
+
+// attach has a loop take in changes.
+func (t *Terms) attach(post func(event)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.post = post
+	if t.pending != nil {
+		post(t.pending)
+		t.pending = nil
+	}
+}
+
+// Check tells why a version of the plans can't be acted on here.
+func (t *Terms) Check(raw []byte) error {
+	b, err := plans.Parse(raw)
+	if err != nil {
+		return err
+	}
+	for _, name := range b.Plans() {
+		if !slices.Contains(t.names, name) {
+			return fmt.Errorf("plans: %q is none of this gateway's plans", name)
+		}
+		if v, _ := b.Plan(name, 0); v.Rate < 0 || v.Rate > 0 && v.Burst <= 0 {
+			return fmt.Errorf("plans: %q: rate %v with burst %v", name, v.Rate, v.Burst)
+		}
+	}
+	return nil
+}
+
+// Use has a version decide from now on; see rollout.Item. It was checked.
+func (t *Terms) Use(raw []byte, beside [][]byte, order uint64, done func()) {
+	e := replanned{plans: slices.Clone(t.offered), order: order, done: done}
+	for i, one := range append([][]byte{raw}, beside...) {
+		b := &plans.Book{}
+		if one != nil {
+			var err error
+			if b, err = plans.Parse(one); err != nil {
+				return // it was damaged since: it is looked at again
+			}
+		}
+		e.books = append(e.books, b)
+		for k, name := range t.names {
+			terms := termsOf(&t.offered[k])
+			if v, ok := b.Plan(name, 0); ok {
+				terms = v.Terms
+			}
+			if i > 0 {
+				terms = plans.Tighter(termsOf(&e.plans[k]), terms)
+			}
+			p := &e.plans[k]
+			p.Rate, p.Burst, p.CeilingRate, p.CeilingBurst = terms.Rate, terms.Burst, terms.CeilingRate, terms.CeilingBurst
+		}
+	}
+	e.names = t.names
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.post == nil {
+		t.pending = e
+		return
+	}
+	t.post(e)
+}
+
+func termsOf(p *decide.Plan) plans.Terms {
+	return plans.Terms{Rate: p.Rate, Burst: p.Burst, CeilingRate: p.CeilingRate, CeilingBurst: p.CeilingBurst}
+}
+
+// replanned is a change of the plans' terms, or of who has which.
+type replanned struct {
+	plans []decide.Plan
+	names []string
+	books []*plans.Book // the one that is acted on, and those beside it
+	order uint64
+	done  func()
+}
+
+// assigned is the plan that a customer has by the versions; below 0: the one that its requests name. Where versions differ it is the one
+// with the smaller quota.
+func (e *replanned) assigned(customer uint64) int {
+	best := -1
+	for _, b := range e.books {
+		h, ok := b.At(customer, 0)
+		if !ok {
+			continue
+		}
+		k := slices.Index(e.names, h.Plan)
+		if k >= 0 && (best < 0 || less(&e.plans[k], &e.plans[best])) {
+			best = k
+		}
+	}
+	return best
+}
+
+func less(a, b *decide.Plan) bool {
+	return a.Rate < b.Rate || a.Rate == b.Rate && a.Burst < b.Burst
+}
+
+func (e replanned) handle(l *Loop) {
+	if l.cfg.Rights != nil {
+		l.cfg.Rights.Order(e.order)
+	}
+	if err := l.module.Replan(l.now(), e.plans, e.assigned); err != nil {
+		l.log.Error("plans: not acted on", "error", err)
+		return
+	}
+	l.assigned = e.assigned
+	e.done()
+}
+
+// planned gives a request the plan that its customer has.
+func (l *Loop) planned(q *decide.Request) {
+	if l.assigned != nil {
+		if k := l.assigned(q.Customer); k >= 0 {
+			q.Plan = k
+		}
+	}
+}
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -27,6 +27,16 @@
 	Record   Record   `toml:"record"`
 	Fleet    Fleet    `toml:"fleet"`
 	Budgets  Budgets  `toml:"budgets"`
+	Versions Versions `toml:"versions"`
+}
+
+// Versions is how the fleet agrees on what its gateways act on.
+type Versions struct {
+	On       bool     `toml:"on"`
+	Span     Duration `toml:"span"`
+	Every    Duration `toml:"every"`
+	Settle   Duration `toml:"settle"`
+	Patience Duration `toml:"patience"`
 }
 
 // Budgets is how the fleet divides customers' quotas among its gateways.
@@ -165,7 +175,8 @@
 		Fleet: Fleet{Folder: "fleet", Voters: []Voter{}, Addresses: map[string]string{}, Span: Duration(time.Second), Margin: 0.125,
 			Offer: Duration(500 * time.Millisecond), Tick: Duration(40 * time.Millisecond), Keep: 4096, Shards: 1, Period: Duration(5 * time.Second),
 			Silent: Duration(time.Second)},
-		Budgets: Budgets{Shards: 1, Span: Duration(3 * time.Second), FloorSpan: Duration(time.Minute), Floor: 0.3, Reserve: 0.5, Every: Duration(200 * time.Millisecond)},
+		Budgets:  Budgets{Shards: 1, Span: Duration(3 * time.Second), FloorSpan: Duration(time.Minute), Floor: 0.3, Reserve: 0.5, Every: Duration(200 * time.Millisecond)},
+		Versions: Versions{Span: Duration(10 * time.Second), Every: Duration(200 * time.Millisecond), Settle: Duration(time.Second), Patience: Duration(15 * time.Second)},
 	}
 }
 
@@ -249,6 +260,10 @@
 		{"budgets.shards", count(s.Budgets.Shards, 1, 256)},
 		{"budgets.span", within(s.Budgets.Span, time.Second, 10*time.Minute)},
 		{"budgets.floor_span", within(s.Budgets.FloorSpan, time.Duration(s.Budgets.Span), 24*time.Hour)},
+		{"versions.span", within(s.Versions.Span, time.Second, 10*time.Minute)},
+		{"versions.every", within(s.Versions.Every, 10*time.Millisecond, time.Duration(s.Versions.Span)/4)},
+		{"versions.settle", within(s.Versions.Settle, 0, 24*time.Hour)},
+		{"versions.patience", within(s.Versions.Patience, time.Second, 24*time.Hour)},
 		{"budgets.every", within(s.Budgets.Every, 10*time.Millisecond, time.Duration(s.Budgets.Span)/4)},
 	} {
 		if c.why != "" {
@@ -268,6 +283,8 @@
 		return "budgets.reserve", fmt.Sprintf("%v: from 0 to 1 wanted", b.Reserve)
 	case b.On && !s.Fleet.On:
 		return "budgets.on", "set though fleet.on is false"
+	case s.Versions.On && !s.Fleet.On:
+		return "versions.on", "set though fleet.on is false"
 	}
 	switch r := &s.Register; {
 	case !slices.Contains(Sources, r.Source):
@@ -377,6 +394,7 @@
 		{"record", s.Record != other.Record},
 		{"fleet", !reflect.DeepEqual(&s.Fleet, &other.Fleet)},
 		{"budgets", s.Budgets != other.Budgets},
+		{"versions", s.Versions != other.Versions},
 	} {
 		if c.changed {
 			names = append(names, c.name)
--- a/versions/holder.go
+++ b/versions/holder.go
@@ -92,6 +92,34 @@
 	}
 }
 
+// Lost takes in that a content that was here is not to be had any more: it is wanted again.
+func (h *Holder) Lost(digest string) {
+	for _, i := range h.items {
+		if digest != "" {
+			delete(i.had, digest)
+		}
+	}
+}
+
+// Target is what an item is to be.
+func (h *Holder) Target(item string) Ref {
+	if i := h.items[item]; i != nil {
+		return i.target.Ref
+	}
+	return Ref{}
+}
+
+// ItemsOf are the items for which a content is wanted.
+func (h *Holder) ItemsOf(digest string) (all []string) {
+	for _, item := range h.Items() {
+		t := &h.items[item].target
+		if t.Digest == digest || slices.ContainsFunc(t.Beside, func(r Ref) bool { return r.Digest == digest }) {
+			all = append(all, item)
+		}
+	}
+	return all
+}
+
 // Refused is why a content can't be acted on here; "": it can, as far as is known.
 func (h *Holder) Refused(item, digest string) string {
 	if i := h.items[item]; i != nil {
--- a/versions/machine.go
+++ b/versions/machine.go
@@ -4,15 +4,18 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
+	"strconv"
 	"time"
 
+	"mothcleat/chronicle"
 	"mothcleat/lease"
 )
 
 // Op is one command.
 type Op struct {
-	// Do is here, left, report, propose, go-on, hold, withdraw, shut or let.
+	// Do is here, left, report, head, propose, go-on, hold, withdraw, shut or let.
 	Do     string `json:"do"`
 	Item   string `json:"item,omitempty"`
 	Number uint64 `json:"number,omitempty"` // of a propose: the newest that its sender knows
@@ -26,6 +29,8 @@
 	Stage  Stage    `json:"stage,omitempty"`
 	Pilots []string `json:"pilots,omitempty"`
 
+	Head *chronicle.Head `json:"head,omitempty"` // where its sender's record stands
+
 	Refused bool   `json:"refused,omitempty"` // of a report: it can't be acted on here; else it is in force
 	ID      string `json:"id,omitempty"`      // of a shut or let
 	Why     string `json:"why,omitempty"`
@@ -83,6 +88,9 @@
 	Versions []Version     `json:"versions"`
 	Members  []Standing    `json:"members"`
 	Shut     []Shut        `json:"shut"`
+	// Heads are where records stand, by their processes' own word, and Forks where a process told two stories.
+	Heads []chronicle.Head   `json:"heads"`
+	Forks []chronicle.Damage `json:"forks"`
 }
 
 // Fence refuses a word under an old term.
@@ -90,7 +98,11 @@
 	Fence(duty string, term uint64, who lease.Member) error
 }
 
-const versionsMost = 256 // kept of an item
+const (
+	versionsMost = 256 // kept of an item
+	headsMost    = 64  // boots kept of an id
+	forksMost    = 256
+)
 
 // Machine is the versions as a part of the agreed state.
 type Machine struct {
@@ -99,13 +111,16 @@
 	items   map[string][]*Version // the oldest first
 	members map[lease.Member]*Standing
 	shut    map[string]Shut
+	heads   map[string][]chronicle.Head // by id, the newest boot last
+	forks   []chronicle.Damage
 	seq     uint64 // commands taken in; a part of the state
 	changes uint64 // the same, and states restored
 }
 
 // NewMachine makes a machine that asks a table of duties, of the same agreed state, who guides.
 func NewMachine(r Rules, f Fence) *Machine {
-	return &Machine{rules: r, fence: f, items: map[string][]*Version{}, members: map[lease.Member]*Standing{}, shut: map[string]Shut{}}
+	return &Machine{rules: r, fence: f, items: map[string][]*Version{}, members: map[lease.Member]*Standing{}, shut: map[string]Shut{},
+		heads: map[string][]chronicle.Head{}}
 }
 
 // Apply carries an Op out and gives a Result.
@@ -166,6 +181,8 @@
 			delete(s.Refused, op.Item)
 		}
 		return 0, nil
+	case "head":
+		return 0, m.head(who, op.Head)
 	case "propose":
 		return m.propose(at, who, op)
 	case "shut":
@@ -324,6 +341,27 @@
 	return next.Number, nil
 }
 
+// head takes in where a record stands. A process that names another hash for the same entry, or goes back, has told two stories.
+func (m *Machine) head(who lease.Member, h *chronicle.Head) error {
+	if h == nil || h.ID != who.ID || h.Boot != strconv.FormatUint(who.Boot, 16) || !digest.MatchString(h.Hash) {
+		return ErrBad
+	}
+	all := m.heads[who.ID]
+	i := slices.IndexFunc(all, func(o chronicle.Head) bool { return o.Boot == h.Boot })
+	if i < 0 {
+		all = append(all, *h)
+		m.heads[who.ID] = all[max(0, len(all)-headsMost):]
+		return nil
+	}
+	if h.Seq < all[i].Seq || h.Seq == all[i].Seq && h.Hash != all[i].Hash {
+		m.forks = append(m.forks, chronicle.Damage{ID: h.ID, Boot: h.Boot, Seq: h.Seq, What: fmt.Sprintf("its process told of entry %d before", all[i].Seq)})
+		m.forks = m.forks[max(0, len(m.forks)-forksMost):]
+		return nil // it is on record
+	}
+	all[i] = *h
+	return nil
+}
+
 // forget drops processes whose permits are over.
 func (m *Machine) forget(at time.Duration) {
 	for who, s := range m.members {
@@ -360,7 +398,7 @@
 	Item string `json:"item"`
 	Ref
 	In time.Duration `json:"in"` // it holds in so long
-	// Beside are other versions that somebody may act on at this time.
+	// Beside are earlier versions that somebody may still act on: whoever acts on the target keeps to their terms as well.
 	Beside []Ref `json:"beside,omitempty"`
 	// May is what this gateway may act on, and for how long from its asking: the target, and others until it has that.
 	May map[uint64]time.Duration `json:"may"`
@@ -418,7 +456,7 @@
 			if !v.live(at) {
 				continue
 			}
-			if v != to {
+			if v.Number < to.Number {
 				g.Beside = append(g.Beside, Ref{v.Number, v.Digest, v.Size})
 			}
 			switch {
@@ -456,6 +494,10 @@
 		v.Shut = append(v.Shut, s)
 	}
 	slices.SortFunc(v.Shut, func(a, b Shut) int { return cmp.Compare(a.ID, b.ID) })
+	v.Heads, v.Forks = []chronicle.Head{}, slices.Clone(m.forks)
+	for _, id := range slices.Sorted(maps.Keys(m.heads)) {
+		v.Heads = append(v.Heads, m.heads[id]...)
+	}
 	return v
 }
 
@@ -487,6 +529,10 @@
 	for _, s := range v.Shut {
 		n.shut[s.ID] = s
 	}
+	for _, h := range v.Heads {
+		n.heads[h.ID] = append(n.heads[h.ID], h)
+	}
+	n.forks = v.Forks
 	n.seq, n.changes = v.Seq, m.changes+1
 	*m = *n
 	return nil
