gateway: a socket that somebody has block does not hold its end up

TestUpgradeKeepsTheRules failed now and then with a gateway that logged that it stops and did not end, since before the store was built; the cause was not known. Whoever starts a process and hands it the clients' socket sets the shared description to block, and a new process that is killed early leaves it so. The serving gateway's next accept then sat in the system call, and closing the listener waited for it, in the loop: steps.go, at listener.Close.

The accept now sets the socket not to block before each call, and the loop waits 20 ms at most for the listener to be closed.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"mothcleat/decide"
@@ -75,8 +76,16 @@
 // accept posts new connections. Over its share it waits: the rest stays in the
 // listener's backlog.
 func (cs *clients) accept(l *Loop) {
+	raw, err := cs.listener.SyscallConn()
+	if err != nil {
+		l.log.Error("accept", "error", err)
+		return
+	}
 	for {
 		cs.room <- struct{}{}
+		// Whoever shares the socket may have had it block since, as each process does that hands it to another. An accept that
+		// blocks can't be ended.
+		_ = raw.Control(func(fd uintptr) { _ = syscall.SetNonblock(int(fd), true) })
 		conn, err := cs.listener.AcceptTCP()
 		if errors.Is(err, net.ErrClosed) {
 			return
@@ -98,6 +107,22 @@
 	}
 }
 
+// shutWithin is for how long the loop waits for an accept to end that blocks all the same.
+const shutWithin = 20 * time.Millisecond
+
+// shut has no connection accepted any more.
+func (cs *clients) shut() {
+	done := make(chan struct{})
+	go func() {
+		_ = cs.listener.Close()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(shutWithin):
+	}
+}
+
 type connected struct{ conn *net.TCPConn }
 
 func (e connected) handle(l *Loop) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,7 +42,7 @@
 	if l.door != nil {
 		l.door.Close()
 	}
-	_ = l.clients.listener.Close()
+	l.clients.shut()
 	l.heirs.end()
 	if l.peers.conn != nil {
 		_ = l.peers.conn.Close()
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -30,7 +30,7 @@
 	now := l.now()
 	if l.life.Closed(now) && !l.steps.shut {
 		l.steps.shut = true
-		_ = l.clients.listener.Close()
+		l.clients.shut()
 		close(l.clients.goOn)
 	}
 	for c := range l.clients.conns {
