audittrial: seven hard cases of versions with several processes

Cut off from the fleet and not from clients, whole and one way only; a withdrawal while one gateway tries the version, with a second roll-out refused meanwhile; a kill at each step from fetching to telling, and before the record is written; a guide that stops before it speaks and wakes late; a damaged file under the right name; all replaced amid a roll-out, with records that account for each request that the servers took, but for one a kill. Cut, changed, copied and put-back records show.

--- /dev/null
+++ b/internal/audittrial/hard_test.go
@@ -0,0 +1,282 @@
+package audittrial
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"mothcleat/chronicle"
+	"mothcleat/internal/fleetnode"
+	"mothcleat/internal/recorder"
+	"mothcleat/internal/rig"
+	"mothcleat/internal/trial"
+	"mothcleat/lease"
+	"mothcleat/versions"
+)
+
+// slack is how long after its last look a request reaches a server, on a machine with other work.
+const slack = 250 * time.Millisecond
+
+// actsOn are the requests that a gateway sent on by a version after a time, as the servers took them.
+func actsOn(t *testing.T, f *rig.Fleet, i int, number uint64, after time.Duration) (n int) {
+	t.Helper()
+	all, err := spans(f, i)
+	check(t, err)
+	for _, s := range all {
+		if s.number == number {
+			n += sentOn(f, i, max(s.from, after+slack), s.to)
+		}
+	}
+	return n
+}
+
+// guide waits for the gateway that guides roll-outs.
+func guide(t *testing.T, f *rig.Fleet, but uint64) (i int, term uint64) {
+	t.Helper()
+	eventually(t, "a guide", func() (bool, string) {
+		for i = range f.Gateways {
+			var here fleetnode.Here
+			if f.Stopped(i) || f.Call(i, "here", &here) != nil {
+				continue
+			}
+			if term = here.Duties[versions.Duty]; term > but {
+				return true, ""
+			}
+		}
+		return false, ""
+	})
+	return i, term
+}
+
+// A gateway is cut off from the others and not from its clients, once whole and once only hearing: it stops by itself when its permit is
+// over, is harmless while a version is followed, and lets itself in when it hears again.
+func TestCutOffFromTheFleetAndNotFromClients(t *testing.T) {
+	f := fleet(t, rig.Options{Instances: 4, Seed: 1})
+	const cut = 3
+	play(t, f, func() {
+		for k, says := range []bool{true, false} {
+			before := proposed(t, f, 0, versions.All, plansText(f.Site, 0.9-0.1*float64(2*k)))
+			acts(t, f, cut, before)
+			f.Isolate(cut, says, true, true) // it hears nothing, and the second time it is heard
+			next := proposed(t, f, 0, versions.All, plansText(f.Site, 0.8-0.1*float64(2*k)))
+			ended(t, f, 0, before)
+			over := f.Record.Now()
+			eventually(t, "it is shut out", func() (bool, string) {
+				h, err := here(f, cut)
+				return err == nil && h.Until == 0, fmt.Sprintf("%+v %v", h, err)
+			})
+			rig.Pass(t.Context(), time.Second)
+			if n := sentOn(f, cut, over+slack, 1<<62); n > 0 {
+				t.Errorf("it sent %d requests on after the end of version %d", n, before)
+			}
+			f.Heal()
+			acts(t, f, cut, next)
+			eventually(t, "it serves again", func() (bool, string) { return sentOn(f, cut, f.Record.Now()-slack, 1<<62) > 0, "" })
+		}
+	})
+	if f.Held() == 0 {
+		t.Error("the cuts held nothing up")
+	}
+	kept(t, f)
+}
+
+// A version is withdrawn while one gateway tries it: what was there before comes back under a new number, and the one that tried it acts on it
+// no more. A second roll-out is refused while the first is under way, and one that goes well goes on by itself.
+func TestWithdrawnWhileSomeHaveIt(t *testing.T) {
+	f := fleet(t, rig.Options{Instances: 4, Seed: 2, Operators: strings.Replace(Text(), `settle = "300ms"`, `settle = "20s"`, 1)})
+	play(t, f, func() {
+		tried := proposed(t, f, 1, versions.One, plansText(f.Site, 0.5))
+		pilot := -1
+		eventually(t, "the pilot has it", func() (bool, string) {
+			for i := range f.Gateways {
+				if h, err := here(f, i); err == nil && h.InForce["plans"] == tried {
+					pilot = i
+				}
+			}
+			return pilot >= 0, ""
+		})
+		if _, err := propose(f, 2, versions.All, 0, plansText(f.Site, 0.4)); err == nil || !strings.Contains(err.Error(), "under way") {
+			t.Errorf("a second roll-out: %v", err)
+		}
+		eventually(t, "it acts on it", func() (bool, string) { return sentOn(f, pilot, 0, 1<<62) > 0, "" })
+		var next uint64
+		eventually(t, "it is withdrawn", func() (bool, string) {
+			err := f.Call(2, fmt.Sprintf("versions withdraw plans %d wrong terms", tried), &next)
+			return err == nil, fmt.Sprint(err)
+		})
+		for i := range f.Gateways {
+			acts(t, f, i, next)
+		}
+		ended(t, f, 0, tried)
+		over := f.Record.Now()
+		v, err := agreed(f, 0)
+		check(t, err)
+		if one := version(&v, next); next != tried+1 || one.Restores != 1 || version(&v, tried).State != versions.Withdrawn {
+			t.Errorf("%+v", v.Versions)
+		}
+		rig.Pass(t.Context(), time.Second)
+		if n := actsOn(t, f, pilot, tried, over); n > 0 {
+			t.Errorf("%d requests were sent on by what was withdrawn", n)
+		}
+	})
+	kept(t, f)
+}
+
+// A gateway is killed at each step between being told of a version and having told that it is in force, and started anew: it ends on the
+// version, and what lies half fetched is gone on with.
+func TestKilledAtEachStep(t *testing.T) {
+	points := []string{"content-amid-fetch", "content-before-name", "version-before-force", "version-before-report", "record-before-write"}
+	env := "MOTHCLEAT_FAULTS="
+	for _, p := range points {
+		env += ",kill=" + p + "@kill-" + p
+	}
+	f := fleet(t, rig.Options{Instances: 4, Seed: 3, Env: func(int) string { return env }})
+	const victim = 3
+	play(t, f, func() {
+		for k, p := range points {
+			f.Gateways[victim].Expect(syscall.SIGKILL)
+			check(t, os.WriteFile(filepath.Join(f.Gateways[victim].Dir(), "kill-"+p), nil, 0o600))
+			number := proposed(t, f, 0, versions.All, plansText(f.Site, 0.9-0.1*float64(k)))
+			eventually(t, "it dies at "+p, func() (bool, string) { return !f.Gateways[victim].Running(), "" })
+			check(t, f.Begin(victim))
+			acts(t, f, victim, number)
+		}
+	})
+	kept(t, f)
+}
+
+// The gateway that guides stops between deciding that a version goes on and saying so, and wakes when another has taken it on: its word is
+// refused by its term, and the roll-out goes on once.
+func TestAGuideThatWakesLate(t *testing.T) {
+	f := fleet(t, rig.Options{Instances: 4, Seed: 4, Env: func(int) string { return "MOTHCLEAT_FAULTS=stop=guide-before-agree@stop" }})
+	play(t, f, func() {
+		i, term := guide(t, f, 0)
+		check(t, os.WriteFile(filepath.Join(f.Gateways[i].Dir(), "stop"), nil, 0o600))
+		at := (i + 1) % 4
+		number := proposed(t, f, at, versions.One, plansText(f.Site, 0.7))
+		eventually(t, "the guide stops itself", func() (bool, string) { return f.Stopped(i), "" })
+		guide(t, f, term)
+		eventually(t, "another has it go on", func() (bool, string) {
+			v, err := agreed(f, at)
+			one := version(&v, number)
+			return err == nil && one != nil && one.State == versions.Whole, fmt.Sprintf("%+v %v", one, err)
+		})
+		check(t, f.Wake(i))
+		eventually(t, "the late word is refused", func() (bool, string) {
+			return strings.Contains(f.Gateways[i].Log(), lease.ErrTerm.Error()), ""
+		})
+		acts(t, f, i, number)
+	})
+	kept(t, f)
+}
+
+// A file that is not what its name says lies where a content is to be: it is not acted on, and fetched anew.
+func TestADamagedFileUnderTheRightName(t *testing.T) {
+	f := fleet(t, rig.Options{Instances: 4, Seed: 5})
+	text := plansText(f.Site, 0.6)
+	sum := sha256.Sum256([]byte(text))
+	path := filepath.Join(fleetnode.ContentsDir(f.FleetDir(3)), hex.EncodeToString(sum[:]))
+	check(t, os.WriteFile(path, []byte(plansText(f.Site, 6)), 0o600))
+	play(t, f, func() {
+		number := proposed(t, f, 0, versions.All, text)
+		acts(t, f, 3, number)
+		raw, err := os.ReadFile(path)
+		check(t, err)
+		if string(raw) != text {
+			t.Error("the damaged file is still there")
+		}
+	})
+	kept(t, f)
+}
+
+// All four are replaced while a version rolls out, in order and not; the records of all boots hold, and account for each request that the
+// servers took. Then a record is cut, written anew, and copied to another gateway, and each shows.
+func TestRecordsAccountForAllThatServersTook(t *testing.T) {
+	f := fleet(t, rig.Options{Instances: 4, Seed: 6})
+	var heads []chronicle.Head
+	check(t, f.Save(3))
+	play(t, f, func() {
+		number := proposed(t, f, 0, versions.One, plansText(f.Site, 0.8))
+		for i := range f.Gateways {
+			how := syscall.SIGTERM
+			if i%2 == 1 {
+				how = syscall.SIGKILL
+			}
+			check(t, f.End(i, how), f.Begin(i))
+		}
+		for i := range f.Gateways {
+			acts(t, f, i, number)
+		}
+		rig.Pass(t.Context(), time.Second)
+	})
+	eventually(t, "heads of all four", func() (bool, string) {
+		v, err := agreed(f, 0)
+		heads = v.Heads
+		boots := map[string]bool{}
+		for _, h := range heads {
+			boots[h.ID] = true
+		}
+		return err == nil && len(boots) == 4, fmt.Sprintf("%+v %v", heads, err)
+	})
+	for i := range f.Gateways {
+		check(t, f.End(i, syscall.SIGTERM))
+	}
+	records := map[int][]chronicle.Entry{}
+	var all []chronicle.Entry
+	for i := range f.Gateways {
+		entries, err := recorder.Read(fleetnode.RecordDir(f.FleetDir(i)))
+		check(t, err)
+		records[i] = entries
+		all = append(all, entries...)
+	}
+	good, bad := chronicle.Verify(all, heads)
+	if len(bad) > 0 {
+		t.Errorf("%v", bad)
+	}
+	rows, _ := chronicle.Audit(good, (10 * time.Second).Microseconds())
+	if len(rows) == 0 {
+		t.Error("nobody acted on anything")
+	}
+	for i := range f.Gateways {
+		var told chronicle.Counts
+		for _, e := range records[i] {
+			told = told.Plus(e.Counts)
+		}
+		took := sentOn(f, i, 0, 1<<62)
+		killed := 0 // each may have sent one on and not counted it
+		for _, l := range f.Record.Lives {
+			if l.Gateway == i && l.Event == trial.Killed {
+				killed++
+			}
+		}
+		if n := int(told.Sent + told.Again); took == 0 || took > n+killed || n > took+killed {
+			t.Errorf("%s: the servers took %d requests, its record has %d, %d kills", rig.Name(i), took, n, killed)
+		}
+	}
+	damaged := func(what string, change func([]chronicle.Entry) []chronicle.Entry) {
+		var some []chronicle.Entry
+		for i := range f.Gateways {
+			entries := append([]chronicle.Entry(nil), records[i]...)
+			if i == 3 {
+				entries = change(entries)
+			}
+			some = append(some, entries...)
+		}
+		if _, bad := chronicle.Verify(some, heads); len(bad) == 0 {
+			t.Errorf("a record that was %s does not show", what)
+		}
+	}
+	damaged("cut", func(e []chronicle.Entry) []chronicle.Entry { return e[:len(e)/3] })
+	damaged("changed", func(e []chronicle.Entry) []chronicle.Entry { e[len(e)/2].Units++; return e })
+	damaged("copied from another gateway", func([]chronicle.Entry) []chronicle.Entry { return records[2] })
+	check(t, f.Restore(3))
+	older, err := recorder.Read(fleetnode.RecordDir(f.FleetDir(3)))
+	check(t, err)
+	damaged("put back from a copy", func([]chronicle.Entry) []chronicle.Entry { return older })
+}
