audittrial: a permit alone, where no quotas are divided

With [budgets] on a right's own end covers what a permit's last look is for, so the variant without that look passed. This test has no rights, and fails there.

--- a/internal/audittrial/audit_test.go
+++ b/internal/audittrial/audit_test.go
@@ -179,3 +179,29 @@
 		}
 	}
 }
+
+// The same where no quotas are divided, so that nothing but the permit is looked at before a write.
+func TestAPermitAlone(t *testing.T) {
+	f := fleet(t, rig.Options{Instances: 4, Seed: 7, Operators: alone, Env: func(int) string { return "MOTHCLEAT_FAULTS=stop=permit-taken@stop" }})
+	const stopped = 3
+	play(t, f, func() {
+		eventually(t, "it sends something on", func() (bool, string) { return sentOn(f, stopped, 0, 1<<62) > 0, "" })
+		check(t, os.WriteFile(filepath.Join(f.Gateways[stopped].Dir(), "stop"), nil, 0o600))
+		eventually(t, "it stops itself", func() (bool, string) { return f.Stopped(stopped), "" })
+		f.Record.AddLife(stopped, trial.Paused)
+		number := proposed(t, f, 0, versions.All, plansText(f.Site, 0.5))
+		ended(t, f, 0, number-1)
+		since := f.Record.Now()
+		check(t, f.Wake(stopped))
+		acts(t, f, stopped, number)
+		all, err := spans(f, stopped)
+		check(t, err)
+		if len(all) == 0 {
+			t.Fatal("it wrote down nothing")
+		}
+		if n := sentOn(f, stopped, since, all[len(all)-1].from); n > 0 {
+			t.Errorf("%d requests were sent on between waking and catching up", n)
+		}
+	})
+	kept(t, f)
+}
--- a/internal/audittrial/fleet.go
+++ b/internal/audittrial/fleet.go
@@ -25,10 +25,11 @@
 // needs a moment more from its last look to a server.
 const Bound = Span + Span/8
 
-// Text is an operators' file's tables for a fleet that acts on versions, divides quotas, and was just founded.
-func Text(more ...string) string {
-	return fmt.Sprintf("[versions]\non = true\nspan = %q\nsettle = \"300ms\"\npatience = \"4s\"\n%s\n[budgets]\non = true\nbegin_full = true\n", Span, strings.Join(more, "\n"))
-}
+// alone is an operators' file's table for a fleet that acts on versions.
+var alone = fmt.Sprintf("[versions]\non = true\nspan = %q\nsettle = \"300ms\"\npatience = \"4s\"\n", Span)
+
+// Text is the same for one that divides quotas as well, and was just founded.
+func Text() string { return alone + "[budgets]\non = true\nbegin_full = true\n" }
 
 // plansText writes a version of a site's plans, with each quota times a factor.
 func plansText(s *trial.Site, factor float64) string {
