lab audit: versions rolled out and taken back amid faults, judged by servers and records

rig.Harm takes the tracks of faults out of budgettrial, so that both trials use one; budgettrial.Uses likewise.

--- a/cmd/lab/real.go
+++ b/cmd/lab/real.go
@@ -8,6 +8,7 @@
 
 	"github.com/spf13/cobra"
 
+	"mothcleat/internal/audittrial"
 	"mothcleat/internal/budgettrial"
 	"mothcleat/internal/lab"
 	"mothcleat/internal/ownertrial"
@@ -126,6 +127,22 @@
 	})
 }
 
+func (b *bench) audit() *cobra.Command {
+	return b.play("audit", "versions of the plans rolled out and taken back while links and processes fail, and what the records tell of it", time.Minute, func(c *cobra.Command) (func() error, player) {
+		o, f := audittrial.Options{}, c.Flags()
+		f.IntVar(&o.Instances, "instances", 12, "gateways, 3 to 40; the first three vote")
+		f.StringVar(&o.Logs, "logs", "", "a folder for the gateways' logs")
+		f.Float64Var(&o.Load, "load", 0.35, "part of what the servers can do that is asked inside the quotas")
+		check := func() error {
+			return errors.Join(within("instances", o.Instances, 3, 40), within("load", o.Load, 0.01, 2))
+		}
+		return check, func(ctx context.Context, seed uint64, length time.Duration) (*trial.Figures, error) {
+			o.Seed, o.For = seed, length
+			return audittrial.Run(ctx, o, b.progress)
+		}
+	})
+}
+
 func (b *bench) owner() *cobra.Command {
 	return b.play("owner", "one owner at a time for the fleet's work, while links and processes fail", time.Minute, func(c *cobra.Command) (func() error, player) {
 		o, f := ownertrial.Options{}, c.Flags()
--- a/internal/audittrial/audit_test.go
+++ b/internal/audittrial/audit_test.go
@@ -115,18 +115,6 @@
 	<-done
 }
 
-// sentOn are the requests that a gateway sent on in a time, as the servers took them.
-func sentOn(f *rig.Fleet, i int, from, to time.Duration) (n int) {
-	f.Record.Look(func() {
-		for _, a := range f.Record.Attempts {
-			if a.Gateway == i && a.Whole >= from && a.Whole < to {
-				n++
-			}
-		}
-	})
-	return n
-}
-
 // kept fails the test if a rule was broken.
 func kept(t *testing.T, f *rig.Fleet) {
 	t.Helper()
--- a/internal/audittrial/fleet.go
+++ b/internal/audittrial/fleet.go
@@ -3,11 +3,9 @@
 package audittrial
 
 import (
-	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
-	"regexp"
 	"strings"
 	"time"
 
@@ -73,28 +71,3 @@
 	}
 	return nil
 }
-
-// span is when a gateway's process acted on a version, by what it wrote down.
-type span struct {
-	gateway  int
-	number   uint64
-	from, to time.Duration
-}
-
-var inForce = regexp.MustCompile(`(?m)^.*time=(\S+) .*msg="fleet: version in force" .*item=plans number=(\d+)`)
-
-// spans are all times in which a gateway acted on a version, from its log. Before the first of a process it acted on its
-// configuration, which is number 1, or on nothing.
-func spans(f *rig.Fleet, i int) (all []span, err error) {
-	for _, m := range inForce.FindAllStringSubmatch(f.Gateways[i].Log(), -1) {
-		at, bad := time.Parse(time.RFC3339Nano, m[1])
-		s := span{gateway: i, from: at.Sub(f.Record.Began()), to: 1 << 62}
-		_, worse := fmt.Sscan(m[2], &s.number)
-		err = errors.Join(err, bad, worse)
-		if len(all) > 0 {
-			all[len(all)-1].to = s.from
-		}
-		all = append(all, s)
-	}
-	return all, err
-}
--- a/internal/audittrial/hard_test.go
+++ b/internal/audittrial/hard_test.go
@@ -15,14 +15,10 @@
 	"mothcleat/internal/fleetnode"
 	"mothcleat/internal/recorder"
 	"mothcleat/internal/rig"
-	"mothcleat/internal/trial"
 	"mothcleat/lease"
 	"mothcleat/versions"
 )
 
-// slack is how long after its last look a request reaches a server, on a machine with other work.
-const slack = 250 * time.Millisecond
-
 // actsOn are the requests that a gateway sent on by a version after a time, as the servers took them.
 func actsOn(t *testing.T, f *rig.Fleet, i int, number uint64, after time.Duration) (n int) {
 	t.Helper()
@@ -227,13 +223,11 @@
 	for i := range f.Gateways {
 		check(t, f.End(i, syscall.SIGTERM))
 	}
-	records := map[int][]chronicle.Entry{}
+	wrote, err := records(f)
+	check(t, err)
 	var all []chronicle.Entry
 	for i := range f.Gateways {
-		entries, err := recorder.Read(fleetnode.RecordDir(f.FleetDir(i)))
-		check(t, err)
-		records[i] = entries
-		all = append(all, entries...)
+		all = append(all, wrote[i]...)
 	}
 	good, bad := chronicle.Verify(all, heads)
 	if len(bad) > 0 {
@@ -244,25 +238,14 @@
 		t.Error("nobody acted on anything")
 	}
 	for i := range f.Gateways {
-		var told chronicle.Counts
-		for _, e := range records[i] {
-			told = told.Plus(e.Counts)
-		}
-		took := sentOn(f, i, 0, 1<<62)
-		killed := 0 // each may have sent one on and not counted it
-		for _, l := range f.Record.Lives {
-			if l.Gateway == i && l.Event == trial.Killed {
-				killed++
-			}
-		}
-		if n := int(told.Sent + told.Again); took == 0 || took > n+killed || n > took+killed {
-			t.Errorf("%s: the servers took %d requests, its record has %d, %d kills", rig.Name(i), took, n, killed)
+		if unexplained, _ := account(f, i, wrote[i]); unexplained > 0 || sentOn(f, i, 0, 1<<62) == 0 {
+			t.Errorf("%s: %d requests are in no record", rig.Name(i), unexplained)
 		}
 	}
 	damaged := func(what string, change func([]chronicle.Entry) []chronicle.Entry) {
 		var some []chronicle.Entry
 		for i := range f.Gateways {
-			entries := append([]chronicle.Entry(nil), records[i]...)
+			entries := append([]chronicle.Entry(nil), wrote[i]...)
 			if i == 3 {
 				entries = change(entries)
 			}
@@ -274,7 +257,7 @@
 	}
 	damaged("cut", func(e []chronicle.Entry) []chronicle.Entry { return e[:len(e)/3] })
 	damaged("changed", func(e []chronicle.Entry) []chronicle.Entry { e[0].Units++; return e })
-	damaged("copied from another gateway", func([]chronicle.Entry) []chronicle.Entry { return records[2] })
+	damaged("copied from another gateway", func([]chronicle.Entry) []chronicle.Entry { return wrote[2] })
 	check(t, f.Restore(3))
 	older, err := recorder.Read(fleetnode.RecordDir(f.FleetDir(3)))
 	check(t, err)
--- /dev/null
+++ b/internal/audittrial/run.go
@@ -0,0 +1,375 @@
+package audittrial
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"mothcleat/chronicle"
+	"mothcleat/internal/fleetnode"
+	"mothcleat/internal/rig"
+	"mothcleat/internal/trial"
+	"mothcleat/versions"
+)
+
+// Options say what is played.
+type Options struct {
+	Seed      uint64
+	Instances int
+	For       time.Duration
+	Load      float64
+	Logs      string // a folder for the gateways' logs; "": they go with the fleet
+	Bin       string // built with the tag faults; "": it is built
+}
+
+const voters = 3
+
+// Run plays a fleet that is given versions of its plans amid faults, and beside it the same traffic and versions without any.
+func Run(ctx context.Context, o Options, progress io.Writer) (*trial.Figures, error) {
+	if o.Load == 0 {
+		o.Load = 0.35
+	}
+	if o.Bin == "" {
+		bin, remove, err := rig.Build(ctx)
+		if err != nil {
+			return nil, err
+		}
+		defer remove()
+		o.Bin = bin
+	}
+	fig, err := o.play(ctx, true, progress)
+	if err != nil {
+		return nil, err
+	}
+	quiet, err := o.play(ctx, false, io.Discard)
+	if err != nil {
+		return fig, err
+	}
+	fig.Extra["service_undisturbed"] = quiet.Service
+	for rule, n := range quiet.Broken {
+		if n > 0 {
+			fig.Miss(fmt.Sprintf("undisturbed: %s broken %d times", rule, n))
+		}
+	}
+	for _, k := range []string{"rollouts", "withdrawn", "brought_up", "shut_out", "let_back", "stops", "cuts", "kills", "leaves"} {
+		if n, ok := fig.Extra[k].(int); !ok || n == 0 {
+			fig.Miss("no " + k + ": nothing was shown")
+		}
+	}
+	return fig, nil
+}
+
+// course is one world that runs.
+type course struct {
+	o    *Options
+	f    *rig.Fleet
+	harm *rig.Harm
+
+	mu      sync.Mutex
+	all     map[uint64]change
+	ended   map[uint64]time.Duration // when it was seen that nobody may act on a version any more
+	calls   int
+	refused int // of proposals, while another roll-out is under way or nobody is to be asked
+	drawn   int // withdrawn
+	heads   []chronicle.Head
+	behind  map[string]bool // members that were seen behind
+	brought int
+}
+
+func (o *Options) play(ctx context.Context, disturb bool, progress io.Writer) (*trial.Figures, error) {
+	f, err := rig.New(ctx, rig.Options{Seed: o.Seed, Instances: o.Instances, Voters: voters, Load: o.Load, Bin: o.Bin, Log: progress, Operators: Text()})
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	c := &course{o: o, f: f, all: map[uint64]change{1: {to: 1 << 62, factor: 1}}, ended: map[uint64]time.Duration{}, behind: map[string]bool{},
+		harm: &rig.Harm{Fleet: f, Seed: o.Seed, Voters: min(voters, o.Instances), Stops: 3 * Span, Progress: progress}}
+	c.harm.Likely = func(*rand.Rand) int { return c.guide() }
+	if err := c.settled(ctx); err != nil {
+		return nil, err
+	}
+	asking, cancel := context.WithTimeout(ctx, o.For)
+	defer cancel()
+	var wg sync.WaitGroup
+	begin := func(do func()) {
+		wg.Add(1)
+		go func() { defer wg.Done(); do() }()
+	}
+	begin(func() { c.propose(asking) })
+	begin(func() { c.watch(asking) })
+	if disturb {
+		begin(func() {
+			h := c.harm
+			h.Run(asking, []rig.Kind{h.Kill, h.Leave, h.Stop, h.Stop}, []rig.Kind{h.Isolate, h.OneWay, h.Isolate})
+		})
+	}
+	f.Clients.Run(asking)
+	wg.Wait()
+	if err := c.settled(ctx); err != nil {
+		return nil, err
+	}
+	return c.judge()
+}
+
+// settled waits until all may act on the newest version that is for all.
+func (c *course) settled(ctx context.Context) error {
+	last := ""
+	for deadline := time.Now().Add(40 * time.Second); time.Now().Before(deadline) && ctx.Err() == nil; rig.Pass(ctx, 50*time.Millisecond) {
+		n := 0
+		for i := range c.f.Gateways {
+			v, err := agreed(c.f, i)
+			h, bad := here(c.f, i)
+			if err = errors.Join(err, bad); err != nil {
+				last = err.Error()
+				continue
+			}
+			newest := uint64(0)
+			for _, one := range v.Versions {
+				if one.State == versions.Whole {
+					newest = one.Number
+				}
+			}
+			if last = fmt.Sprintf("%s: %+v, %d is for all", rig.Name(i), h, newest); h.Until > 0 && (newest <= 1 || h.InForce["plans"] >= newest) {
+				n++
+			}
+		}
+		if n == len(c.f.Gateways) {
+			c.look(0)
+			return nil
+		}
+	}
+	return fmt.Errorf("not all have caught up: %s", last)
+}
+
+// guide is who guides roll-outs; -1: nobody says so.
+func (c *course) guide() int {
+	for i, g := range c.f.Gateways {
+		var h fleetnode.Here
+		if g.Running() && !c.f.Stopped(i) && c.f.Call(i, "here", &h) == nil && h.Duties[versions.Duty] > 0 {
+			return i
+		}
+	}
+	return -1
+}
+
+// someone is a gateway that can be called.
+func (c *course) someone(r *rand.Rand) int {
+	for _, i := range r.Perm(len(c.f.Gateways)) {
+		if c.f.Gateways[i].Running() && !c.f.Stopped(i) {
+			return i
+		}
+	}
+	return 0
+}
+
+// propose has versions proposed every few seconds, and every third one withdrawn soon after.
+func (c *course) propose(ctx context.Context) {
+	r := rand.New(rand.NewPCG(c.o.Seed, 0xad))
+	for rig.Pass(ctx, time.Duration(trial.Between(r, 1.5, 3.5)*float64(time.Second))) {
+		at := c.someone(r)
+		stage, factor := versions.One, trial.Between(r, 0.5, 1)
+		if r.IntN(3) == 0 {
+			stage = versions.All
+		}
+		lead := time.Duration(0)
+		if r.IntN(4) == 0 {
+			lead = time.Second
+		}
+		began := c.f.Record.Now()
+		number, err := propose(c.f, at, stage, lead, plansText(c.f.Site, factor))
+		c.mu.Lock()
+		if c.calls++; err != nil {
+			c.refused++
+			c.mu.Unlock()
+			continue
+		}
+		c.all[number] = change{from: began, to: 1 << 62, factor: factor}
+		c.mu.Unlock()
+		c.harm.Note("%s proposes %d for %s, in %v: the plans times %.2f", rig.Name(at), number, stage, lead, factor)
+		if r.IntN(3) != 0 || !rig.Pass(ctx, time.Duration(trial.Between(r, 0.1, 1.5)*float64(time.Second))) {
+			continue
+		}
+		var next uint64
+		began = c.f.Record.Now()
+		if c.f.Call(c.someone(r), fmt.Sprintf("versions withdraw plans %d drawn", number), &next) == nil {
+			c.mu.Lock()
+			c.drawn++
+			v, err := agreed(c.f, c.someone(r))
+			if one := version(&v, next); err == nil && one != nil {
+				c.all[next] = change{from: began, to: 1 << 62, factor: c.all[one.Restores].factor}
+			}
+			c.mu.Unlock()
+			c.harm.Note("%d is withdrawn, %d takes its place", number, next)
+		}
+	}
+}
+
+// watch notes when versions end, and who is behind.
+func (c *course) watch(ctx context.Context) {
+	r := rand.New(rand.NewPCG(c.o.Seed, 0xae))
+	for rig.Pass(ctx, 100*time.Millisecond) {
+		c.look(c.someone(r))
+	}
+}
+
+func (c *course) look(at int) {
+	v, err := agreed(c.f, at)
+	if err != nil {
+		return
+	}
+	now := c.f.Record.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heads = v.Heads
+	for _, one := range v.Versions {
+		if _, ok := c.ended[one.Number]; !ok && one.Until != 0 && v.At >= one.Until {
+			c.ended[one.Number] = now
+			if k, ok := c.all[one.Number]; ok {
+				k.to = now
+				c.all[one.Number] = k
+			}
+		}
+		if _, ok := c.all[one.Number]; !ok { // of a proposal or withdrawal whose answer was lost
+			c.all[one.Number] = change{to: 1 << 62, factor: 1}
+		}
+	}
+	behind := map[string]bool{}
+	for _, b := range v.Behind {
+		behind[b.Member.String()] = true
+	}
+	for who := range c.behind {
+		if !behind[who] {
+			c.brought++
+		}
+	}
+	c.behind = behind
+}
+
+var outs = regexp.MustCompile(`(?m)^.*msg="fleet: (shut out: this gateway acts on nothing|let in: this gateway acts)".*$`)
+
+// judge ends the fleet and reads what all have left.
+func (c *course) judge() (*trial.Figures, error) {
+	fig := c.f.Figures("audit")
+	rig.Pass(context.Background(), 4*time.Second) // heads of the last entries but few are told
+	c.look(0)
+	for i := range c.f.Gateways {
+		if err := c.f.End(i, syscall.SIGTERM); err != nil {
+			return fig, err
+		}
+	}
+	logs, shut, let, perGateway := map[int][]span{}, 0, 0, []time.Duration{}
+	broken := func(rule string, n int, format string, args ...any) {
+		if fig.Broken[trial.Rule(rule)] += n; n > 0 {
+			fig.Miss(rule + ": " + fmt.Sprintf(format, args...))
+		}
+	}
+	stops := c.harm.Did("stops")
+	late := 0
+	for i, g := range c.f.Gateways {
+		all, err := spans(c.f, i)
+		if err != nil {
+			return fig, err
+		}
+		logs[i] = all
+		late += lateActs(c.f, all, c.ended)
+		out := false
+		for _, m := range outs.FindAllStringSubmatch(g.Log(), -1) {
+			if is := strings.HasPrefix(m[1], "shut"); is && !strings.Contains(m[0], "not heard the fleet yet") {
+				shut++
+				out = true
+			} else if !is && out {
+				let++
+				out = false
+			}
+		}
+		for _, s := range all {
+			if k, ok := c.all[s.number]; ok && s.number > 1 && s.from > k.from && k.from > 0 {
+				perGateway = append(perGateway, s.from-k.from)
+			}
+		}
+		if c.o.Logs != "" {
+			_ = os.WriteFile(fmt.Sprintf("%s/%s.log", c.o.Logs, rig.Name(i)), []byte(g.Log()), 0o600)
+		}
+	}
+	// A stop may lie between the last look and the write.
+	broken("acts_on_withdrawn", max(0, late-stops), "%d requests, %d stops", late, stops)
+	wrote, err := records(c.f)
+	if err != nil {
+		return fig, err
+	}
+	var all []chronicle.Entry
+	unexplained, untaken := 0, 0
+	for i := range c.f.Gateways {
+		u, n := account(c.f, i, wrote[i])
+		unexplained, untaken = unexplained+u, untaken+n
+		all = append(all, wrote[i]...)
+	}
+	broken("unexplained_acts", unexplained, "%d requests are in no record", unexplained)
+	good, bad := chronicle.Verify(all, c.heads)
+	for _, d := range bad {
+		broken("record_broken", 1, "%s", d)
+	}
+	fig.Broken["record_broken"] += 0
+	rows, gaps := chronicle.Audit(good, (10 * time.Second).Microseconds())
+	n := wrong(rows, c.f, logs)
+	broken("wrong_version", n, "%d stretches of the audit do not fit what was logged", n)
+	unseen := c.forge(wrote)
+	broken("forged_unseen", len(unseen), "%v", unseen)
+	var changes []change
+	for _, k := range slices.Sorted(maps.Keys(c.all)) {
+		changes = append(changes, c.all[k])
+	}
+	beyond := over(c.f, changes, stops)
+	broken("mixed_sum_over_whole", len(beyond), "%v", beyond[:min(3, len(beyond))])
+	fig.Extra["rollouts"], fig.Extra["withdrawn"], fig.Extra["proposals_refused"] = len(c.all)-1, c.drawn, c.refused
+	fig.Extra["brought_up"], fig.Extra["shut_out"], fig.Extra["let_back"] = c.brought, shut, let
+	fig.Extra["in_force_ms_p50"], fig.Extra["in_force_ms_p99"] = trial.Quantile(perGateway, 0.5), trial.Quantile(perGateway, 0.99)
+	fig.Extra["entries"], fig.Extra["stretches"], fig.Extra["gaps"], fig.Extra["untaken"], fig.Extra["late_writes"] = len(all), len(rows), len(gaps), untaken, late
+	for _, k := range []string{"stops", "cuts", "kills", "leaves", "joins"} {
+		fig.Extra[k] = c.harm.Did(k)
+	}
+	fig.Extra["memory_mb"] = c.f.Memory()
+	if err := c.harm.Err(); err != nil {
+		fig.Miss(err.Error())
+	}
+	return fig, nil
+}
+
+// forge damages each gateway's record in turn, in each way, and gives those that do not show.
+func (c *course) forge(wrote map[int][]chronicle.Entry) (unseen []string) {
+	for i := range c.f.Gateways {
+		for what, change := range map[string]func([]chronicle.Entry) []chronicle.Entry{
+			"cut":      func(e []chronicle.Entry) []chronicle.Entry { return e[:len(e)/4] },
+			"changed":  func(e []chronicle.Entry) []chronicle.Entry { e[0].Units++; return e },
+			"left out": func(e []chronicle.Entry) []chronicle.Entry { return slices.Delete(e, 1, 2) },
+			"removed":  func([]chronicle.Entry) []chronicle.Entry { return nil },
+			"copied":   func([]chronicle.Entry) []chronicle.Entry { return wrote[(i+1)%len(c.f.Gateways)] },
+		} {
+			if len(wrote[i]) < 8 {
+				continue
+			}
+			var some []chronicle.Entry
+			for j := range c.f.Gateways {
+				e := slices.Clone(wrote[j])
+				if j == i {
+					e = change(e)
+				}
+				some = append(some, e...)
+			}
+			if _, bad := chronicle.Verify(some, c.heads); len(bad) == 0 {
+				unseen = append(unseen, rig.Name(i)+" "+what)
+			}
+		}
+	}
+	return unseen
+}
--- a/internal/budgettrial/budget_test.go
+++ b/internal/budgettrial/budget_test.go
@@ -58,7 +58,7 @@
 		f.Close()
 	})
 	f.Site.Shift = time.Second // demand moves, and parts with it
-	run := &trialRun{f: f, o: &Options{Shards: 1}, did: map[string]int{}, progress: writer{t}}
+	run := newRun(f, &Options{Shards: 1}, writer{t})
 	check(t, run.settled(t.Context()))
 	return run
 }
@@ -120,10 +120,10 @@
 	})
 	if how == "stop" {
 		t.f.Record.AddLife(i, trial.Paused)
-		t.count("stops")
+		t.harm.Count("stops")
 	} else {
 		t.f.Record.AddLife(i, trial.Killed)
-		t.count("kills")
+		t.harm.Count("kills")
 	}
 }
 
@@ -371,8 +371,8 @@
 	if fig.Broken[trial.Lost] > 0 {
 		t.Error("requests were lost")
 	}
-	if run.did["joins"] < 17 {
-		t.Errorf("%d joins", run.did["joins"])
+	if run.harm.Did("joins") < 17 {
+		t.Errorf("%d joins", run.harm.Did("joins"))
 	}
 }
 
--- a/internal/budgettrial/judge.go
+++ b/internal/budgettrial/judge.go
@@ -29,31 +29,31 @@
 	Units    float64 // taken in all
 }
 
-// use is what reached a server of a customer's quota.
-type use struct {
-	at    time.Duration
-	units float64
+// Use is what reached a server of a customer's quota.
+type Use struct {
+	At    time.Duration
+	Units float64
 }
 
-// uses are what servers took of each customer, and which plan that has. A try's units count once, when it first reached a
+// Uses are what servers took of each customer, and which plan that has. A try's units count once, when it first reached a
 // server.
-func uses(rec *trial.Record, since time.Duration) (all map[string][]use, plans map[string]int) {
+func Uses(rec *trial.Record, since time.Duration) (all map[string][]Use, plans map[string]int) {
 	first := map[string]time.Duration{}
 	for _, a := range rec.Attempts {
 		if at, ok := first[a.ID]; !ok || a.Whole < at {
 			first[a.ID] = a.Whole
 		}
 	}
-	all, plans = map[string][]use{}, map[string]int{}
+	all, plans = map[string][]Use{}, map[string]int{}
 	for i := range rec.Tries {
 		t := &rec.Tries[i]
 		if at, ok := first[t.ID]; ok && at >= since {
-			all[t.Customer] = append(all[t.Customer], use{at, t.Units})
+			all[t.Customer] = append(all[t.Customer], Use{at, t.Units})
 			plans[t.Customer] = t.Plan
 		}
 	}
 	for _, list := range all {
-		slices.SortFunc(list, func(a, b use) int { return cmp.Compare(a.at, b.at) })
+		slices.SortFunc(list, func(a, b Use) int { return cmp.Compare(a.At, b.At) })
 	}
 	return all, plans
 }
@@ -65,7 +65,7 @@
 
 // WindowsSince is Windows of what reached servers from a time on.
 func WindowsSince(s *trial.Site, rec *trial.Record, slack Slack, since time.Duration) (all []Window) {
-	used, plans := uses(rec, since)
+	used, plans := Uses(rec, since)
 	for customer, list := range used {
 		p := &s.Plans[plans[customer]]
 		// A bank that is full at first and never refuses shows all windows at once: how far it is overdrawn is how
@@ -74,11 +74,11 @@
 		w := Window{Customer: customer, Plan: plans[customer], Over: math.Inf(-1)}
 		level, last := p.Burst, time.Duration(0)
 		for _, u := range list {
-			level = math.Min(p.Burst, level+rate*(u.at-last).Seconds()) - u.units
-			last = u.at
-			w.Units += u.units
+			level = math.Min(p.Burst, level+rate*(u.At-last).Seconds()) - u.Units
+			last = u.At
+			w.Units += u.Units
 			if over := -level - slack.Units - rate*slack.Late.Seconds(); over > w.Over {
-				w.Over, w.At = over, u.at
+				w.Over, w.At = over, u.At
 			}
 		}
 		all = append(all, w)
@@ -96,7 +96,7 @@
 // RefusedWithRoom is which part of the first tries inside their quotas was refused although one who sees all that servers took would
 // have found the units in the customer's store.
 func RefusedWithRoom(s *trial.Site, rec *trial.Record) float64 {
-	used, _ := uses(rec, 0)
+	used, _ := Uses(rec, 0)
 	levels := map[string]float64{}
 	at, next := map[string]time.Duration{}, map[string]int{}
 	refused, inside := 0, 0
@@ -114,10 +114,10 @@
 			level = p.Burst
 		}
 		now := max(at[c], o.Try.Sent)
-		for ; next[c] < len(used[c]) && used[c][next[c]].at <= now; next[c]++ {
+		for ; next[c] < len(used[c]) && used[c][next[c]].At <= now; next[c]++ {
 			u := used[c][next[c]]
-			level = math.Min(p.Burst, level+p.Rate*max(0, u.at-at[c]).Seconds()) - u.units
-			at[c] = max(at[c], u.at)
+			level = math.Min(p.Burst, level+p.Rate*max(0, u.At-at[c]).Seconds()) - u.Units
+			at[c] = max(at[c], u.At)
 		}
 		level = math.Min(p.Burst, level+p.Rate*(now-at[c]).Seconds())
 		levels[c], at[c] = level, now
--- a/internal/budgettrial/run.go
+++ b/internal/budgettrial/run.go
@@ -113,7 +113,7 @@
 	}
 	defer f.Close()
 	f.Site.Shift = shift
-	t := &trialRun{f: f, o: o, progress: progress, did: map[string]int{}}
+	t := newRun(f, o, progress)
 	if err := t.settled(ctx); err != nil {
 		return p, err
 	}
@@ -126,7 +126,7 @@
 		go func() {
 			defer wg.Done()
 			if o.Surge {
-				t.fail(t.surge(ctx, voters, 4))
+				t.harm.Fail(t.surge(ctx, voters, 4))
 				cancel()
 				return
 			}
@@ -147,14 +147,14 @@
 	fig.Extra["refused_with_room_share"] = p.withRoom
 	fig.Extra["bytes_per_second_gateway"] = float64(f.Passed()-before) / o.For.Seconds() / float64(instances)
 	for _, k := range []string{"joins", "leaves", "kills", "stops", "cuts"} {
-		fig.Extra[k] = t.did[k]
+		fig.Extra[k] = t.harm.Did(k)
 	}
 	fig.Extra["memory_mb"] = f.Memory()
 	fig.Extra["refused_inside_share"] = refusedInside(f.Site, f.Record)
 	if len(t.back) > 0 {
 		fig.Extra["dead_part_back_ms_p99"] = trial.Quantile(t.back, 0.99)
 	}
-	for _, err := range t.errs {
+	if err := t.harm.Err(); err != nil {
 		fig.Miss(err.Error())
 	}
 	return p, nil
@@ -163,7 +163,7 @@
 // judge holds against the wholes what servers took and what processes held.
 func (t *trialRun) judge(fig *trial.Figures) error {
 	// One request a stop may slip through between the last look at the clock and the write.
-	slack := Slack{Late: budget.Defaults().LoanSpan, Units: 4 * float64(t.did["stops"])}
+	slack := Slack{Late: budget.Defaults().LoanSpan, Units: 4 * float64(t.harm.Did("stops"))}
 	fig.Broken["window_over_whole"], fig.Broken["sum_over_whole"] = 0, 0
 	all := Windows(t.f.Site, t.f.Record, slack)
 	for _, w := range all {
@@ -222,29 +222,14 @@
 	f        *rig.Fleet
 	o        *Options
 	progress io.Writer
-	mu       sync.Mutex // guards what follows
-	did      map[string]int
-	busy     map[int]bool // gateways that something is done to
-	errs     []error
+	harm     *rig.Harm
+	mu       sync.Mutex
 	back     []time.Duration // from a kill until the parts of the dead were taken back
 }
 
-func (t *trialRun) count(what string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.did[what]++
-}
-
-func (t *trialRun) fail(err error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if err != nil {
-		t.errs = append(t.errs, err)
-	}
-}
-
-func (t *trialRun) note(format string, args ...any) {
-	fmt.Fprintf(t.progress, "  %6.2fs "+format+"\n", append([]any{t.f.Record.Now().Seconds()}, args...)...)
+func newRun(f *rig.Fleet, o *Options, progress io.Writer) *trialRun {
+	return &trialRun{f: f, o: o, progress: progress, harm: &rig.Harm{Fleet: f, Seed: o.Seed, Voters: min(voters, len(f.Gateways)),
+		Stops: 22 * budget.Defaults().Span / 10, Progress: progress}}
 }
 
 // view asks one gateway after another until one answers.
@@ -295,88 +280,25 @@
 	return errors.New("the budgets have no owners")
 }
 
-func span(r *rand.Rand, least, most float64) time.Duration {
-	return time.Duration(trial.Between(r, least, most) * float64(time.Second))
-}
-
 // faults does one thing after another to processes, and beside that to links.
 func (t *trialRun) faults(ctx context.Context) {
-	t.busy = map[int]bool{}
-	defer func() {
-		t.f.Heal()
-		for i, g := range t.f.Gateways {
-			if t.f.Stopped(i) {
-				t.fail(t.f.Wake(i))
-			}
-			if !g.Running() {
-				t.fail(t.f.Begin(i))
-			}
-		}
-	}()
-	var wg sync.WaitGroup
-	track := func(seed uint64, least, most float64, kinds ...func(context.Context, *rand.Rand, int)) {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			r := rand.New(rand.NewPCG(t.o.Seed, seed))
-			for {
-				r.Shuffle(len(kinds), func(i, j int) { kinds[i], kinds[j] = kinds[j], kinds[i] })
-				for _, kind := range kinds {
-					if !rig.Pass(ctx, span(r, least, most)) {
-						return
-					}
-					if i := t.pick(r); i >= 0 {
-						kind(ctx, r, i)
-						t.free(i)
-					}
-				}
-			}
-		}()
-	}
-	track(0xb1, 1, 3, t.kill, t.leave, t.stop, t.stop)
-	track(0xb2, 1, 3, t.isolate, t.oneWay, t.isolate)
-	wg.Wait()
-}
-
-// pick draws a gateway that nothing is done to, every third time the owner of a shard.
-func (t *trialRun) pick(r *rand.Rand) int {
-	i := r.IntN(t.o.Instances)
-	if r.IntN(3) == 0 {
-		if own := t.owner(budget.Duty(r.IntN(t.o.Shards))); own >= 0 {
-			t.note("%s owns a shard", rig.Name(own))
-			i = own
+	h := t.harm
+	h.Likely = func(r *rand.Rand) int {
+		own := t.owner(budget.Duty(r.IntN(t.o.Shards)))
+		if own >= 0 {
+			h.Note("%s owns a shard", rig.Name(own))
 		}
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for j := range voters {
-		if t.busy[i] || i < voters && t.busy[j] {
-			return -1 // the voters keep their majority
+		return own
+	}
+	h.Killed = func(ctx context.Context, i int, again time.Time) {
+		var dead fleetnode.Here
+		err := t.f.Call(i, "here", &dead)
+		h.Fail(t.f.End(i, syscall.SIGKILL))
+		if err == nil {
+			t.takenBack(ctx, dead.Member, again)
 		}
 	}
-	t.busy[i] = true
-	return i
-}
-
-func (t *trialRun) free(i int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.busy[i] = false
-}
-
-func (t *trialRun) kill(ctx context.Context, r *rand.Rand, i int) {
-	t.note("kill %s", rig.Name(i))
-	t.count("kills")
-	var dead fleetnode.Here
-	err := t.f.Call(i, "here", &dead)
-	t.fail(t.f.End(i, syscall.SIGKILL))
-	again := time.Now().Add(span(r, 0.1, 5))
-	if err == nil {
-		t.takenBack(ctx, dead.Member, again)
-	}
-	rig.Pass(ctx, time.Until(again))
-	t.fail(t.f.Begin(i))
-	t.count("joins")
+	h.Run(ctx, []rig.Kind{h.Kill, h.Leave, h.Stop, h.Stop}, []rig.Kind{h.Isolate, h.OneWay, h.Isolate})
 }
 
 // takenBack waits until nobody has a dead process down for more than its floors, or until a time.
@@ -396,42 +318,3 @@
 		}
 	}
 }
-
-func (t *trialRun) leave(ctx context.Context, r *rand.Rand, i int) {
-	t.note("%s leaves", rig.Name(i))
-	t.count("leaves")
-	t.fail(t.f.End(i, syscall.SIGTERM))
-	rig.Pass(ctx, span(r, 0.1, 4))
-	t.fail(t.f.Begin(i))
-	t.count("joins")
-}
-
-func (t *trialRun) stop(ctx context.Context, r *rand.Rand, i int) {
-	d := span(r, 0.5, 2.2*budget.Defaults().Span.Seconds())
-	t.note("stop %s for %v", rig.Name(i), d.Round(time.Millisecond))
-	if err := t.f.Stop(i); err != nil {
-		t.fail(err)
-		return
-	}
-	t.count("stops")
-	rig.Pass(ctx, d)
-	t.fail(t.f.Wake(i))
-}
-
-func (t *trialRun) isolate(ctx context.Context, r *rand.Rand, i int) {
-	d := span(r, 0.5, 8)
-	t.note("cut %s off for %v", rig.Name(i), d.Round(time.Millisecond))
-	t.count("cuts")
-	t.f.Isolate(i, true, true, true)
-	rig.Pass(ctx, d)
-	t.f.Isolate(i, true, true, false)
-}
-
-func (t *trialRun) oneWay(ctx context.Context, r *rand.Rand, i int) {
-	to := r.IntN(2) == 0
-	t.note("cut %s off one way", rig.Name(i))
-	t.count("cuts")
-	t.f.Isolate(i, to, !to, true)
-	rig.Pass(ctx, span(r, 0.5, 5))
-	t.f.Isolate(i, to, !to, false)
-}
--- a/internal/budgettrial/surge.go
+++ b/internal/budgettrial/surge.go
@@ -29,16 +29,16 @@
 		wg.Wait()
 		return errors.Join(errs...)
 	}
-	if err := all(few, n, func(i int) error { t.count("leaves"); return t.f.End(i, syscall.SIGTERM) }); err != nil {
+	if err := all(few, n, func(i int) error { t.harm.Count("leaves"); return t.f.End(i, syscall.SIGTERM) }); err != nil {
 		return err
 	}
-	t.note("%d are left", few)
+	t.harm.Note("%d are left", few)
 	rig.Pass(ctx, 2*time.Second) // the few have all of it
 	began := time.Now()
-	if err := all(few, n, func(i int) error { t.count("joins"); return t.f.Begin(i) }); err != nil {
+	if err := all(few, n, func(i int) error { t.harm.Count("joins"); return t.f.Begin(i) }); err != nil {
 		return err
 	}
-	t.note("%d joined within %v", n-few, time.Since(began).Round(time.Millisecond))
+	t.harm.Note("%d joined within %v", n-few, time.Since(began).Round(time.Millisecond))
 	rig.Pass(ctx, 3*time.Second)
 
 	r := rand.New(rand.NewPCG(t.o.Seed, 0x5a))
@@ -47,14 +47,14 @@
 		how := syscall.SIGTERM
 		if k%3 == 2 {
 			how = syscall.SIGKILL
-			t.count("kills")
+			t.harm.Count("kills")
 		} else {
-			t.count("leaves")
+			t.harm.Count("leaves")
 		}
 		if err := t.f.End(i, how); err != nil {
 			return err
 		}
-		t.count("joins")
+		t.harm.Count("joins")
 		return t.f.Begin(i)
 	}
 	var some, voting []int
@@ -79,6 +79,6 @@
 			return err
 		}
 	}
-	t.note("all are replaced")
+	t.harm.Note("all are replaced")
 	return nil
 }
--- /dev/null
+++ b/internal/rig/harm.go
@@ -0,0 +1,197 @@
+package rig
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"mothcleat/internal/trial"
+)
+
+// Harm does things to a fleet's processes and links, by a seed, and counts what was done. The voters keep their majority. Its methods may be
+// called concurrently.
+type Harm struct {
+	Fleet    *Fleet
+	Seed     uint64
+	Voters   int                                               // the first so many
+	Likely   func(*rand.Rand) int                              // whom it is to befall every third time, such as an owner; below 0, or nil: anybody
+	Stops    time.Duration                                     // at most so long
+	Killed   func(ctx context.Context, i int, again time.Time) // called while a killed gateway is down; nil: nothing is done
+	Progress io.Writer
+
+	mu   sync.Mutex
+	did  map[string]int
+	busy map[int]bool
+	errs []error
+}
+
+// Kind is one thing that is done to a gateway, from beginning to end.
+type Kind func(ctx context.Context, r *rand.Rand, i int)
+
+// Count counts something that was done.
+func (h *Harm) Count(what string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.did == nil {
+		h.did = map[string]int{}
+	}
+	h.did[what]++
+}
+
+// Did is how often something was done.
+func (h *Harm) Did(what string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.did[what]
+}
+
+// Fail takes note of an error, if it is one.
+func (h *Harm) Fail(err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err != nil {
+		h.errs = append(h.errs, err)
+	}
+}
+
+// Err is all that went wrong.
+func (h *Harm) Err() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return errors.Join(h.errs...)
+}
+
+// Note tells of something, with the time.
+func (h *Harm) Note(format string, args ...any) {
+	fmt.Fprintf(h.Progress, "  %6.2fs "+format+"\n", append([]any{h.Fleet.Record.Now().Seconds()}, args...)...)
+}
+
+// Run plays tracks beside one another until the context ends, and then has all be well again. Each does its kinds in an order of
+// chance, again and again, with one to three seconds between them.
+func (h *Harm) Run(ctx context.Context, tracks ...[]Kind) {
+	h.busy = map[int]bool{}
+	defer func() {
+		h.Fleet.Heal()
+		for i, g := range h.Fleet.Gateways {
+			if h.Fleet.Stopped(i) {
+				h.Fail(h.Fleet.Wake(i))
+			}
+			if !g.Running() {
+				h.Fail(h.Fleet.Begin(i))
+			}
+		}
+	}()
+	var wg sync.WaitGroup
+	for k, kinds := range tracks {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			r := rand.New(rand.NewPCG(h.Seed, 0xb1+uint64(k)))
+			for {
+				r.Shuffle(len(kinds), func(i, j int) { kinds[i], kinds[j] = kinds[j], kinds[i] })
+				for _, kind := range kinds {
+					if !Pass(ctx, span(r, 1, 3)) {
+						return
+					}
+					if i := h.pick(r); i >= 0 {
+						kind(ctx, r, i)
+						h.free(i)
+					}
+				}
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+func span(r *rand.Rand, least, most float64) time.Duration {
+	return time.Duration(trial.Between(r, least, most) * float64(time.Second))
+}
+
+// pick draws a gateway that nothing is done to.
+func (h *Harm) pick(r *rand.Rand) int {
+	i := r.IntN(len(h.Fleet.Gateways))
+	if r.IntN(3) == 0 && h.Likely != nil {
+		if likely := h.Likely(r); likely >= 0 {
+			i = likely
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for j := range h.Voters {
+		if h.busy[i] || i < h.Voters && h.busy[j] {
+			return -1
+		}
+	}
+	h.busy[i] = true
+	return i
+}
+
+func (h *Harm) free(i int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.busy[i] = false
+}
+
+// Kill kills a gateway and starts it anew.
+func (h *Harm) Kill(ctx context.Context, r *rand.Rand, i int) {
+	h.Note("kill %s", Name(i))
+	h.Count("kills")
+	again := time.Now().Add(span(r, 0.1, 5))
+	if h.Killed != nil {
+		h.Killed(ctx, i, again)
+	} else {
+		h.Fail(h.Fleet.End(i, syscall.SIGKILL))
+	}
+	Pass(ctx, time.Until(again))
+	h.Fail(h.Fleet.Begin(i))
+	h.Count("joins")
+}
+
+// Leave has a gateway leave in order, and starts it anew.
+func (h *Harm) Leave(ctx context.Context, r *rand.Rand, i int) {
+	h.Note("%s leaves", Name(i))
+	h.Count("leaves")
+	h.Fail(h.Fleet.End(i, syscall.SIGTERM))
+	Pass(ctx, span(r, 0.1, 4))
+	h.Fail(h.Fleet.Begin(i))
+	h.Count("joins")
+}
+
+// Stop stops a gateway's process for a while.
+func (h *Harm) Stop(ctx context.Context, r *rand.Rand, i int) {
+	d := span(r, 0.5, h.Stops.Seconds())
+	h.Note("stop %s for %v", Name(i), d.Round(time.Millisecond))
+	if err := h.Fleet.Stop(i); err != nil {
+		h.Fail(err)
+		return
+	}
+	h.Count("stops")
+	Pass(ctx, d)
+	h.Fail(h.Fleet.Wake(i))
+}
+
+// Isolate cuts a gateway off from all others for a while.
+func (h *Harm) Isolate(ctx context.Context, r *rand.Rand, i int) {
+	d := span(r, 0.5, 8)
+	h.Note("cut %s off for %v", Name(i), d.Round(time.Millisecond))
+	h.Count("cuts")
+	h.Fleet.Isolate(i, true, true, true)
+	Pass(ctx, d)
+	h.Fleet.Isolate(i, true, true, false)
+}
+
+// OneWay cuts what a gateway says, or what it hears, for a while.
+func (h *Harm) OneWay(ctx context.Context, r *rand.Rand, i int) {
+	to := r.IntN(2) == 0
+	h.Note("cut %s off one way", Name(i))
+	h.Count("cuts")
+	h.Fleet.Isolate(i, to, !to, true)
+	Pass(ctx, span(r, 0.5, 5))
+	h.Fleet.Isolate(i, to, !to, false)
+}
