mothcleat fleet versions, propose, go-on, hold, withdraw, shut, let and audit

The commands go by a gateway's door; audit joins the records of running gateways or of folders, holds them against the heads that were agreed, and tells who acted on which version, what reached beyond a version's end and by how much, and gaps as gaps. A test of four processes uses it on folders and finds a record that was put back from a copy.

Contents are fetched on from where a fetch broke off: a test cuts one at every byte, with and without a changed byte before. What a killed process counted is written down by the next.

--- a/cmd/mothcleat/fleetcommands.go
+++ b/cmd/mothcleat/fleetcommands.go
@@ -78,6 +78,7 @@
 		}
 		return nil
 	}
+	c.AddCommand(versionCommands(&address, &plain, out)...)
 	c.AddCommand(budgets,
 		asking("rights", "what the gateway at the door may use of the quotas, and what it divides", 0, nil),
 		asking("here", "what the gateway at the door knows of itself", 0, nil),
--- a/internal/audittrial/hard_test.go
+++ b/internal/audittrial/hard_test.go
@@ -3,7 +3,9 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -220,8 +222,19 @@
 		}
 		return err == nil && len(boots) == 4, fmt.Sprintf("%+v %v", heads, err)
 	})
+	var known json.RawMessage
+	check(t, f.Call(0, "versions", &known))
+	file := filepath.Join(t.TempDir(), "agreed.json")
+	check(t, os.WriteFile(file, known, 0o600))
+	audit := []string{"fleet", "audit", "--agreed", file}
 	for i := range f.Gateways {
 		check(t, f.End(i, syscall.SIGTERM))
+		audit = append(audit, f.FleetDir(i))
+	}
+	var told strings.Builder
+	check(t, f.Command(0, &told, audit...), f.Command(0, io.Discard, append(audit, "--verify")...))
+	if !strings.Contains(told.String(), "plans") || strings.Contains(told.String(), "BEYOND") {
+		t.Errorf("the audit tells\n%s", told.String())
 	}
 	wrote, err := records(f)
 	check(t, err)
@@ -259,6 +272,9 @@
 	damaged("changed", func(e []chronicle.Entry) []chronicle.Entry { e[0].Units++; return e })
 	damaged("copied from another gateway", func([]chronicle.Entry) []chronicle.Entry { return wrote[2] })
 	check(t, f.Restore(3))
+	if err := f.Command(0, io.Discard, append(audit, "--verify")...); err == nil {
+		t.Error("mothcleat fleet audit finds a record good that was put back from a copy")
+	}
 	older, err := recorder.Read(fleetnode.RecordDir(f.FleetDir(3)))
 	check(t, err)
 	damaged("put back from a copy", func([]chronicle.Entry) []chronicle.Entry { return older })
--- a/internal/fleetnode/versions.go
+++ b/internal/fleetnode/versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"strconv"
@@ -33,6 +34,12 @@
 	switch do, words := words[0], words[1:]; {
 	case do == "here" && len(words) == 0:
 		return n.agent.Here(), nil
+	case do == "record" && len(words) == 1: // from a time, in microseconds since 1970
+		from, err := strconv.ParseInt(words[0], 10, 64)
+		if r := n.record.Load(); err == nil && r != nil {
+			return r.Entries(from)
+		}
+		return nil, errors.Join(err, errors.New("no record is kept yet"))
 	case do == "propose" && len(words) >= 4: // ITEM STAGE LEAD FILE
 		lead, err := time.ParseDuration(words[2])
 		if err != nil {
@@ -56,5 +63,5 @@
 		}
 		return n.agent.Say(ctx, op)
 	}
-	return nil, fmt.Errorf("unknown call versions %.64q; here, propose ITEM STAGE LEAD FILE, go-on ITEM NUMBER STAGE, hold ITEM NUMBER WHY, withdraw ITEM NUMBER WHY, shut ID WHY or let ID", strings.Join(words, " "))
+	return nil, fmt.Errorf("unknown call versions %.64q; here, record FROM, propose ITEM STAGE LEAD FILE, go-on ITEM NUMBER STAGE, hold ITEM NUMBER WHY, withdraw ITEM NUMBER WHY, shut ID WHY or let ID", strings.Join(words, " "))
 }
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -212,6 +212,9 @@
 	return nil
 }
 
+// Entries are those of this gateway that ended at a time or later, in microseconds since 1970, of all its processes.
+func (r *Recorder) Entries(from int64) ([]chronicle.Entry, error) { return entries(r.store, from) }
+
 // Close writes the last entry. Nothing may be counted any more.
 func (r *Recorder) Close() error {
 	r.mu.Lock()
@@ -226,6 +229,14 @@
 		return nil, err
 	}
 	defer s.Close()
+	all, err = entries(s, 0)
+	if err != nil {
+		err = fmt.Errorf("recorder: %s: %w", dir, err)
+	}
+	return all, err
+}
+
+func entries(s *store.Store, from int64) (all []chronicle.Entry, err error) {
 	v, err := s.Snapshot()
 	if err != nil {
 		return nil, err
@@ -237,9 +248,11 @@
 		}
 		var e chronicle.Entry
 		if err := json.Unmarshal(item.Value, &e); err != nil {
-			return all, fmt.Errorf("recorder: %s: an entry that can't be read: %w", dir, err)
+			return all, fmt.Errorf("an entry that can't be read: %w", err)
+		}
+		if e.Ended >= from {
+			all = append(all, e)
 		}
-		all = append(all, e)
 	}
 	return all, nil
 }
--- /dev/null
+++ b/internal/recorder/recorder_test.go
@@ -0,0 +1,101 @@
+package recorder
+
+import (
+	"log/slog"
+	"testing"
+
+	"mothcleat/chronicle"
+)
+
+var quiet = slog.New(slog.DiscardHandler)
+
+// A process that ends at any moment leaves a record that holds, with all that it counted: the next one writes the rest down, under the
+// versions that it was done by.
+func TestWhatAKilledProcessLeft(t *testing.T) {
+	dir := t.TempDir()
+	var heads []chronicle.Head
+	total := chronicle.Counts{}
+	for boot := uint64(1); boot <= 6; boot++ {
+		r, err := Open(dir, "n0", boot, quiet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for k := range 5 {
+			r.Sent(true, 2.5)
+			r.Sent(false, 2.5)
+			r.Refused(false)
+			r.Refused(true)
+			total = total.Plus(chronicle.Counts{Sent: 1, Again: 1, Units: 2.5, Refused: 1, Turned: 1})
+			if k%2 == 0 {
+				r.Change(map[string]uint64{"plans": boot*10 + uint64(k)})
+			}
+			if boot%3 == 1 && k == 3 { // some of it was written before
+				r.mu.Lock()
+				err = r.write(int64(boot)*1000, false)
+				r.mu.Unlock()
+				if err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		if h := r.Head(); h != nil {
+			heads = append(heads, *h)
+		}
+		if boot%2 == 0 { // it ends in order
+			if err := r.Close(); err != nil {
+				t.Fatal(err)
+			}
+			continue
+		}
+		// It is killed: nothing more is written by it, and its lock goes.
+		if err := r.store.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r, err := Open(dir, "n0", 7, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Close(); err != nil {
+		t.Fatal(err)
+	}
+	all, err := Read(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	good, bad := chronicle.Verify(all, heads)
+	if len(bad) > 0 || len(good) != len(all) || len(heads) == 0 {
+		t.Fatalf("%v, %d of %d entries, %d heads", bad, len(good), len(all), len(heads))
+	}
+	var sum chronicle.Counts
+	byVersion := map[uint64]uint64{}
+	for _, e := range all {
+		sum = sum.Plus(e.Counts)
+		byVersion[e.InForce["plans"]] += e.Sent
+	}
+	if sum != total {
+		t.Errorf("%+v were recorded, %+v were done", sum, total)
+	}
+	// Two under the first version of each boot's, two under the next.
+	for boot := uint64(1); boot <= 6; boot++ {
+		if byVersion[boot*10] != 2 || byVersion[boot*10+2] != 2 || byVersion[boot*10+4] != 0 {
+			t.Errorf("boot %d: %v", boot, byVersion)
+		}
+	}
+	if _, gaps := chronicle.Audit(good, 1<<62); len(gaps) != 0 {
+		t.Errorf("%+v", gaps)
+	}
+}
+
+// What recording costs a request in the loop.
+func BenchmarkSent(b *testing.B) {
+	r, err := Open(b.TempDir(), "n0", 1, quiet)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Sent(true, 1.5)
+	}
+	_ = r.Close()
+}
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -432,6 +432,7 @@
 func (a *Agent) number(ctx context.Context, op versions.Op) (uint64, error) {
 	one, cancel := context.WithTimeout(ctx, doWithin)
 	defer cancel()
+	op.Wall = time.Now().UnixMicro()
 	raw, err := a.client.Do(one, versions.MachineName, op.Encode())
 	var r versions.Result
 	if err == nil {
--- /dev/null
+++ b/internal/rollout/contents_test.go
@@ -0,0 +1,80 @@
+package rollout
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"os"
+	"testing"
+
+	"mothcleat/versions"
+)
+
+// A fetch that is cut at any byte is gone on with, and ends whole; one that is damaged on the way is never there under its name.
+func TestAFetchCutAtEachByte(t *testing.T) {
+	raw := bytes.Repeat([]byte("terms of a plan\n"), 12)
+	from, to := NewContents(t.TempDir()), NewContents(t.TempDir())
+	digest, err := from.Add(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ref := versions.Ref{Digest: digest, Size: int64(len(raw))}
+	broke := errors.New("the link broke")
+	// fetch takes what comes, up to a byte of the content, with one byte of it changed if that is not below 0.
+	fetch := func(end, spoilt int) error {
+		begun := to.Begun(digest)
+		var pieces [][]byte
+		if err := from.Give(digest, begun, func(b []byte) error {
+			pieces = append(pieces, bytes.Clone(b))
+			return nil
+		}); err != nil {
+			return err
+		}
+		all := bytes.Join(pieces, nil)
+		all = all[:max(0, min(len(all), end-int(begun)))]
+		if spoilt >= int(begun) && spoilt < int(begun)+len(all) {
+			all[spoilt-int(begun)]++
+		}
+		return to.Take(ref, begun, func() ([]byte, error) {
+			if len(all) == 0 {
+				return nil, broke
+			}
+			n := min(7, len(all))
+			b := all[:n]
+			all = all[n:]
+			return b, nil
+		})
+	}
+	for end := range raw {
+		for _, spoilt := range []int{-1, end / 2} {
+			if err := fetch(end, spoilt); !errors.Is(err, broke) {
+				t.Fatalf("cut at %d: %v", end, err)
+			}
+			if _, err := to.Read(digest); !errors.Is(err, os.ErrNotExist) {
+				t.Fatalf("cut at %d: it is there already: %v", end, err)
+			}
+			if got := to.Begun(digest); got != int64(end) {
+				t.Fatalf("cut at %d: %d bytes are kept", end, got)
+			}
+			err := fetch(len(raw), -1)
+			if spoilt >= 0 && spoilt < end {
+				if !errors.Is(err, ErrDigest) {
+					t.Fatalf("cut at %d, byte %d changed: %v", end, spoilt, err)
+				}
+				err = fetch(len(raw), -1) // from the beginning
+			}
+			if got, bad := to.Read(digest); err != nil || bad != nil || !bytes.Equal(got, raw) {
+				t.Fatalf("cut at %d: %v, %v", end, err, bad)
+			}
+			if err := os.Remove(to.path(digest)); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if err := to.Take(ref, 0, func() ([]byte, error) { return make([]byte, len(raw)+1), nil }); !errors.Is(err, ErrDigest) {
+		t.Errorf("one that is longer than it is to be: %v", err)
+	}
+	if err := from.Give("../../etc/passwd", 0, func([]byte) error { return io.ErrUnexpectedEOF }); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("a digest that is none: %v", err)
+	}
+}
--- a/versions/machine.go
+++ b/versions/machine.go
@@ -35,6 +35,8 @@
 	ID      string `json:"id,omitempty"`      // of a shut or let
 	Why     string `json:"why,omitempty"`
 
+	Wall int64 `json:"wall,omitempty"` // the sender's clock, in microseconds since 1970
+
 	// Term is the guide's, by whose word a roll-out goes on or is held; 0: a person's.
 	Term uint64 `json:"term,omitempty"`
 }
@@ -264,10 +266,10 @@
 		return 0, fmt.Errorf("versions: %s is at %d, not %d: look again", op.Item, last.Number, op.Number)
 	}
 	v := &Version{Item: op.Item, Number: last.Number + 1, Digest: op.Digest, Size: op.Size, State: Rolling, Stage: op.Stage, Pilots: op.Pilots,
-		Agreed: at, Staged: at, From: at + op.Lead, By: who}
+		Agreed: at, Staged: at, From: at + op.Lead, By: who, Said: op.Wall}
 	m.add(v)
 	if op.Stage == All {
-		m.all(at, v)
+		m.all(at, op.Wall, v)
 	}
 	return v.Number, nil
 }
@@ -282,10 +284,10 @@
 }
 
 // all has a version be for all: what came before ends.
-func (m *Machine) all(at time.Duration, v *Version) {
+func (m *Machine) all(at time.Duration, wall int64, v *Version) {
 	for _, old := range m.items[v.Item] {
 		if old.Number < v.Number && old.Over == 0 {
-			old.Over, old.Until = at, at+m.rules.withMargin(m.rules.Span)
+			old.Over, old.Until, old.Ended = at, at+m.rules.withMargin(m.rules.Span), wall
 			if old.State != Withdrawn {
 				old.State = Past
 			}
@@ -301,7 +303,7 @@
 	case op.Term != 0 && v.State == Held:
 		return fmt.Errorf("versions: %s %d is held: a person says whether it goes on", v.Item, v.Number)
 	case op.Stage == All:
-		m.all(at, v)
+		m.all(at, op.Wall, v)
 	case op.Stage == Tenth || op.Stage == One:
 		if len(op.Pilots) == 0 {
 			return ErrBad
@@ -335,9 +337,9 @@
 		return 0, unknown(v.Item, v.Number-1)
 	}
 	v.State, v.Why = Withdrawn, cut(op.Why)
-	next := &Version{Item: v.Item, Number: v.Number + 1, Digest: before.Digest, Size: before.Size, Agreed: at, From: at, By: who, Restores: before.Number}
+	next := &Version{Item: v.Item, Number: v.Number + 1, Digest: before.Digest, Size: before.Size, Agreed: at, From: at, By: who, Said: op.Wall, Restores: before.Number}
 	m.add(next)
-	m.all(at, next)
+	m.all(at, op.Wall, next)
 	return next.Number, nil
 }
 
--- a/versions/versions.go
+++ b/versions/versions.go
@@ -102,10 +102,14 @@
 	From   time.Duration `json:"from"`   // it holds from then on
 	Over   time.Duration `json:"over"`   // when it was withdrawn or followed; 0: it was not
 	// Until is from when on nobody acts on it any more; 0: that is open. It may come earlier than it first said.
-	Until    time.Duration `json:"until"`
-	By       lease.Member  `json:"by"`
-	Why      string        `json:"why,omitempty"` // it was held or withdrawn
-	Restores uint64        `json:"restores,omitempty"`
+	Until time.Duration `json:"until"`
+	By    lease.Member  `json:"by"`
+	// Said and Ended are when it was proposed and when it was followed or withdrawn, by the clock of whoever said so, in microseconds since
+	// 1970: for people, and to hold against records. Nothing is decided by them.
+	Said     int64  `json:"said,omitempty"`
+	Ended    int64  `json:"ended,omitempty"`
+	Why      string `json:"why,omitempty"` // it was held or withdrawn
+	Restores uint64 `json:"restores,omitempty"`
 }
 
 // live tells whether somebody may act on a version.
