--- /dev/null
+++ b/decide/replan_test.go
@@ -0,0 +1,135 @@
+package decide
+
+import (
+	"math"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func asTheyAre(uint64) int { return -1 }
+
+// alone is a gateway that shares with nobody, so that its banks are whole quotas.
+func alone(t *testing.T) *rig {
+	set := settings()
+	set.Gateways, set.Peers = 1, false
+	return newRig(t, set)
+}
+
+// What was spent stays spent, however terms go down and up again.
+func TestReplanGrantsNoSecondBurst(t *testing.T) {
+	r := alone(t)
+	served := 0
+	for r.serve(0, 0, 7, 1) {
+		served++
+	}
+	if served != 8 {
+		t.Fatalf("%d units of a burst of 8", served)
+	}
+	plans := slices.Clone(r.set.Plans)
+	for _, burst := range []float64{2, 8, 20, 1, 8} {
+		plans = slices.Clone(plans)
+		plans[0].Burst = burst
+		if err := r.Replan(r.at, plans, asTheyAre); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if r.serve(0, 0, 7, 1) {
+		t.Error("a unit more than was bought")
+	}
+	plans = slices.Clone(plans)
+	plans[0].Burst = 12 // four more than it had
+	if err := r.Replan(r.at, plans, asTheyAre); err != nil {
+		t.Fatal(err)
+	}
+	for served = 0; r.serve(0, 0, 7, 1); served++ {
+	}
+	if served != 4 {
+		t.Errorf("%d units of the four that the burst grew by", served)
+	}
+}
+
+// A customer that is given another plan goes on under that, whatever its requests named before.
+func TestReplanGivesACustomerAnotherPlan(t *testing.T) {
+	r := alone(t)
+	r.serve(0, 0, 7, 1)
+	if err := r.Replan(r.at, r.set.Plans, func(uint64) int { return 1 }); err != nil {
+		t.Fatal(err)
+	}
+	served := 1
+	for r.serve(0, 1, 7, 1) {
+		served++
+	}
+	if served != 20 {
+		t.Errorf("%d units of a burst of 20", served)
+	}
+}
+
+func TestReplanRefusesWhatCannotBeServed(t *testing.T) {
+	r := alone(t)
+	if err := r.Replan(r.at, r.set.Plans[:1], asTheyAre); err == nil {
+		t.Error("fewer plans")
+	}
+	bad := slices.Clone(r.set.Plans)
+	bad[0].Burst = 0
+	if err := r.Replan(r.at, bad, asTheyAre); err == nil || r.set.Plans[0].Burst == 0 {
+		t.Errorf("a rate without a burst: %v", err)
+	}
+}
+
+// Over any order of requests, times and terms a customer gets no more than the terms grant: held against a bank that follows them by the
+// rule that what was spent stays spent.
+func TestReplanKeepsToTheTerms(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		set := settings()
+		set.Gateways, set.Peers = 1, false
+		set.Plans = []Plan{{Rate: 4, Burst: 8, Price: 1, BeyondCosts: 1}, {Rate: 4, Burst: 8, Price: 1, BeyondEarns: 1, CeilingRate: 8, CeilingBurst: 16}}
+		f := &fake{}
+		g, err := New(set, 1, f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		at := start
+		g.Members(at, Cached, members(4))
+		at += second
+		level, ceiling := set.Plans[0].Burst, 0.0
+		first := true
+		for id := range uint64(60) {
+			if rapid.IntRange(0, 3).Draw(t, "replan") == 0 {
+				next := slices.Clone(g.set.Plans)
+				k := rapid.Float64Range(0.1, 3).Draw(t, "factor")
+				was := slices.Clone(next)
+				next[0].Rate, next[0].Burst = 4*k, 8*k
+				next[1].CeilingRate, next[1].CeilingBurst = 8*k, 16*k
+				if err := g.Replan(at, next, asTheyAre); err != nil {
+					t.Fatal(err)
+				}
+				level = math.Min(next[0].Burst, level+next[0].Burst-was[0].Burst)
+				ceiling = math.Min(next[1].CeilingBurst, ceiling+next[1].CeilingBurst-was[1].CeilingBurst)
+			}
+			dt := rapid.Int64Range(0, second).Draw(t, "pass")
+			at += dt
+			level = math.Min(g.set.Plans[0].Burst, level+g.set.Plans[0].Rate*float64(dt)/float64(second))
+			ceiling = math.Min(g.set.Plans[1].CeilingBurst, ceiling+g.set.Plans[1].CeilingRate*float64(dt)/float64(second))
+			plan := rapid.IntRange(0, 1).Draw(t, "plan")
+			units := float64(rapid.IntRange(1, 4).Draw(t, "units"))
+			before := f.count("send")
+			g.Request(at, Request{ID: id + 1, Class: 0, Plan: plan, Customer: uint64(7 + plan), Units: units, Grace: second, Spread: 1})
+			if plan == 1 && first { // its ceiling counts from the gateway's start
+				ceiling, first = math.Min(g.set.Plans[1].CeilingBurst, math.Max(ceiling, g.set.Plans[1].CeilingBurst)), false
+			}
+			if f.count("send") == before {
+				continue
+			}
+			const rounding = 1e-6
+			if plan == 0 {
+				if level -= units; level < -rounding {
+					t.Fatalf("%g units more than the quota", -level)
+				}
+			} else if ceiling -= units; ceiling < -rounding {
+				t.Fatalf("%g units more than the ceiling", -ceiling)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/gateway/versions_test.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"strings"
+	"testing"
+
+	"mothcleat/decide"
+	"mothcleat/internal/wire"
+)
+
+func testTerms() *Terms {
+	return NewTerms(&Config{Host: wire.Host{Plans: []string{"basico", "corporativo"}},
+		Settings: decide.Settings{Plans: []decide.Plan{{Rate: 2, Burst: 8, Price: 3}, {Rate: 10, Burst: 40, OpenLimit: 5}}}})
+}
+
+func TestPlansThatCanNotBeActedOnHere(t *testing.T) {
+	for text, want := range map[string]string{
+		"[[plan]]\nname = \"outro\"\nrate = 1\nburst = 2\n":         "none of this gateway's plans",
+		"[[plan]]\nname = \"basico\"\nrate = 1\nburst = 2\nx = 3\n": "line 5",
+		"[[plan]]\nname = \"basico\"\nrate = 1\n":                   "burst",
+	} {
+		if err := testTerms().Check([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, %q wanted", text, err, want)
+		}
+	}
+}
+
+// While versions overlap the tighter terms bind, and of two plans the smaller; what a version does not name is as it was.
+func TestTighterTermsWhileVersionsOverlap(t *testing.T) {
+	terms, done := testTerms(), 0
+	var got []replanned
+	newer := []byte("[[plan]]\nname = \"basico\"\nrate = 1\nburst = 20\n[[plan]]\nname = \"corporativo\"\nrate = 12\nburst = 50\n[[customer]]\nid = \"0000000000000007\"\nplan = \"corporativo\"\n")
+	older := []byte("[[plan]]\nname = \"basico\"\nrate = 3\nburst = 6\n[[customer]]\nid = \"0000000000000007\"\nplan = \"basico\"\n")
+	terms.Use(newer, [][]byte{older, nil}, 6, func() { done++ }) // before there is a loop
+	terms.attach(func(e event) { got = append(got, e.(replanned)) })
+	terms.Use(newer, nil, 7, func() { done++ })
+	if len(got) != 2 || done != 0 {
+		t.Fatalf("%d changes, %d done before the loop had them", len(got), done)
+	}
+	b, c := got[0].plans[0], got[0].plans[1]
+	if b.Rate != 1 || b.Burst != 6 || b.Price != 3 || c.Rate != 10 || c.Burst != 40 || c.OpenLimit != 5 {
+		t.Errorf("%+v %+v", b, c)
+	}
+	if k := got[0].assigned(7); k != 0 {
+		t.Errorf("plan %d of a customer that has one by each", k)
+	}
+	b, c = got[1].plans[0], got[1].plans[1]
+	if b.Rate != 1 || b.Burst != 20 || c.Rate != 12 || c.Burst != 50 || got[1].assigned(7) != 1 || got[1].assigned(8) != -1 {
+		t.Errorf("%+v %+v", b, c)
+	}
+}
