audit: one that can't read a version, and one that flaps; check says shut out

Two hard cases more with several processes. The first found that a first proposal drew its pilots by another number than the version got. A process that starts is not logged as shut out any more before it has heard the fleet, which the lab had counted; check says fail shut out, so that clients are dealt elsewhere; a gateway asks each 500 ms by default, as each asking is a read of the leader's. The suite passes with the race detector.

--- a/internal/audittrial/fleet.go
+++ b/internal/audittrial/fleet.go
@@ -24,7 +24,7 @@
 const Bound = Span + Span/8
 
 // alone is an operators' file's table for a fleet that acts on versions.
-var alone = fmt.Sprintf("[versions]\non = true\nspan = %q\nsettle = \"300ms\"\npatience = \"4s\"\n", Span)
+var alone = fmt.Sprintf("[versions]\non = true\nspan = %q\nevery = \"200ms\"\nsettle = \"300ms\"\npatience = \"4s\"\n", Span)
 
 // Text is the same for one that divides quotas as well, and was just founded.
 func Text() string { return alone + "[budgets]\non = true\nbegin_full = true\n" }
--- a/internal/audittrial/hard_test.go
+++ b/internal/audittrial/hard_test.go
@@ -279,3 +279,75 @@
 	check(t, err)
 	damaged("put back from a copy", func([]chronicle.Entry) []chronicle.Entry { return older })
 }
+
+// One gateway's program can't read a version. Tried there first, it is held, and that gateway goes on with what is for all; by a person's
+// word it goes on, and the gateway is shut out when nobody may act on the version before, until it runs another program.
+func TestOneThatCanNotReadAVersion(t *testing.T) {
+	f := fleet(t, rig.Options{Instances: 4, Seed: 8, Env: func(int) string { return "MOTHCLEAT_FAULTS=deny=content-read@older" }})
+	play(t, f, func() {
+		v, err := agreed(f, 0)
+		check(t, err)
+		var ids []string
+		for _, m := range v.Members {
+			ids = append(ids, m.Member.ID)
+		}
+		var older int
+		_, err = fmt.Sscanf(versions.Pilots("plans", 2, versions.One, ids)[0], "n%d", &older)
+		check(t, err, os.WriteFile(filepath.Join(f.Gateways[older].Dir(), "older"), nil, 0o600))
+		at := (older + 1) % 4
+		number := proposed(t, f, at, versions.One, plansText(f.Site, 0.8))
+		eventually(t, "it is held", func() (bool, string) {
+			v, err := agreed(f, at)
+			one := version(&v, number)
+			return err == nil && one.State == versions.Held && strings.Contains(one.Why, "can't read it"), fmt.Sprintf("%+v %v", one, err)
+		})
+		acts(t, f, older, 1)
+		check(t, f.Call(at, fmt.Sprintf("versions go-on plans %d all", number), nil))
+		for i := range f.Gateways {
+			if i != older {
+				acts(t, f, i, number)
+			}
+		}
+		ended(t, f, at, 1)
+		over := f.Record.Now()
+		eventually(t, "the one that can't read it is shut out", func() (bool, string) {
+			h, err := here(f, older)
+			return err == nil && h.Until == 0 && strings.Contains(h.Why, "can't read it"), fmt.Sprintf("%+v %v", h, err)
+		})
+		rig.Pass(t.Context(), time.Second)
+		if n := sentOn(f, older, over+slack, 1<<62); n > 0 {
+			t.Errorf("%d requests were sent on there", n)
+		}
+		check(t, f.End(older, syscall.SIGTERM), os.Remove(filepath.Join(f.Gateways[older].Dir(), "older")), f.Begin(older))
+		acts(t, f, older, number)
+	})
+	kept(t, f)
+}
+
+// A gateway lies stopped for longer than its permit, again and again: each time it stays out for longer, acts on nothing meanwhile, and comes
+// back by itself in the end.
+func TestOneThatFlaps(t *testing.T) {
+	f := fleet(t, rig.Options{Instances: 4, Seed: 9})
+	const flaps = 3
+	play(t, f, func() {
+		for k := range flaps {
+			acts(t, f, 3, 0)
+			check(t, f.Stop(3))
+			rig.Pass(t.Context(), Bound)
+			number := proposed(t, f, 0, versions.All, plansText(f.Site, 0.9-0.1*float64(k)))
+			ended(t, f, 0, number-1)
+			over := f.Record.Now()
+			check(t, f.Wake(3))
+			acts(t, f, 3, number)
+			if n := actsOn(t, f, 3, number-1, over); n > 0 {
+				t.Errorf("%d requests were sent on by what had ended", n)
+			}
+		}
+		h, err := here(f, 3)
+		check(t, err)
+		if h.Outs < flaps {
+			t.Errorf("it was out %d times", h.Outs)
+		}
+	})
+	kept(t, f)
+}
--- a/internal/audittrial/run.go
+++ b/internal/audittrial/run.go
@@ -98,6 +98,7 @@
 	if err := c.settled(ctx); err != nil {
 		return nil, err
 	}
+	before := f.Passed()
 	asking, cancel := context.WithTimeout(ctx, o.For)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -115,10 +116,15 @@
 	}
 	f.Clients.Run(asking)
 	wg.Wait()
+	bytes := f.Passed() - before
 	if err := c.settled(ctx); err != nil {
 		return nil, err
 	}
-	return c.judge()
+	fig, err := c.judge()
+	if err == nil {
+		fig.Extra["bytes_per_second_gateway"] = float64(bytes) / o.For.Seconds() / float64(o.Instances)
+	}
+	return fig, err
 }
 
 // settled waits until all may act on the newest version that is for all.
--- a/internal/faultpoint/doc.go
+++ b/internal/faultpoint/doc.go
@@ -7,6 +7,7 @@
 //	kill=NAME@FILE      SIGKILL to itself at the point NAME, when FILE is there; it is removed by that
 //	stop=NAME@FILE      SIGSTOP to itself there; the rig wakes it
 //	slow=NAME:D@FILE    it waits D there, each time while FILE is there
+//	deny=NAME@FILE      what is called NAME fails while FILE is there
 //	kill=NAME           and so on: the first time that the point is passed
 //	pace=F              the clock goes at F of its pace
 //	ahead=D             the clock is D ahead
--- a/internal/faultpoint/off.go
+++ b/internal/faultpoint/off.go
@@ -12,3 +12,6 @@
 
 // Clock bends the time.
 func Clock(now time.Duration) time.Duration { return now }
+
+// Denied tells whether something is to fail: never.
+func Denied(string) bool { return false }
--- a/internal/faultpoint/on.go
+++ b/internal/faultpoint/on.go
@@ -36,6 +36,7 @@
 	begun   time.Duration
 	once    sync.Once
 	bending bool
+	denied  = map[string]string{} // by name, the file by which it is asked for
 )
 
 func init() {
@@ -58,6 +59,8 @@
 		faults = append(faults, &fault{name: name, flag: flag, signal: syscall.SIGKILL})
 	case "stop":
 		faults = append(faults, &fault{name: name, flag: flag, signal: syscall.SIGSTOP})
+	case "deny":
+		denied[name] = flag
 	case "slow":
 		name, long, _ := strings.Cut(name, ":")
 		f := &fault{name: name, flag: flag}
@@ -94,6 +97,16 @@
 	}
 }
 
+// Denied tells whether something is to fail: for as long as the file is there by which that is asked for.
+func Denied(name string) bool {
+	flag, ok := denied[name]
+	if !ok {
+		return false
+	}
+	_, err := os.Stat(flag)
+	return err == nil
+}
+
 // here has a signal take hold before this goroutine does anything else. Sent to the process it may go to any of its threads, which
 // a busy machine has run later than this one goes on; sent to this thread it is taken on the way out of the call.
 func here(s syscall.Signal) {
--- a/internal/gateway/operate.go
+++ b/internal/gateway/operate.go
@@ -50,6 +50,8 @@
 	case "check":
 		if yes, why := l.life.Serves(); !yes {
 			answer = "fail " + why + "\n"
+		} else if l.shutOut() {
+			answer = "fail shut out\n" // clients are to be sent elsewhere
 		}
 	case "vars":
 		answer = string(append(l.tally.Append(nil, l.figures()), "eof\n"...))
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -42,6 +42,15 @@
 	return false
 }
 
+// shutOut tells whether this gateway may act on nothing now.
+func (l *Loop) shutOut() bool {
+	if l.cfg.Permit == nil {
+		return false
+	}
+	until, _ := l.cfg.Permit.Acts()
+	return until == 0
+}
+
 // turnAway answers a request that may not be acted on. Nothing of it was sent.
 func (l *Loop) turnAway(r *request) {
 	l.answer(r, l.comeBack(shutAfter))
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -176,7 +176,7 @@
 			Offer: Duration(500 * time.Millisecond), Tick: Duration(40 * time.Millisecond), Keep: 4096, Shards: 1, Period: Duration(5 * time.Second),
 			Silent: Duration(time.Second)},
 		Budgets:  Budgets{Shards: 1, Span: Duration(3 * time.Second), FloorSpan: Duration(time.Minute), Floor: 0.3, Reserve: 0.5, Every: Duration(200 * time.Millisecond)},
-		Versions: Versions{Span: Duration(10 * time.Second), Every: Duration(200 * time.Millisecond), Settle: Duration(time.Second), Patience: Duration(15 * time.Second)},
+		Versions: Versions{Span: Duration(10 * time.Second), Every: Duration(500 * time.Millisecond), Settle: Duration(time.Second), Patience: Duration(15 * time.Second)},
 	}
 }
 
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -71,7 +71,7 @@
 // New makes an agent that may act on nothing yet.
 func New(r versions.Rules, client *fleetlink.Client, contents *Contents, items map[string]Item, log *slog.Logger) *Agent {
 	return &Agent{rules: r, client: client, contents: contents, items: items, log: log, holder: versions.NewHolder(r), using: map[string]string{},
-		told: map[string]uint64{}, refused: map[string]bool{}, enrols: true}
+		told: map[string]uint64{}, refused: map[string]bool{}, enrols: true, out: true}
 }
 
 // Gone tells of boots of this process's id that run no more: nobody has to wait for their permits.
@@ -316,6 +316,9 @@
 			why = err.Error()
 		}
 	}
+	if faultpoint.Denied("content-read") {
+		why = "this program can't read it"
+	}
 	if why != "" {
 		a.log.Error("fleet: versions: a content can't be acted on here", "items", names, "digest", digest, "why", why)
 	}
@@ -488,7 +491,7 @@
 	if err != nil {
 		return 0, err
 	}
-	op := versions.Op{Do: "propose", Item: item, Digest: digest, Size: int64(len(raw)), Stage: stage, Lead: lead}
+	op := versions.Op{Do: "propose", Item: item, Number: 1, Digest: digest, Size: int64(len(raw)), Stage: stage, Lead: lead}
 	for _, one := range v.Versions {
 		if one.Item == item {
 			op.Number = one.Number
--- a/sim/versions/world.go
+++ b/sim/versions/world.go
@@ -436,6 +436,7 @@
 func Play(seed uint64, gateways int, length time.Duration) Result {
 	r := rand.New(rand.NewPCG(seed, 0xa0d1))
 	rules := versions.Defaults()
+	rules.Every = 200 * time.Millisecond
 	rules.Span = time.Duration(800+r.IntN(4000)) * time.Millisecond
 	rules.Enrol = 4*rules.Span + time.Duration(r.Int64N(int64(4*rules.Span)))
 	if err := rules.Check(); err != nil {
--- a/versions/versions.go
+++ b/versions/versions.go
@@ -41,7 +41,7 @@
 
 // Defaults are rules for gateways whose clocks differ by an eighth at most.
 func Defaults() Rules {
-	return Rules{Span: 10 * time.Second, Margin: 0.125, Every: 200 * time.Millisecond, Enrol: time.Minute,
+	return Rules{Span: 10 * time.Second, Margin: 0.125, Every: 500 * time.Millisecond, Enrol: time.Minute,
 		Settle: time.Second, Patience: 15 * time.Second, Damp: 500 * time.Millisecond, DampFor: time.Minute}
 }
 
