recorder: the record is bounded; older entries are folded into sums in the chain

A record grew for ever. Beyond 100,000 entries the older half is now removed in one batch with an entry that has their sums, and the hash that the next one follows: so the chain holds, heads of what is gone are passed over, and a changed sum shows. A test with a bound of 20 over nine processes holds after each of them.

--- a/chronicle/audit.go
+++ b/chronicle/audit.go
@@ -17,6 +17,8 @@
 	Counts
 	First uint64 `json:"first"` // the entries that it rests on
 	Last  uint64 `json:"last"`
+	// Folded: it is of sums that stand for entries which are not kept any more; the entries named are all of those.
+	Folded bool `json:"folded,omitempty"`
 }
 
 // Gap is a time of which a boot's record says nothing.
@@ -60,5 +62,5 @@
 			gaps = append(gaps, Gap{c.id, c.boot, e.Ended, 0, "the record has no end: the process runs, or its folder was lost"})
 		}
 	}
-	return all, gaps
+	return append(foldedStretches(good), all...), gaps
 }
--- a/chronicle/chronicle.go
+++ b/chronicle/chronicle.go
@@ -46,8 +46,10 @@
 	Ended   int64             `json:"ended"`
 	InForce map[string]uint64 `json:"in_force,omitempty"`
 	Counts
-	Last bool   `json:"last,omitempty"` // the boot did nothing more
-	Prev string `json:"prev"`           // hash of the entry before; of the first: of its id and boot
+	// Folds stand for entries that are not kept any more: of this boot, or of earlier ones of the gateway. They are in the chain as all else.
+	Folds []Fold `json:"folds,omitempty"`
+	Last  bool   `json:"last,omitempty"` // the boot did nothing more
+	Prev  string `json:"prev"`           // hash of the entry before; of the first: of its id and boot
 }
 
 // Hash is over all that an entry says.
@@ -92,9 +94,14 @@
 // in their order: what comes behind a break is not among them.
 func Verify(entries []Entry, heads []Head) (good []Entry, bad []Damage) {
 	chains := map[chain][]Entry{}
+	folds := map[chain][]Fold{}
 	for _, e := range entries {
 		k := chain{e.ID, e.Boot}
 		chains[k] = append(chains[k], e)
+		for _, f := range e.Folds {
+			of := chain{e.ID, f.Boot}
+			folds[of] = append(folds[of], f)
+		}
 	}
 	told := map[chain][]Head{}
 	for _, h := range heads {
@@ -107,22 +114,32 @@
 	for _, k := range slices.SortedFunc(maps.Keys(chains), func(a, b chain) int {
 		return cmp.Or(cmp.Compare(a.id, b.id), cmp.Compare(a.boot, b.boot))
 	}) {
-		g, b := verify(k, chains[k], told[k])
+		g, b := verify(k, chains[k], told[k], folds[k])
 		good, bad = append(good, g...), append(bad, b...)
 	}
 	return good, bad
 }
 
-func verify(k chain, all []Entry, heads []Head) (good []Entry, bad []Damage) {
+func verify(k chain, all []Entry, heads []Head, folds []Fold) (good []Entry, bad []Damage) {
 	add := func(seq uint64, format string, args ...any) {
 		bad = append(bad, Damage{k.id, k.boot, seq, fmt.Sprintf(format, args...)})
 	}
 	slices.SortStableFunc(all, func(a, b Entry) int { return cmp.Compare(a.Seq, b.Seq) })
 	hashes := map[uint64]string{}
 	prev, seq, broken := Root(k.id, k.boot), uint64(0), false
+	for _, f := range folds {
+		if f.Through <= seq {
+			continue
+		}
+		if len(all) == 0 || all[0].Seq == f.Through+1 && all[0].Prev == f.Hash {
+			prev, seq = f.Hash, f.Through // what came before is in the sums
+			hashes[seq] = prev
+		}
+	}
+	folded := seq
 	for i := range all {
 		e := &all[i]
-		if e.Seq == seq && seq > 0 {
+		if e.Seq == seq && i > 0 {
 			if e.Hash() != prev {
 				add(e.Seq, "two entries of one number")
 			}
@@ -151,7 +168,9 @@
 	holds, off := uint64(0), false
 	for _, h := range heads {
 		switch hash, ok := hashes[h.Seq]; {
-		case len(all) == 0:
+		case h.Seq < folded:
+			// its entry is not kept any more
+		case len(all) == 0 && folded == 0:
 			add(h.Seq, "the record is gone, which had %d entries", h.Seq)
 		case h.Seq > seq:
 			add(h.Seq, "the record ends at %d and had %d entries", seq, h.Seq)
--- /dev/null
+++ b/chronicle/fold.go
@@ -0,0 +1,99 @@
+package chronicle
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Fold stands for the first entries of a boot: their sums, and the hash of the last of them, which the next one follows.
+type Fold struct {
+	Boot    string `json:"boot"`
+	Through uint64 `json:"through"`
+	Hash    string `json:"hash"`
+	Sums    []Sum  `json:"sums"`
+}
+
+// Sum is what was done in them under one version of an item.
+type Sum struct {
+	Item   string `json:"item"`
+	Number uint64 `json:"number"`
+	From   int64  `json:"from"`
+	To     int64  `json:"to"`
+	Counts
+}
+
+// Folded gives what stands for the first entries of one boot, which have to be all up to the last of them but for those that were folded
+// before. Folds that they hold themselves, of this boot and of others, are in what it gives.
+func Folded(entries []Entry, before []Fold) (all []Fold) {
+	if len(entries) == 0 {
+		return before
+	}
+	type key struct {
+		item   string
+		number uint64
+	}
+	last := &entries[len(entries)-1]
+	f := Fold{Boot: last.Boot, Through: last.Seq, Hash: last.Hash()}
+	sums := map[key]Sum{}
+	add := func(k key, from, to int64, c Counts) {
+		s, ok := sums[k]
+		if !ok {
+			s = Sum{Item: k.item, Number: k.number, From: from}
+		}
+		s.From, s.To, s.Counts = min(s.From, from), max(s.To, to), s.Counts.Plus(c)
+		sums[k] = s
+	}
+	others := map[string]Fold{}
+	take := func(list []Fold) {
+		for _, o := range list {
+			if was, ok := others[o.Boot]; !ok || was.Through < o.Through {
+				others[o.Boot] = o
+			}
+		}
+	}
+	take(before)
+	for i := range entries {
+		e := &entries[i]
+		take(e.Folds)
+		for item, number := range e.InForce {
+			add(key{item, number}, e.Begun, e.Ended, e.Counts)
+		}
+	}
+	for _, s := range others[f.Boot].Sums {
+		add(key{s.Item, s.Number}, s.From, s.To, s.Counts)
+	}
+	delete(others, f.Boot)
+	for _, s := range sums {
+		f.Sums = append(f.Sums, s)
+	}
+	slices.SortFunc(f.Sums, func(a, b Sum) int {
+		return cmp.Or(cmp.Compare(a.Item, b.Item), cmp.Compare(a.Number, b.Number))
+	})
+	for _, boot := range slices.Sorted(maps.Keys(others)) {
+		all = append(all, others[boot])
+	}
+	return append(all, f)
+}
+
+// Folds are the newest folds that entries which hold have, by gateway and boot, as stretches without entries of their own.
+func foldedStretches(good []Entry) (all []Stretch) {
+	newest := map[chain]Fold{}
+	for i := range good {
+		for _, f := range good[i].Folds {
+			k := chain{good[i].ID, f.Boot}
+			if was, ok := newest[k]; !ok || was.Through < f.Through {
+				newest[k] = f
+			}
+		}
+	}
+	for _, k := range slices.SortedFunc(maps.Keys(newest), func(a, b chain) int {
+		return cmp.Or(cmp.Compare(a.id, b.id), cmp.Compare(a.boot, b.boot))
+	}) {
+		f := newest[k]
+		for _, s := range f.Sums {
+			all = append(all, Stretch{ID: k.id, Boot: k.boot, Item: s.Item, Number: s.Number, From: s.From, To: s.To, Counts: s.Counts, First: 1, Last: f.Through, Folded: true})
+		}
+	}
+	return all
+}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -3,15 +3,18 @@
 package recorder
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -25,6 +28,9 @@
 const (
 	writeEach = time.Second
 	restEach  = 5 * time.Second // an entry though nothing was done: the record goes on
+
+	// KeepMost is how many entries are kept, of all processes together: a day of the busiest. Older ones are folded into sums.
+	KeepMost = 100_000
 )
 
 // Recorder records what one process does. Count and Change are for the loop's goroutine alone.
@@ -39,6 +45,10 @@
 	store  *store.Store
 	state  state
 	failed bool
+	most   int              // entries kept
+	folds  []chronicle.Fold // go into the next entry,
+	drop   store.Batch      // in one batch with the removal of what they stand for
+	fewer  int
 	head   atomic.Pointer[chronicle.Head]
 }
 
@@ -51,6 +61,7 @@
 	Written chronicle.Counts `json:"written"` // of it
 	Ended   int64            `json:"ended"`   // of the last entry
 	Over    bool             `json:"over"`
+	Kept    int              `json:"kept"` // entries, of all processes
 }
 
 var keyState = []byte("state")
@@ -67,7 +78,7 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, err
 	}
-	r := &Recorder{id: id, boot: boot, log: log}
+	r := &Recorder{id: id, boot: boot, log: log, most: KeepMost}
 	if r.store, err = store.Open(filepath.Join(dir, "entries"), store.Options{}); err != nil {
 		return nil, err
 	}
@@ -92,7 +103,7 @@
 			return nil, errors.Join(err, r.cells.close())
 		}
 	}
-	r.state = state{Boot: boot, Hash: chronicle.Root(id, bootText(boot)), Cell: 1, Ended: time.Now().UnixMicro()}
+	r.state = state{Boot: boot, Hash: chronicle.Root(id, bootText(boot)), Cell: 1, Ended: time.Now().UnixMicro(), Kept: r.state.Kept}
 	r.now = r.cells.begin(boot, map[string]uint64{})
 	return r, r.put(nil)
 }
@@ -159,6 +170,11 @@
 			r.state.Seq++
 			e := chronicle.Entry{ID: r.id, Boot: bootText(r.state.Boot), Seq: r.state.Seq, Begun: r.state.Ended, Ended: now, InForce: c.inForce(),
 				Counts: did, Last: last && !ends, Prev: r.state.Hash}
+			if len(entries) == 0 {
+				e.Folds = r.folds
+				r.state.Kept -= r.fewer
+			}
+			r.state.Kept++
 			r.state.Hash, r.state.Ended, r.state.Written = e.Hash(), now, counts
 			entries = append(entries, e)
 		}
@@ -176,12 +192,56 @@
 		r.state = was
 		return err
 	}
+	r.folds, r.fewer = nil, 0
+	r.drop.Reset()
+	if r.state.Kept > r.most {
+		return r.fold()
+	}
+	return nil
+}
+
+// fold has the next entry stand for the older half of what is kept, too: for the entries of processes that ended first, and the first ones
+// of this. They are removed with it, in one batch. The lock is held.
+func (r *Recorder) fold() error {
+	all, err := entries(r.store, 0)
+	if err != nil {
+		return err
+	}
+	byBoot := map[string][]chronicle.Entry{}
+	for _, e := range all { // by boot, in their order
+		byBoot[e.Boot] = append(byBoot[e.Boot], e)
+	}
+	own := bootText(r.state.Boot)
+	boots := slices.SortedFunc(maps.Keys(byBoot), func(a, b string) int {
+		last := func(boot string) int64 { l := byBoot[boot]; return l[len(l)-1].Ended }
+		return cmp.Compare(last(a), last(b))
+	})
+	gone, want := 0, len(all)/2
+	for _, boot := range boots {
+		list := byBoot[boot]
+		if left := want - gone; boot == own && len(list) > left {
+			list = list[:max(0, left)]
+		}
+		if len(list) == 0 || gone >= want {
+			break
+		}
+		r.folds = chronicle.Folded(list, r.folds)
+		number, err := strconv.ParseUint(boot, 16, 64)
+		if err != nil {
+			return err
+		}
+		for _, e := range list {
+			r.drop.Delete(entryKey(number, e.Seq))
+		}
+		gone += len(list)
+	}
+	r.fewer = gone
 	return nil
 }
 
 // put keeps entries and the state, in one batch.
 func (r *Recorder) put(entries []chronicle.Entry) error {
-	var b store.Batch
+	b := r.drop
 	for i := range entries {
 		raw, err := json.Marshal(&entries[i])
 		if err != nil {
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -99,3 +99,82 @@
 	}
 	_ = r.Close()
 }
+
+// A record that is bounded holds all the same: what is not kept any more is in sums, which are in the chain.
+func TestABoundedRecordHolds(t *testing.T) {
+	dir := t.TempDir()
+	var heads []chronicle.Head
+	done, most := uint64(0), 0
+	for boot := uint64(1); boot <= 9; boot++ {
+		r, err := Open(dir, "n0", boot*7919%100, quiet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.most = 20
+		for k := range 30 {
+			r.Sent(true, 1)
+			done++
+			if k%10 == 9 {
+				r.Change(map[string]uint64{"plans": boot})
+			}
+			r.mu.Lock()
+			err := r.write(int64(boot*1000)+int64(k), false)
+			r.mu.Unlock()
+			if err != nil {
+				t.Fatal(err)
+			}
+			heads = append(heads, *r.Head())
+			all, err := entries(r.store, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			most = max(most, len(all))
+		}
+		if err := r.Close(); err != nil {
+			t.Fatal(err)
+		}
+		all, err := Read(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		good, bad := chronicle.Verify(all, heads)
+		if len(bad) > 0 || len(good) != len(all) {
+			t.Fatalf("boot %d: %v", boot, bad)
+		}
+		sum := uint64(0)
+		rows, _ := chronicle.Audit(good, 1<<62)
+		for _, row := range rows {
+			sum += row.Sent
+		}
+		for _, e := range all { // what was done before anything was in force is no stretch of an item
+			if len(e.InForce) == 0 {
+				sum += e.Sent
+			}
+		}
+		if boot > 2 && !all[len(all)-1].Last {
+			t.Errorf("boot %d: no end", boot)
+		}
+		if sum > done || sum+10*boot < done { // ten of each boot were folded without an item
+			t.Errorf("boot %d: %d requests were done, the record tells %d", boot, done, sum)
+		}
+	}
+	if most > 24 {
+		t.Errorf("%d entries were kept, 20 is the bound", most)
+	}
+	all, err := Read(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The sums can't be changed unseen either.
+	for i := range all {
+		for j := range all[i].Folds {
+			for k := range all[i].Folds[j].Sums {
+				all[i].Folds[j].Sums[k].Sent++
+				if _, bad := chronicle.Verify(all, heads[len(heads)-1:]); len(bad) == 0 {
+					t.Errorf("entry %d: a changed sum does not show", i)
+				}
+				all[i].Folds[j].Sums[k].Sent--
+			}
+		}
+	}
+}
