decide: a state saved under replanned terms is one to begin from

The kept state names the settings that it fits, and those changed with each Replan, so a gateway that acts on versions would have begun cold at each start. The state now names the settings as they were given, and holds no more than they grant; a test saves under larger terms and begins anew.

--- a/decide/replan_test.go
+++ b/decide/replan_test.go
@@ -133,3 +133,26 @@
 		}
 	})
 }
+
+// A state that is saved under other terms is one that a new process begins from, with no more than the settings grant.
+func TestAStateSavedUnderOtherTerms(t *testing.T) {
+	r := alone(t)
+	r.serve(0, 0, 7, 1)
+	plans := slices.Clone(r.set.Plans)
+	plans[0].Burst, plans[2].CeilingBurst = 100, 200
+	if err := r.Replan(r.at, plans, asTheyAre); err != nil {
+		t.Fatal(err)
+	}
+	s := r.Save(r.at, true)
+	next := alone(t)
+	if err := next.Restore(next.at, second, &s); err != nil {
+		t.Fatal(err)
+	}
+	served := 0
+	for next.serve(0, 0, 7, 1) {
+		served++
+	}
+	if served != 8 {
+		t.Errorf("%d units of a burst of 8", served)
+	}
+}
--- a/decide/snapshot.go
+++ b/decide/snapshot.go
@@ -99,7 +99,7 @@
 // the caller promises that no request is put to the module after it.
 func (g *Gateway) Save(now Time, last bool) Snapshot {
 	g.begin(now)
-	s := Snapshot{Version: SnapshotVersion, At: g.now, Settings: g.set.print(), Born: g.lived, Last: last,
+	s := Snapshot{Version: SnapshotVersion, At: g.now, Settings: g.print, Born: g.lived, Last: last,
 		Mean: g.mean.learnt(), Worth: g.worth.learnt(), Late: g.late.learnt(),
 		InTime: g.inTime.get(g.awake, second), Pace: g.pace.get(g.now, paceTime)}
 	for i := range g.base {
@@ -119,8 +119,13 @@
 			off = g.lease(c)
 		}
 		c.leasing = c.spent + off
+		bought := &g.bought[c.plan] // a state is begun from under the settings, whatever terms hold now
+		ceiling := c.ceiling.level - off
+		if bought.CeilingRate > 0 {
+			ceiling = math.Min(ceiling, bought.CeilingBurst)
+		}
 		s.Customers = append(s.Customers, CustomerState{ID: c.id, Plan: c.plan, First: c.first, Spread: c.spread,
-			Level: c.store.level - off, Ceiling: c.ceiling.level - off,
+			Level: math.Min(c.store.level-off, bought.Burst), Ceiling: ceiling,
 			Use: c.use.get(g.now, c.window), Others: c.others.get(g.now, c.window),
 			Part: c.part, Grant: c.grant, Slice: math.Max(0, c.slice-off)})
 	}
@@ -141,7 +146,7 @@
 		return errors.New("state: the gateway has begun")
 	case s.Version != SnapshotVersion:
 		return fmt.Errorf("state: version %d, %d wanted", s.Version, SnapshotVersion)
-	case s.Settings != g.set.print():
+	case s.Settings != g.print:
 		return errors.New("state: of other settings")
 	case age < 0:
 		return fmt.Errorf("state: from %.3f s ahead", -float64(age)/float64(second))
--- a/decide/state.go
+++ b/decide/state.go
@@ -50,6 +50,8 @@
 // Gateway decides for one gateway. It is not safe for concurrent use.
 type Gateway struct {
 	set           Settings
+	bought        []Plan // the settings' own, before any Replan
+	print         uint64 // of the settings
 	do            Actions
 	explain       func(id uint64, why Why) // nil: nobody asks why
 	rand          *rand.Rand
@@ -212,7 +214,7 @@
 // newGateway makes a gateway's empty state.
 func newGateway(set Settings, seed uint64, do Actions) *Gateway {
 	g := &Gateway{
-		set: set, do: do, rand: rand.New(rand.NewPCG(seed, seed>>32)), boot: uint32(seed>>32) ^ uint32(seed),
+		set: set, bought: set.Plans, print: set.print(), do: do, rand: rand.New(rand.NewPCG(seed, seed>>32)), boot: uint32(seed>>32) ^ uint32(seed),
 		idleSpill: make([]float64, len(set.Plans)), customers: map[uint64]*customer{},
 		boots: make([]uint32, set.Gateways), heardAt: make([]Time, set.Gateways),
 		notes: make([][]byte, set.Gateways), rooms: make([]bank, set.Gateways), pooled: set.Gateways > 1 && (set.Peers || set.Counter),
