rollout: contents from those that vote after one by chance; contents that go; a size measured

Contents that neither the newest 16 versions of an item hold nor anybody may act on are removed after an hour.

--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,7 +55,7 @@
 	stamp   uint64 // counts what was put in force
 	out     bool   // as was logged last
 
-	others  atomic.Pointer[[]agree.Present]
+	others  atomic.Pointer[agree.List]
 	changed func(inForce map[string]uint64) // see Follow
 	head    func() *chronicle.Head
 }
@@ -66,6 +67,9 @@
 	fetchAgain  = 100 * time.Millisecond
 	othersEach  = 3 * time.Second
 	headEach    = 3 * time.Second
+	tidyEach    = 10 * time.Minute
+	keepOf      = 16        // newest versions of an item whose contents are kept: a withdrawal brings one back
+	untouched   = time.Hour // what is being fetched or proposed
 )
 
 // New makes an agent that may act on nothing yet.
@@ -104,6 +108,33 @@
 	})
 }
 
+// tidying removes contents that no version is to be had of any more.
+func (a *Agent) tidying(ctx context.Context) {
+	each(ctx, tidyEach, func() {
+		one, cancel := context.WithTimeout(ctx, askWithin)
+		defer cancel()
+		v, err := a.View(one)
+		if err != nil {
+			return
+		}
+		if err := a.contents.Tidy(kept(&v), untouched); err != nil {
+			a.log.Warn("fleet: versions: contents that are of no more use can't be removed", "error", err)
+		}
+	})
+}
+
+// kept are the contents that are of use: of the newest versions of each item, and of those that somebody may act on.
+func kept(v *versions.View) map[string]bool {
+	keep, count := map[string]bool{}, map[string]int{}
+	for i := len(v.Versions) - 1; i >= 0; i-- {
+		one := &v.Versions[i]
+		if count[one.Item]++; count[one.Item] <= keepOf || one.Until == 0 || v.At < one.Until {
+			keep[one.Digest] = true
+		}
+	}
+	return keep
+}
+
 // Acts tells until when this process may act, by the steady clock, and a stamp of what is in force; 0: it is shut out.
 func (a *Agent) Acts() (until time.Duration, stamp uint64) {
 	a.mu.Lock()
@@ -123,7 +154,7 @@
 // Run asks until the context ends, and then says that this process acts no more.
 func (a *Agent) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, do := range []func(context.Context){a.asking, a.fetching, a.reporting, a.looking, a.heading} {
+	for _, do := range []func(context.Context){a.asking, a.fetching, a.reporting, a.looking, a.heading, a.tidying} {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -327,13 +358,27 @@
 	a.holder.Checked(digest, why)
 }
 
-// sources are the other processes, in an order of chance.
+// sources are the other processes, in the order in which they are asked for a content: one by chance, so that a content spreads; then those
+// that vote, most of whom have what was proposed; then the rest.
 func (a *Agent) sources() (all []agree.Present) {
-	if p := a.others.Load(); p != nil {
-		for _, i := range rand.Perm(len(*p)) {
-			all = append(all, (*p)[i])
+	p := a.others.Load()
+	if p == nil {
+		return nil
+	}
+	for _, i := range rand.Perm(len(p.Members)) {
+		if m := p.Members[i]; m.Address != "" && m.ID != a.client.Me().ID {
+			all = append(all, m)
 		}
 	}
+	if len(all) > 1 {
+		votes := func(m agree.Present) int {
+			if slices.ContainsFunc(p.Voters, func(v agree.VoterAt) bool { return v.Name == m.ID }) {
+				return 0
+			}
+			return 1
+		}
+		slices.SortStableFunc(all[1:], func(a, b agree.Present) int { return votes(a) - votes(b) })
+	}
 	return all
 }
 
@@ -399,23 +444,12 @@
 // looking keeps up whom contents can be had from.
 func (a *Agent) looking(ctx context.Context) {
 	each(ctx, othersEach, func() {
-		if all, err := a.present(ctx); err == nil {
-			a.others.Store(&all)
+		if l, err := a.list(ctx); err == nil {
+			a.others.Store(&l)
 		}
 	})
 }
 
-// present are the other processes that can be reached.
-func (a *Agent) present(ctx context.Context) (all []agree.Present, err error) {
-	l, err := a.list(ctx)
-	for _, m := range l.Members {
-		if m.Address != "" && m.ID != a.client.Me().ID {
-			all = append(all, m)
-		}
-	}
-	return all, err
-}
-
 func (a *Agent) list(ctx context.Context) (l agree.List, err error) {
 	one, cancel := context.WithTimeout(ctx, askWithin)
 	defer cancel()
--- a/internal/rollout/contents.go
+++ b/internal/rollout/contents.go
@@ -13,6 +13,8 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"strings"
+	"time"
 
 	"mothcleat/internal/faultpoint"
 	"mothcleat/versions"
@@ -157,4 +159,25 @@
 	}
 }
 
+// Tidy removes contents that nothing is to be had of any more: those that are not among some, and have not been touched for a while.
+func (c *Contents) Tidy(keep map[string]bool, untouched time.Duration) error {
+	entries, err := os.ReadDir(c.dir)
+	if err != nil {
+		return err
+	}
+	for _, e := range entries {
+		digest := strings.TrimSuffix(e.Name(), part)
+		if keep[digest] || !digestName.MatchString(digest) {
+			continue
+		}
+		if i, err := e.Info(); err != nil || time.Since(i.ModTime()) < untouched {
+			continue
+		}
+		if err := os.Remove(filepath.Join(c.dir, e.Name())); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 const pieceSize = 32 << 10
--- a/internal/rollout/contents_test.go
+++ b/internal/rollout/contents_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"os"
 	"testing"
+	"time"
 
 	"mothcleat/versions"
 )
@@ -78,3 +80,38 @@
 		t.Errorf("a digest that is none: %v", err)
 	}
 }
+
+// What is of no more use goes; what some version holds that may come back, or was touched of late, stays.
+func TestTidy(t *testing.T) {
+	c := NewContents(t.TempDir())
+	v := versions.View{At: time.Hour}
+	var digests []string
+	for k := range 20 {
+		d, err := c.Add(fmt.Appendf(nil, "version %d", k))
+		if err != nil {
+			t.Fatal(err)
+		}
+		digests = append(digests, d)
+		one := versions.Version{Item: "plans", Number: uint64(k + 1), Digest: d, Until: time.Minute}
+		if k == 1 {
+			one.Until = 0 // somebody acts on it
+		}
+		v.Versions = append(v.Versions, one)
+	}
+	if err := c.Tidy(kept(&v), time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	for k, d := range digests {
+		if _, err := c.Read(d); err != nil {
+			t.Errorf("version %d, just made: %v", k, err)
+		}
+	}
+	if err := c.Tidy(kept(&v), 0); err != nil {
+		t.Fatal(err)
+	}
+	for k, d := range digests {
+		if _, err := c.Read(d); (err == nil) != (k == 1 || k >= 20-keepOf) {
+			t.Errorf("version %d: %v", k, err)
+		}
+	}
+}
--- a/sim/versions/versions_test.go
+++ b/sim/versions/versions_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"mothcleat/internal/trial"
 )
 
 // Many schedules break no promise, and provoke what they are to.
@@ -21,3 +23,24 @@
 	}
 	t.Logf("%d plays in %v: %d acts, %d roll-outs, %d withdrawn, %d shut out", found.Plays, found.Took.Round(time.Millisecond), found.Acts, found.RollOuts, found.Withdrawn, found.Outs)
 }
+
+// A fleet of a size in which nothing fails has each version everywhere before the next.
+func TestASizeInQuiet(t *testing.T) {
+	s := Measure(1, 30, 4)
+	if len(s.ToAll) != 4 || s.Roundoff != 0 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// BenchmarkAtSize tells what a roll-out costs 300 gateways.
+func BenchmarkAtSize(b *testing.B) {
+	for b.Loop() {
+		s := Measure(1, 300, 6)
+		b.ReportMetric(trial.Quantile(s.ToAll, 0.5), "ms-to-all-p50")
+		b.ReportMetric(trial.Quantile(s.ToAll, 0.99), "ms-to-all-p99")
+		b.ReportMetric(trial.Quantile(s.ToMost, 0.99), "ms-to-nine-in-ten-p99")
+		b.ReportMetric(s.Words, "words/s/gateway")
+		b.ReportMetric(s.Bytes, "bytes/s/gateway")
+		b.ReportMetric(s.Agreed, "entries/s")
+	}
+}
--- a/sim/versions/world.go
+++ b/sim/versions/world.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	step  = 20 * time.Millisecond
-	items = 2
-	quiet = 70 * time.Second // at the end nothing goes wrong any more
+	step    = 20 * time.Millisecond
+	items   = 2
+	keepers = 3                // members that vote
+	quiet   = 70 * time.Second // at the end nothing goes wrong any more
 )
 
 var names = [items]string{"plans", "keys"}
@@ -58,6 +59,9 @@
 	digests map[string]map[uint64]string // by item and number
 	rates   map[string]float64           // what a content grants
 	calm    bool
+	blind   bool // nobody acts: a size is measured
+	words   int  // messages
+	bytes   int  // of what is asked and told
 	res     Result
 }
 
@@ -128,6 +132,7 @@
 
 // send has something happen at the log or a member, mostly soon; words are lost, doubled, and late.
 func (w *World) send(from, to *member, do func()) {
+	w.words++
 	if from.cut > w.now || w.chance("lost", 12) {
 		return
 	}
@@ -222,6 +227,9 @@
 		}
 		m.fetching[r.Digest] = now + 300*time.Millisecond
 		from := w.members[w.r.IntN(len(w.members))]
+		if !from.content[r.Digest] { // one of those that keep what is proposed
+			from = w.members[w.r.IntN(keepers)]
+		}
 		if from == m || from.dead || from.stopped || from.cut > w.now || !from.content[r.Digest] {
 			continue
 		}
@@ -244,6 +252,9 @@
 		}
 		m.report(w, item)
 	}
+	if w.blind {
+		return
+	}
 	// A request is decided, and reaches a server later.
 	if by := m.holder.Acts(now); by != 0 && w.r.IntN(4) == 0 {
 		a := act{m.holder.InForce(), by, map[string]float64{}}
@@ -288,6 +299,7 @@
 		if err != nil {
 			w.breach("unreadable", "%v", err)
 		}
+		w.bytes += len(raw)
 		w.send(m, m, func() {
 			if m.boot != boot {
 				return
@@ -395,8 +407,10 @@
 		op.Pilots = versions.Pilots(item, op.Number+1, versions.One, ids)
 	}
 	m.content[op.Digest] = true
-	for range 2 { // others keep it before it is proposed
-		w.members[w.r.IntN(len(w.members))].content[op.Digest] = true
+	for k := range keepers { // most of those that vote keep it before it is proposed
+		if k != w.r.IntN(keepers) {
+			w.members[k].content[op.Digest] = true
+		}
 	}
 	w.rates[op.Digest] = float64(1 + w.r.IntN(100))
 	w.apply(m, op, func(r versions.Result) {
@@ -442,6 +456,15 @@
 	if err := rules.Check(); err != nil {
 		panic(err)
 	}
+	w := newWorld(r, rules, gateways)
+	for w.now < length+quiet && w.res.Breach == nil {
+		w.step(length)
+	}
+	w.end()
+	return w.res
+}
+
+func newWorld(r *rand.Rand, rules versions.Rules, gateways int) *World {
 	w := &World{r: r, rules: rules, pace: 0.9 + 0.1*r.Float64(), digests: map[string]map[uint64]string{}, rates: map[string]float64{"": 50},
 		res: Result{Faults: map[string]int{}}}
 	w.log = versions.NewMachine(rules, w)
@@ -454,41 +477,43 @@
 		w.members = append(w.members, m)
 		w.start(m)
 	}
-	for w.now < length+quiet && w.res.Breach == nil {
-		w.now += step
-		w.calm = w.now > length
-		if !w.chance("leaderless", 20) {
-			w.fleet += time.Duration(float64(step) * w.pace)
-		}
-		if w.term == 0 || w.chance("another guide", 500) {
-			w.term++
-			w.owner = w.members[r.IntN(gateways)].me()
-		}
-		due := w.net
-		w.net = nil
-		for _, m := range due {
-			switch {
-			case m.at > w.now || m.to != nil && m.to.stopped:
-				w.net = append(w.net, m)
-			case m.to == nil || !m.to.dead && m.to.cut <= w.now:
-				m.do()
-			}
-		}
-		for _, m := range w.members {
-			w.befall(m)
-			if !m.dead && !m.stopped {
-				w.live(m)
-			}
-		}
-		if r.IntN(10) == 0 {
-			w.guide()
+	return w
+}
+
+// step has a little time go by; after length nothing goes wrong any more.
+func (w *World) step(length time.Duration) {
+	r, gateways := w.r, len(w.members)
+	w.now += step
+	w.calm = w.now > length
+	if !w.chance("leaderless", 20) {
+		w.fleet += time.Duration(float64(step) * w.pace)
+	}
+	if w.term == 0 || w.chance("another guide", 500) {
+		w.term++
+		w.owner = w.members[r.IntN(gateways)].me()
+	}
+	due := w.net
+	w.net = nil
+	for _, m := range due {
+		switch {
+		case m.at > w.now || m.to != nil && m.to.stopped:
+			w.net = append(w.net, m)
+		case m.to == nil || !m.to.dead && m.to.cut <= w.now:
+			m.do()
 		}
-		if !w.calm && r.IntN(150) == 0 {
-			w.propose()
+	}
+	for _, m := range w.members {
+		w.befall(m)
+		if !m.dead && !m.stopped {
+			w.live(m)
 		}
 	}
-	w.end()
-	return w.res
+	if r.IntN(10) == 0 {
+		w.guide()
+	}
+	if !w.calm && r.IntN(150) == 0 {
+		w.propose()
+	}
 }
 
 // end holds the last state against what all that hear should have come to.
