gateway: what lay in the sockets while the process stood still is as old as that

A command was taken to have come when it was read, and an attempt that had waited through the stop was written whatever its deadline.

The loop turns at least ten times a second, so a turn that is late by over a second shows that the process stood still; what is read in the leap, or within 50 ms of its end, is held to have come at its beginning. One store and two clock reads a turn; nothing on the platform unless it stops.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -284,7 +284,7 @@
 // take reads one command.
 func (e *taken) take(l *Loop, in *resp.Reader) {
 	args, err := in.ReadCommand()
-	e.at = e.client.share.came(l.clock.now())
+	e.at = e.client.share.came(l.leaps.since(l.clock.now()))
 	switch {
 	case errors.Is(err, resp.ErrTooLarge):
 		e.reply, e.bad = refusal(err), true
@@ -393,6 +393,10 @@
 	r.deadline = at + what.Grace - spare
 	r.backstop = l.at(r.deadline+spare/2, backstop{r})
 	what.ID, what.Grace = r.id, max(0, r.deadline-now)
+	if l.tooLate(r) {
+		l.answer(r, l.comeBack(refuseAfter)) // it lay in a socket while this process stood still
+		return
+	}
 	if l.auth.On() {
 		l.permit(r, what)
 		return
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -84,6 +84,7 @@
 	door      *door.Door // nil: no address is given
 	accepting bool
 	done      bool
+	leaps     leaps
 	assigned  func(customer uint64) int // see replanned; nil: requests name the plan
 }
 
@@ -106,6 +107,7 @@
 // run handles events until the gateway has ended.
 func (l *Loop) run() {
 	for !l.done {
+		l.turn()
 		l.fire()
 		// Discovery first: work queued before a drain was told must not be sent
 		// on after its grace.
@@ -127,6 +129,7 @@
 }
 
 func (l *Loop) handle(e event) {
+	l.turn()
 	e.handle(l)
 	l.follow()
 	l.urgent()
--- a/internal/gateway/rights.go
+++ b/internal/gateway/rights.go
@@ -61,10 +61,13 @@
 // lapsed ends an attempt whose request was decided by a right that is over: this process lay stopped, or the request
 // waited long for a connection. Nothing of it was sent, and it is refused. It is asked at the last moment before a write.
 func (l *Loop) lapsed(a *attempt) bool {
-	if a.r != nil && l.forbidden(a.r) {
-		if a.r.counted {
+	if a.r != nil && (l.tooLate(a.r) || l.forbidden(a.r)) {
+		switch {
+		case a.r.counted:
 			l.answer(a.r, failed) // it was sent on before, and may have run
-		} else {
+		case l.tooLate(a.r):
+			l.answer(a.r, l.comeBack(refuseAfter))
+		default:
 			l.turnAway(a.r)
 		}
 		l.finish(a, decide.Moot, nil)
