--- a/internal/audittrial/hard_test.go
+++ b/internal/audittrial/hard_test.go
@@ -17,6 +17,7 @@
 	"mothcleat/internal/fleetnode"
 	"mothcleat/internal/recorder"
 	"mothcleat/internal/rig"
+	"mothcleat/internal/trial"
 	"mothcleat/lease"
 	"mothcleat/versions"
 )
@@ -142,6 +143,7 @@
 			check(t, os.WriteFile(filepath.Join(f.Gateways[victim].Dir(), "kill-"+p), nil, 0o600))
 			number := proposed(t, f, 0, versions.All, plansText(f.Site, 0.9-0.1*float64(k)))
 			eventually(t, "it dies at "+p, func() (bool, string) { return !f.Gateways[victim].Running(), "" })
+			f.Record.AddLife(victim, trial.Killed) // it died now, not when that was asked for
 			check(t, f.Begin(victim))
 			acts(t, f, victim, number)
 		}
