--- a/internal/audittrial/audit_test.go
+++ b/internal/audittrial/audit_test.go
@@ -10,6 +10,7 @@
 
 	"mothcleat/internal/budgettrial"
 	"mothcleat/internal/rig"
+	"mothcleat/internal/rig/rigtest"
 	"mothcleat/internal/trial"
 	"mothcleat/versions"
 )
@@ -21,66 +22,30 @@
 // fleet starts a fleet that acts on versions and waits until all may act.
 func fleet(t *testing.T, o rig.Options) *rig.Fleet {
 	t.Helper()
-	t.Parallel()
 	o.Bin, o.Load, o.Seed = bin, 0.3, o.Seed+1
 	if o.Operators == "" {
 		o.Operators = Text()
 	}
-	f, err := rig.New(t.Context(), o)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		if t.Failed() {
-			for _, g := range f.Gateways {
-				log := g.Log()
-				t.Logf("%s:\n%s", rig.Name(g.Number), log[max(0, len(log)-4000):])
-			}
-		}
-		f.Close()
-	})
+	f := rigtest.Fleet(t, o)
 	for i := range f.Gateways {
 		acts(t, f, i, 0)
 	}
 	return f
 }
 
-// eventually waits for something, with a generous deadline.
-func eventually(t *testing.T, what string, is func() (bool, string)) {
-	t.Helper()
-	last := ""
-	for deadline := time.Now().Add(40 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
-		ok, state := is()
-		if ok {
-			return
-		}
-		last = state
-	}
-	t.Fatalf("not in time: %s; last: %s", what, last)
-}
-
 // acts waits until a gateway acts on a version of the plans, or a later one.
 func acts(t *testing.T, f *rig.Fleet, i int, number uint64) {
 	t.Helper()
-	eventually(t, fmt.Sprintf("%s acts on %d", rig.Name(i), number), func() (bool, string) {
+	rigtest.Eventually(t, fmt.Sprintf("%s acts on %d", rig.Name(i), number), func() (bool, string) {
 		h, err := here(f, i)
 		return err == nil && h.Until > 0 && h.InForce["plans"] >= number, fmt.Sprintf("%+v %v", h, err)
 	})
 }
 
-func check(t *testing.T, errs ...error) {
-	t.Helper()
-	for _, err := range errs {
-		if err != nil {
-			t.Fatal(err)
-		}
-	}
-}
-
 // proposed has a text proposed, again while there is nobody to ask.
 func proposed(t *testing.T, f *rig.Fleet, at int, stage versions.Stage, text string) (number uint64) {
 	t.Helper()
-	eventually(t, "a proposal", func() (bool, string) {
+	rigtest.Eventually(t, "a proposal", func() (bool, string) {
 		n, err := propose(f, at, stage, 0, text)
 		number = n
 		return err == nil, fmt.Sprint(err)
@@ -91,7 +56,7 @@
 // ended waits until nobody may act on a version any more, by what is agreed.
 func ended(t *testing.T, f *rig.Fleet, at int, number uint64) {
 	t.Helper()
-	eventually(t, fmt.Sprintf("the end of %d", number), func() (bool, string) {
+	rigtest.Eventually(t, fmt.Sprintf("the end of %d", number), func() (bool, string) {
 		v, err := agreed(f, at)
 		one := version(&v, number)
 		return err == nil && one != nil && one.Until != 0 && v.At >= one.Until, fmt.Sprintf("%+v %v", one, err)
@@ -131,9 +96,9 @@
 	var number uint64
 	var since time.Duration
 	play(t, f, func() {
-		eventually(t, "it sends something on", func() (bool, string) { return sentOn(f, stopped, 0, 1<<62) > 0, "" })
-		check(t, os.WriteFile(filepath.Join(f.Gateways[stopped].Dir(), "stop"), nil, 0o600))
-		eventually(t, "it stops itself", func() (bool, string) { return f.Stopped(stopped), "" })
+		rigtest.Eventually(t, "it sends something on", func() (bool, string) { return sentOn(f, stopped, 0, 1<<62) > 0, "" })
+		rigtest.Check(t, os.WriteFile(filepath.Join(f.Gateways[stopped].Dir(), "stop"), nil, 0o600))
+		rigtest.Eventually(t, "it stops itself", func() (bool, string) { return f.Stopped(stopped), "" })
 		f.Record.AddLife(stopped, trial.Paused)
 		number = proposed(t, f, 0, versions.All, plansText(f.Site, 0.25))
 		for i := range 3 {
@@ -142,12 +107,12 @@
 		ended(t, f, 0, number-1)
 		rig.Pass(t.Context(), time.Second) // clients ask it meanwhile
 		since = f.Record.Now()
-		check(t, f.Wake(stopped))
+		rigtest.Check(t, f.Wake(stopped))
 		acts(t, f, stopped, number)
 		rig.Pass(t.Context(), time.Second)
 	})
 	all, err := spans(f, stopped)
-	check(t, err)
+	rigtest.Check(t, err)
 	if len(all) == 0 || all[len(all)-1].number != number {
 		t.Fatalf("%s wrote down %+v", rig.Name(stopped), all)
 	}
@@ -173,17 +138,17 @@
 	f := fleet(t, rig.Options{Instances: 4, Seed: 7, Operators: alone, Env: func(int) string { return "MOTHCLEAT_FAULTS=stop=permit-taken@stop" }})
 	const stopped = 3
 	play(t, f, func() {
-		eventually(t, "it sends something on", func() (bool, string) { return sentOn(f, stopped, 0, 1<<62) > 0, "" })
-		check(t, os.WriteFile(filepath.Join(f.Gateways[stopped].Dir(), "stop"), nil, 0o600))
-		eventually(t, "it stops itself", func() (bool, string) { return f.Stopped(stopped), "" })
+		rigtest.Eventually(t, "it sends something on", func() (bool, string) { return sentOn(f, stopped, 0, 1<<62) > 0, "" })
+		rigtest.Check(t, os.WriteFile(filepath.Join(f.Gateways[stopped].Dir(), "stop"), nil, 0o600))
+		rigtest.Eventually(t, "it stops itself", func() (bool, string) { return f.Stopped(stopped), "" })
 		f.Record.AddLife(stopped, trial.Paused)
 		number := proposed(t, f, 0, versions.All, plansText(f.Site, 0.5))
 		ended(t, f, 0, number-1)
 		since := f.Record.Now()
-		check(t, f.Wake(stopped))
+		rigtest.Check(t, f.Wake(stopped))
 		acts(t, f, stopped, number)
 		all, err := spans(f, stopped)
-		check(t, err)
+		rigtest.Check(t, err)
 		if len(all) == 0 {
 			t.Fatal("it wrote down nothing")
 		}
--- a/internal/audittrial/hard_test.go
+++ b/internal/audittrial/hard_test.go
@@ -17,6 +17,7 @@
 	"mothcleat/internal/fleetnode"
 	"mothcleat/internal/recorder"
 	"mothcleat/internal/rig"
+	"mothcleat/internal/rig/rigtest"
 	"mothcleat/internal/trial"
 	"mothcleat/lease"
 	"mothcleat/versions"
@@ -26,7 +27,7 @@
 func actsOn(t *testing.T, f *rig.Fleet, i int, number uint64, after time.Duration) (n int) {
 	t.Helper()
 	all, err := spans(f, i)
-	check(t, err)
+	rigtest.Check(t, err)
 	for _, s := range all {
 		if s.number == number {
 			n += sentOn(f, i, max(s.from, after+slack), s.to)
@@ -38,7 +39,7 @@
 // guide waits for the gateway that guides roll-outs.
 func guide(t *testing.T, f *rig.Fleet, but uint64) (i int, term uint64) {
 	t.Helper()
-	eventually(t, "a guide", func() (bool, string) {
+	rigtest.Eventually(t, "a guide", func() (bool, string) {
 		for i = range f.Gateways {
 			var here fleetnode.Here
 			if f.Stopped(i) || f.Call(i, "here", &here) != nil {
@@ -66,7 +67,7 @@
 			next := proposed(t, f, 0, versions.All, plansText(f.Site, 0.8-0.1*float64(2*k)))
 			ended(t, f, 0, before)
 			over := f.Record.Now()
-			eventually(t, "it is shut out", func() (bool, string) {
+			rigtest.Eventually(t, "it is shut out", func() (bool, string) {
 				h, err := here(f, cut)
 				return err == nil && h.Until == 0, fmt.Sprintf("%+v %v", h, err)
 			})
@@ -76,7 +77,7 @@
 			}
 			f.Heal()
 			acts(t, f, cut, next)
-			eventually(t, "it serves again", func() (bool, string) { return sentOn(f, cut, f.Record.Now()-slack, 1<<62) > 0, "" })
+			rigtest.Eventually(t, "it serves again", func() (bool, string) { return sentOn(f, cut, f.Record.Now()-slack, 1<<62) > 0, "" })
 		}
 	})
 	if f.Held() == 0 {
@@ -92,7 +93,7 @@
 	play(t, f, func() {
 		tried := proposed(t, f, 1, versions.One, plansText(f.Site, 0.5))
 		pilot := -1
-		eventually(t, "the pilot has it", func() (bool, string) {
+		rigtest.Eventually(t, "the pilot has it", func() (bool, string) {
 			for i := range f.Gateways {
 				if h, err := here(f, i); err == nil && h.InForce["plans"] == tried {
 					pilot = i
@@ -103,9 +104,9 @@
 		if _, err := propose(f, 2, versions.All, 0, plansText(f.Site, 0.4)); err == nil || !strings.Contains(err.Error(), "under way") {
 			t.Errorf("a second roll-out: %v", err)
 		}
-		eventually(t, "it acts on it", func() (bool, string) { return sentOn(f, pilot, 0, 1<<62) > 0, "" })
+		rigtest.Eventually(t, "it acts on it", func() (bool, string) { return sentOn(f, pilot, 0, 1<<62) > 0, "" })
 		var next uint64
-		eventually(t, "it is withdrawn", func() (bool, string) {
+		rigtest.Eventually(t, "it is withdrawn", func() (bool, string) {
 			err := f.Call(2, fmt.Sprintf("versions withdraw plans %d wrong terms", tried), &next)
 			return err == nil, fmt.Sprint(err)
 		})
@@ -115,7 +116,7 @@
 		ended(t, f, 0, tried)
 		over := f.Record.Now()
 		v, err := agreed(f, 0)
-		check(t, err)
+		rigtest.Check(t, err)
 		if one := version(&v, next); next != tried+1 || one.Restores != 1 || version(&v, tried).State != versions.Withdrawn {
 			t.Errorf("%+v", v.Versions)
 		}
@@ -140,11 +141,11 @@
 	play(t, f, func() {
 		for k, p := range points {
 			f.Gateways[victim].Expect(syscall.SIGKILL)
-			check(t, os.WriteFile(filepath.Join(f.Gateways[victim].Dir(), "kill-"+p), nil, 0o600))
+			rigtest.Check(t, os.WriteFile(filepath.Join(f.Gateways[victim].Dir(), "kill-"+p), nil, 0o600))
 			number := proposed(t, f, 0, versions.All, plansText(f.Site, 0.9-0.1*float64(k)))
-			eventually(t, "it dies at "+p, func() (bool, string) { return !f.Gateways[victim].Running(), "" })
+			rigtest.Eventually(t, "it dies at "+p, func() (bool, string) { return !f.Gateways[victim].Running(), "" })
 			f.Record.AddLife(victim, trial.Killed) // it died now, not when that was asked for
-			check(t, f.Begin(victim))
+			rigtest.Check(t, f.Begin(victim))
 			acts(t, f, victim, number)
 		}
 	})
@@ -157,18 +158,18 @@
 	f := fleet(t, rig.Options{Instances: 4, Seed: 4, Env: func(int) string { return "MOTHCLEAT_FAULTS=stop=guide-before-agree@stop" }})
 	play(t, f, func() {
 		i, term := guide(t, f, 0)
-		check(t, os.WriteFile(filepath.Join(f.Gateways[i].Dir(), "stop"), nil, 0o600))
+		rigtest.Check(t, os.WriteFile(filepath.Join(f.Gateways[i].Dir(), "stop"), nil, 0o600))
 		at := (i + 1) % 4
 		number := proposed(t, f, at, versions.One, plansText(f.Site, 0.7))
-		eventually(t, "the guide stops itself", func() (bool, string) { return f.Stopped(i), "" })
+		rigtest.Eventually(t, "the guide stops itself", func() (bool, string) { return f.Stopped(i), "" })
 		guide(t, f, term)
-		eventually(t, "another has it go on", func() (bool, string) {
+		rigtest.Eventually(t, "another has it go on", func() (bool, string) {
 			v, err := agreed(f, at)
 			one := version(&v, number)
 			return err == nil && one != nil && one.State == versions.Whole, fmt.Sprintf("%+v %v", one, err)
 		})
-		check(t, f.Wake(i))
-		eventually(t, "the late word is refused", func() (bool, string) {
+		rigtest.Check(t, f.Wake(i))
+		rigtest.Eventually(t, "the late word is refused", func() (bool, string) {
 			return strings.Contains(f.Gateways[i].Log(), lease.ErrTerm.Error()), ""
 		})
 		acts(t, f, i, number)
@@ -182,12 +183,12 @@
 	text := plansText(f.Site, 0.6)
 	sum := sha256.Sum256([]byte(text))
 	path := filepath.Join(fleetnode.ContentsDir(f.FleetDir(3)), hex.EncodeToString(sum[:]))
-	check(t, os.WriteFile(path, []byte(plansText(f.Site, 6)), 0o600))
+	rigtest.Check(t, os.WriteFile(path, []byte(plansText(f.Site, 6)), 0o600))
 	play(t, f, func() {
 		number := proposed(t, f, 0, versions.All, text)
 		acts(t, f, 3, number)
 		raw, err := os.ReadFile(path)
-		check(t, err)
+		rigtest.Check(t, err)
 		if string(raw) != text {
 			t.Error("the damaged file is still there")
 		}
@@ -200,7 +201,7 @@
 func TestRecordsAccountForAllThatServersTook(t *testing.T) {
 	f := fleet(t, rig.Options{Instances: 4, Seed: 6})
 	var heads []chronicle.Head
-	check(t, f.Save(3))
+	rigtest.Check(t, f.Save(3))
 	play(t, f, func() {
 		number := proposed(t, f, 0, versions.One, plansText(f.Site, 0.8))
 		for i := range f.Gateways {
@@ -208,14 +209,14 @@
 			if i%2 == 1 {
 				how = syscall.SIGKILL
 			}
-			check(t, f.End(i, how), f.Begin(i))
+			rigtest.Check(t, f.End(i, how), f.Begin(i))
 		}
 		for i := range f.Gateways {
 			acts(t, f, i, number)
 		}
 		rig.Pass(t.Context(), time.Second)
 	})
-	eventually(t, "heads of all four", func() (bool, string) {
+	rigtest.Eventually(t, "heads of all four", func() (bool, string) {
 		v, err := agreed(f, 0)
 		heads = v.Heads
 		boots := map[string]bool{}
@@ -225,21 +226,21 @@
 		return err == nil && len(boots) == 4, fmt.Sprintf("%+v %v", heads, err)
 	})
 	var known json.RawMessage
-	check(t, f.Call(0, "versions", &known))
+	rigtest.Check(t, f.Call(0, "versions", &known))
 	file := filepath.Join(t.TempDir(), "agreed.json")
-	check(t, os.WriteFile(file, known, 0o600))
+	rigtest.Check(t, os.WriteFile(file, known, 0o600))
 	audit := []string{"fleet", "audit", "--agreed", file}
 	for i := range f.Gateways {
-		check(t, f.End(i, syscall.SIGTERM))
+		rigtest.Check(t, f.End(i, syscall.SIGTERM))
 		audit = append(audit, f.FleetDir(i))
 	}
 	var told strings.Builder
-	check(t, f.Command(0, &told, audit...), f.Command(0, io.Discard, append(audit, "--verify")...))
+	rigtest.Check(t, f.Command(0, &told, audit...), f.Command(0, io.Discard, append(audit, "--verify")...))
 	if !strings.Contains(told.String(), "plans") || strings.Contains(told.String(), "BEYOND") {
 		t.Errorf("the audit tells\n%s", told.String())
 	}
 	wrote, err := records(f)
-	check(t, err)
+	rigtest.Check(t, err)
 	var all []chronicle.Entry
 	for i := range f.Gateways {
 		all = append(all, wrote[i]...)
@@ -273,12 +274,12 @@
 	damaged("cut", func(e []chronicle.Entry) []chronicle.Entry { return e[:len(e)/3] })
 	damaged("changed", func(e []chronicle.Entry) []chronicle.Entry { e[0].Units++; return e })
 	damaged("copied from another gateway", func([]chronicle.Entry) []chronicle.Entry { return wrote[2] })
-	check(t, f.Restore(3))
+	rigtest.Check(t, f.Restore(3))
 	if err := f.Command(0, io.Discard, append(audit, "--verify")...); err == nil {
 		t.Error("mothcleat fleet audit finds a record good that was put back from a copy")
 	}
 	older, err := recorder.Read(fleetnode.RecordDir(f.FleetDir(3)))
-	check(t, err)
+	rigtest.Check(t, err)
 	damaged("put back from a copy", func([]chronicle.Entry) []chronicle.Entry { return older })
 }
 
@@ -288,23 +289,23 @@
 	f := fleet(t, rig.Options{Instances: 4, Seed: 8, Env: func(int) string { return "MOTHCLEAT_FAULTS=deny=content-read@older" }})
 	play(t, f, func() {
 		v, err := agreed(f, 0)
-		check(t, err)
+		rigtest.Check(t, err)
 		var ids []string
 		for _, m := range v.Members {
 			ids = append(ids, m.Member.ID)
 		}
 		var older int
 		_, err = fmt.Sscanf(versions.Pilots("plans", 2, versions.One, ids)[0], "n%d", &older)
-		check(t, err, os.WriteFile(filepath.Join(f.Gateways[older].Dir(), "older"), nil, 0o600))
+		rigtest.Check(t, err, os.WriteFile(filepath.Join(f.Gateways[older].Dir(), "older"), nil, 0o600))
 		at := (older + 1) % 4
 		number := proposed(t, f, at, versions.One, plansText(f.Site, 0.8))
-		eventually(t, "it is held", func() (bool, string) {
+		rigtest.Eventually(t, "it is held", func() (bool, string) {
 			v, err := agreed(f, at)
 			one := version(&v, number)
 			return err == nil && one.State == versions.Held && strings.Contains(one.Why, "can't read it"), fmt.Sprintf("%+v %v", one, err)
 		})
 		acts(t, f, older, 1)
-		check(t, f.Call(at, fmt.Sprintf("versions go-on plans %d all", number), nil))
+		rigtest.Check(t, f.Call(at, fmt.Sprintf("versions go-on plans %d all", number), nil))
 		for i := range f.Gateways {
 			if i != older {
 				acts(t, f, i, number)
@@ -312,7 +313,7 @@
 		}
 		ended(t, f, at, 1)
 		over := f.Record.Now()
-		eventually(t, "the one that can't read it is shut out", func() (bool, string) {
+		rigtest.Eventually(t, "the one that can't read it is shut out", func() (bool, string) {
 			h, err := here(f, older)
 			return err == nil && h.Until == 0 && strings.Contains(h.Why, "can't read it"), fmt.Sprintf("%+v %v", h, err)
 		})
@@ -320,7 +321,7 @@
 		if n := sentOn(f, older, over+slack, 1<<62); n > 0 {
 			t.Errorf("%d requests were sent on there", n)
 		}
-		check(t, f.End(older, syscall.SIGTERM), os.Remove(filepath.Join(f.Gateways[older].Dir(), "older")), f.Begin(older))
+		rigtest.Check(t, f.End(older, syscall.SIGTERM), os.Remove(filepath.Join(f.Gateways[older].Dir(), "older")), f.Begin(older))
 		acts(t, f, older, number)
 	})
 	kept(t, f)
@@ -334,19 +335,19 @@
 	play(t, f, func() {
 		for k := range flaps {
 			acts(t, f, 3, 0)
-			check(t, f.Stop(3))
+			rigtest.Check(t, f.Stop(3))
 			rig.Pass(t.Context(), Bound)
 			number := proposed(t, f, 0, versions.All, plansText(f.Site, 0.9-0.1*float64(k)))
 			ended(t, f, 0, number-1)
 			over := f.Record.Now()
-			check(t, f.Wake(3))
+			rigtest.Check(t, f.Wake(3))
 			acts(t, f, 3, number)
 			if n := actsOn(t, f, 3, number-1, over); n > 0 {
 				t.Errorf("%d requests were sent on by what had ended", n)
 			}
 		}
 		h, err := here(f, 3)
-		check(t, err)
+		rigtest.Check(t, err)
 		if h.Outs < flaps {
 			t.Errorf("it was out %d times", h.Outs)
 		}
--- a/internal/budgettrial/budget_test.go
+++ b/internal/budgettrial/budget_test.go
@@ -12,6 +12,7 @@
 	"mothcleat/budget"
 	"mothcleat/internal/fleetnode"
 	"mothcleat/internal/rig"
+	"mothcleat/internal/rig/rigtest"
 	"mothcleat/internal/trial"
 )
 
@@ -33,7 +34,6 @@
 // fleet starts a fleet that divides, with all faults to be had, and waits until the shards are owned.
 func fleet(t *testing.T, o rig.Options, clock func(i int) string) *trialRun {
 	t.Helper()
-	t.Parallel()
 	o.Bin, o.Load, o.Seed = bin, 0.3, o.Seed+1
 	if o.Operators == "" {
 		o.Operators = Text(1)
@@ -44,22 +44,10 @@
 		}
 		return faults(clock(i))
 	}
-	f, err := rig.New(t.Context(), o)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		if t.Failed() {
-			for _, g := range f.Gateways {
-				log := g.Log()
-				t.Logf("%s:\n%s", rig.Name(g.Number), log[max(0, len(log)-3000):])
-			}
-		}
-		f.Close()
-	})
+	f := rigtest.Fleet(t, o)
 	f.Site.Shift = time.Second // demand moves, and parts with it
 	run := newRun(f, &Options{Shards: 1}, writer{t})
-	check(t, run.settled(t.Context()))
+	rigtest.Check(t, run.settled(t.Context()))
 	return run
 }
 
@@ -71,15 +59,6 @@
 	return len(b), nil
 }
 
-func check(t *testing.T, errs ...error) {
-	t.Helper()
-	for _, err := range errs {
-		if err != nil {
-			t.Fatal(err)
-		}
-	}
-}
-
 // play has clients ask for as long as something is done, and a little longer.
 func play(t *testing.T, run *trialRun, do func()) {
 	t.Helper()
@@ -101,7 +80,7 @@
 func kept(t *testing.T, run *trialRun) *trial.Figures {
 	t.Helper()
 	fig := run.f.Figures("budgets")
-	check(t, run.judge(fig))
+	rigtest.Check(t, run.judge(fig))
 	if !fig.OK || len(Windows(run.f.Site, run.f.Record, Slack{})) == 0 {
 		t.Errorf("broken %v, why %v", fig.Broken, fig.Why)
 	}
@@ -114,7 +93,7 @@
 	if how == "kill" {
 		t.f.Gateways[i].Expect(syscall.SIGKILL)
 	}
-	check(tt, os.WriteFile(filepath.Join(t.f.Gateways[i].Dir(), how+"-"+point), nil, 0o600))
+	rigtest.Check(tt, os.WriteFile(filepath.Join(t.f.Gateways[i].Dir(), how+"-"+point), nil, 0o600))
 	eventually(tt, rig.Name(i)+" at "+point, func() bool {
 		return how == "stop" && t.f.Stopped(i) || how == "kill" && !t.f.Gateways[i].Running()
 	})
@@ -127,15 +106,10 @@
 	}
 }
 
-// eventually waits for something, with a generous deadline.
+// eventually waits for something that tells no more than whether it is so.
 func eventually(t *testing.T, what string, is func() bool) {
 	t.Helper()
-	for deadline := time.Now().Add(40 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
-		if is() {
-			return
-		}
-	}
-	t.Fatalf("not in time: %s", what)
+	rigtest.Eventually(t, what, func() (bool, string) { return is(), "" })
 }
 
 // ownerOf waits for the owner of the one shard.
@@ -148,7 +122,7 @@
 // rights are what a gateway holds.
 func rights(t *testing.T, f *rig.Fleet, i int) (r fleetnode.Rights) {
 	t.Helper()
-	check(t, f.Call(i, "rights", &r))
+	rigtest.Check(t, f.Call(i, "rights", &r))
 	return r
 }
 
@@ -200,7 +174,7 @@
 		i := (ownerOf(t, run) + 1) % 4
 		run.stands(t, i, "stop", "right-taken")
 		rig.Pass(t.Context(), 2*budget.Defaults().Span)
-		check(t, run.f.Wake(i))
+		rigtest.Check(t, run.f.Wake(i))
 		run.f.Record.AddLife(i, trial.Woken)
 		// The owner stops between having a round agreed and telling it, and before: its words come after those of the next.
 		for _, point := range []string{"budgets-after-agree", "budgets-before-agree"} {
@@ -208,14 +182,14 @@
 			run.stands(t, i, "stop", point)
 			eventually(t, "another owner", func() bool { own := run.owner(budget.Duty(0)); return own >= 0 && own != i })
 			rig.Pass(t.Context(), time.Second)
-			check(t, run.f.Wake(i))
+			rigtest.Check(t, run.f.Wake(i))
 			run.f.Record.AddLife(i, trial.Woken)
 		}
 		// What a part is lessened to is heard by a process that is killed before it acts on it, and by one that is killed after.
 		for _, point := range []string{"right-told", "right-lessened"} {
 			i := (ownerOf(t, run) + 1) % 4
 			run.stands(t, i, "kill", point)
-			check(t, run.f.Begin(i))
+			rigtest.Check(t, run.f.Begin(i))
 			eventually(t, "rights of the one that was started anew", func() bool { return len(rights(t, run.f, i).Held) > 0 })
 		}
 	})
@@ -227,14 +201,14 @@
 	run := fleet(t, rig.Options{Instances: 4, Voters: 3, Seed: 4}, nil)
 	play(t, run, func() {
 		for i := range 3 {
-			check(t, run.f.End(i, syscall.SIGKILL))
+			rigtest.Check(t, run.f.End(i, syscall.SIGKILL))
 		}
 		eventually(t, "floors alone", func() bool { return floorsAlone(t, run.f, 3) })
 		alone := run.f.Record.Now()
 		rig.Pass(t.Context(), without)
 		served(t, run, alone, 3)
 		for i := range 3 {
-			check(t, run.f.Begin(i))
+			rigtest.Check(t, run.f.Begin(i))
 		}
 		eventually(t, "renewed rights", func() bool { return renewed(t, run.f, 3) })
 	})
@@ -277,7 +251,7 @@
 	run := fleet(t, rig.Options{Instances: 4, Seed: 9}, func(int) string { return "slow=budgets-begin:" + without.String() + "@slow" })
 	play(t, run, func() {
 		for i := range run.f.Gateways {
-			check(t, os.WriteFile(filepath.Join(run.f.Gateways[i].Dir(), "slow"), nil, 0o600))
+			rigtest.Check(t, os.WriteFile(filepath.Join(run.f.Gateways[i].Dir(), "slow"), nil, 0o600))
 		}
 		from := ownerOf(t, run)
 		to := (from + 1) % 4
@@ -299,7 +273,7 @@
 		rig.Pass(t.Context(), without/2)
 		for i := range run.f.Gateways {
 			served(t, run, alone, i)
-			check(t, os.Remove(filepath.Join(run.f.Gateways[i].Dir(), "slow")))
+			rigtest.Check(t, os.Remove(filepath.Join(run.f.Gateways[i].Dir(), "slow")))
 		}
 		eventually(t, "renewed rights", func() bool {
 			for i := range run.f.Gateways {
@@ -321,14 +295,14 @@
 func TestFoldersOfLongBefore(t *testing.T) {
 	run := fleet(t, rig.Options{Instances: 4, Seed: 10}, nil)
 	voter := 1
-	check(t, run.f.Save(voter), run.f.Save(3))
+	rigtest.Check(t, run.f.Save(voter), run.f.Save(3))
 	play(t, run, func() {
 		for _, i := range []int{3, voter, 3} { // boots that the copies know nothing of
-			check(t, run.f.End(i, syscall.SIGKILL), run.f.Begin(i))
+			rigtest.Check(t, run.f.End(i, syscall.SIGKILL), run.f.Begin(i))
 			eventually(t, "rights", func() bool { return renewed(t, run.f, i) })
 		}
 		for _, i := range []int{voter, 3} {
-			check(t, run.f.End(i, syscall.SIGKILL), run.f.Restore(i), run.f.Begin(i))
+			rigtest.Check(t, run.f.End(i, syscall.SIGKILL), run.f.Restore(i), run.f.Begin(i))
 			eventually(t, "rights with the older folder", func() bool { return renewed(t, run.f, i) })
 		}
 		eventually(t, "the voter with the older folder says that it must not vote", func() bool {
@@ -345,7 +319,7 @@
 	play(t, run, func() {
 		i := ownerOf(t, run)
 		var here fleetnode.Here
-		check(t, run.f.Call(i, "here", &here))
+		rigtest.Check(t, run.f.Call(i, "here", &here))
 		holds := func() bool {
 			var books []budget.View
 			if run.f.Call((i+1)%4, "budgets", &books) != nil {
@@ -356,9 +330,9 @@
 			})
 		}
 		eventually(t, "parts of the owner's own", holds)
-		check(t, run.f.End(i, syscall.SIGTERM))
+		rigtest.Check(t, run.f.End(i, syscall.SIGTERM))
 		eventually(t, "nothing held by the one that left", func() bool { return !holds() })
-		check(t, run.f.Begin(i))
+		rigtest.Check(t, run.f.Begin(i))
 	})
 	kept(t, run)
 }
@@ -366,7 +340,7 @@
 // Many join within a second, and then all are replaced, some at a time and in any order. lab budgets --surge plays it with forty.
 func TestSurgeAndRollingReplacement(t *testing.T) {
 	run := fleet(t, rig.Options{Instances: 10, Voters: 3, Seed: 11}, nil)
-	play(t, run, func() { check(t, run.surge(t.Context(), 3, 2)) })
+	play(t, run, func() { rigtest.Check(t, run.surge(t.Context(), 3, 2)) })
 	fig := kept(t, run)
 	if fig.Broken[trial.Lost] > 0 {
 		t.Error("requests were lost")
@@ -385,7 +359,7 @@
 			if i%2 == 1 {
 				how = syscall.SIGKILL
 			}
-			check(t, run.f.End(i, how), run.f.Begin(i))
+			rigtest.Check(t, run.f.End(i, how), run.f.Begin(i))
 			eventually(t, "rights of a newcomer", func() bool { return len(rights(t, run.f, i).Held) > 0 })
 		}
 	})
@@ -433,7 +407,7 @@
 			p.Rate, p.Burst = p.Rate/4, p.Burst/4
 		}
 		for i := range 3 {
-			check(t, run.f.End(i, syscall.SIGTERM), run.f.Begin(i))
+			rigtest.Check(t, run.f.End(i, syscall.SIGTERM), run.f.Begin(i))
 		}
 		plans := map[float64]bool{}
 		for _, p := range run.f.Site.Plans {
--- a/internal/lab/held_test.go
+++ b/internal/lab/held_test.go
@@ -8,26 +8,33 @@
 	"time"
 )
 
-// Whoever shares the clients' socket may have it block: each start of another process beside a gateway does. A gateway that is told to
-// stop ends all the same, though nobody connects any more.
-func TestASocketThatBlocksHoldsNobodyUp(t *testing.T) {
+// testWorld is a world for a test, of a gateway that is built for it.
+func testWorld(t *testing.T, o Options) (*World, context.Context) {
+	t.Helper()
 	if !HasGo() {
 		t.Skip("no Go to build the gateway with")
 	}
 	t.Parallel()
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
-	defer cancel()
-	bin := ""
-	remove, err := buildIfNone(ctx, &bin)
+	t.Cleanup(cancel)
+	remove, err := buildIfNone(ctx, &o.Bin)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer remove()
-	w, err := NewWorld(ctx, Options{Seed: 1, Gateways: 1, Servers: 2, Load: 0.1, Bin: bin, Held: true, Log: io.Discard})
+	t.Cleanup(remove)
+	o.Log = io.Discard
+	w, err := NewWorld(ctx, o)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer w.Close()
+	t.Cleanup(w.Close)
+	return w, ctx
+}
+
+// Whoever shares the clients' socket may have it block: each start of another process beside a gateway does. A gateway that is told to
+// stop ends all the same, though nobody connects any more.
+func TestASocketThatBlocksHoldsNobodyUp(t *testing.T) {
+	w, ctx := testWorld(t, Options{Seed: 1, Gateways: 1, Servers: 2, Load: 0.1, Held: true})
 	g := w.Gateways[0]
 	for range 3 {
 		if err := syscall.SetNonblock(int(g.held.Fd()), false); err != nil {
--- a/internal/lab/still_test.go
+++ b/internal/lab/still_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"syscall"
 	"testing"
 	"time"
@@ -26,23 +25,7 @@
 
 // Gateways that lie stopped and wake send nothing on whose client waits no more: neither what lay in their sockets, nor what they had taken.
 func TestAWokenGatewaySendsOnNothingStale(t *testing.T) {
-	if !HasGo() {
-		t.Skip("no Go to build the gateway with")
-	}
-	t.Parallel()
-	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
-	defer cancel()
-	bin := ""
-	remove, err := buildIfNone(ctx, &bin)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer remove()
-	w, err := NewWorld(ctx, Options{Seed: 4, Gateways: 3, Servers: 6, Load: 0.55, Bin: bin, Log: io.Discard})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer w.Close()
+	w, ctx := testWorld(t, Options{Seed: 4, Gateways: 3, Servers: 6, Load: 0.55})
 	asking, over := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() {
--- a/internal/ownertrial/hard_test.go
+++ b/internal/ownertrial/hard_test.go
@@ -16,12 +16,13 @@
 	"mothcleat/agree"
 	"mothcleat/exports"
 	"mothcleat/internal/rig"
+	"mothcleat/internal/rig/rigtest"
 	"mothcleat/lease"
 )
 
 func status(t *testing.T, f *rig.Fleet, at int) (l agree.List) {
 	t.Helper()
-	eventually(t, "the status", func() (bool, string) { err := f.Call(at, "status", &l); return err == nil, fmt.Sprint(err) })
+	rigtest.Eventually(t, "the status", func() (bool, string) { err := f.Call(at, "status", &l); return err == nil, fmt.Sprint(err) })
 	return l
 }
 
@@ -39,12 +40,12 @@
 		t.Fatal(err)
 	}
 	at := another(f, i)
-	eventually(t, "another leader", func() (bool, string) {
+	rigtest.Eventually(t, "another leader", func() (bool, string) {
 		var l agree.List
 		err := f.Call(at, "status", &l)
 		return err == nil && l.Leader != rig.Name(i) && l.Leader != "", fmt.Sprintf("%+v %v", l, err)
 	})
-	eventually(t, "the full one says so", func() (bool, string) {
+	rigtest.Eventually(t, "the full one says so", func() (bool, string) {
 		var h struct{ Trouble string }
 		err := f.Call(i, "here", &h)
 		return err == nil && h.Trouble != "", fmt.Sprint(h, err)
@@ -56,7 +57,7 @@
 	if err := unix.Prlimit(f.Gateways[i].PID(), unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: unix.RLIM_INFINITY, Max: unix.RLIM_INFINITY}, nil); err != nil {
 		t.Fatal(err)
 	}
-	eventually(t, "it takes part again", func() (bool, string) {
+	rigtest.Eventually(t, "it takes part again", func() (bool, string) {
 		var h struct {
 			Trouble string
 			Leader  string
@@ -74,7 +75,7 @@
 	i, h := hasOwner(t, f, 0, duty, 0)
 	to := another(f, i, 0)
 	at := another(f, i, to)
-	eventually(t, "it takes part", func() (bool, string) {
+	rigtest.Eventually(t, "it takes part", func() (bool, string) {
 		for _, m := range status(t, f, at).Members {
 			if m.ID == rig.Name(to) {
 				return true, ""
@@ -85,11 +86,11 @@
 	if err := f.Stop(to); err != nil {
 		t.Fatal(err)
 	}
-	eventually(t, "the wish is heard", func() (bool, string) {
+	rigtest.Eventually(t, "the wish is heard", func() (bool, string) {
 		err := f.Call(at, fmt.Sprintf("transfer %s %s", duty, rig.Name(to)), nil)
 		return err == nil, fmt.Sprint(err)
 	})
-	eventually(t, "one that is awake owns it", func() (bool, string) {
+	rigtest.Eventually(t, "one that is awake owns it", func() (bool, string) {
 		j, next := owner(f, at, duty)
 		return j >= 0 && j != to && next.Term >= h.Term+2 && !next.Offered, fmt.Sprintf("%d %+v", j, next)
 	})
@@ -130,8 +131,8 @@
 	if err := f.Call(cut, "remove "+rig.Name(at), nil); err == nil {
 		t.Error("the side without a quorum removed a voter")
 	}
-	eventually(t, "the new voter is added", func() (bool, string) { err := f.Call(3, "add", nil); return err == nil, fmt.Sprint(err) })
-	eventually(t, "the cut one is removed", func() (bool, string) {
+	rigtest.Eventually(t, "the new voter is added", func() (bool, string) { err := f.Call(3, "add", nil); return err == nil, fmt.Sprint(err) })
+	rigtest.Eventually(t, "the cut one is removed", func() (bool, string) {
 		err := f.Call(at, "remove "+rig.Name(cut), nil)
 		return err == nil || strings.Contains(err.Error(), "no voter"), fmt.Sprint(err)
 	})
@@ -145,7 +146,7 @@
 		t.Errorf("voters %s", names)
 	}
 	// It goes on as a gateway with a session, and asks those that vote.
-	eventually(t, "the removed one hears the fleet", func() (bool, string) {
+	rigtest.Eventually(t, "the removed one hears the fleet", func() (bool, string) {
 		var l agree.List
 		err := f.Call(cut, "status", &l)
 		return err == nil && len(l.Voters) == 3, fmt.Sprint(err)
@@ -193,7 +194,7 @@
 	if want == 0 {
 		t.Fatal("nothing was sent on: nothing is shown")
 	}
-	eventually(t, fmt.Sprintf("the %g units of the one that was left", want), func() (bool, string) {
+	rigtest.Eventually(t, fmt.Sprintf("the %g units of the one that was left", want), func() (bool, string) {
 		v := view(t, f, 2)
 		return run.counted(&v)[2] == want, fmt.Sprint(run.counted(&v))
 	})
@@ -212,7 +213,7 @@
 		t.Fatal(err)
 	}
 	at := another(f, i)
-	eventually(t, "another leader", func() (bool, string) {
+	rigtest.Eventually(t, "another leader", func() (bool, string) {
 		var l agree.List
 		err := f.Call(at, "status", &l)
 		return err == nil && l.Leader != was.Leader && l.Leader != "" && l.Term > was.Term, fmt.Sprintf("%+v %v", l, err)
@@ -221,7 +222,7 @@
 	if err := f.Wake(i); err != nil {
 		t.Fatal(err)
 	}
-	eventually(t, "the woken one follows", func() (bool, string) {
+	rigtest.Eventually(t, "the woken one follows", func() (bool, string) {
 		var h struct {
 			Leader string
 			Leads  bool
@@ -269,7 +270,7 @@
 		return func() string { raw, _ := os.ReadFile(filepath.Join(dir, "log")); return string(raw) }
 	}
 	log := second(f.FleetDir(3))
-	eventually(t, "the second on one folder says so", func() (bool, string) {
+	rigtest.Eventually(t, "the second on one folder says so", func() (bool, string) {
 		return strings.Contains(log(), "this process does not take part"), log()
 	})
 	if strings.Contains(f.Gateways[3].Log(), "another process has taken the id") {
--- a/internal/ownertrial/owner_test.go
+++ b/internal/ownertrial/owner_test.go
@@ -19,6 +19,7 @@
 	"mothcleat/internal/fleetlink"
 	"mothcleat/internal/fleetnode"
 	"mothcleat/internal/rig"
+	"mothcleat/internal/rig/rigtest"
 	"mothcleat/internal/usecount"
 	"mothcleat/lease"
 	"mothcleat/standing"
@@ -32,39 +33,11 @@
 // fleet starts a fleet for a test.
 func fleet(t *testing.T, o rig.Options) *rig.Fleet {
 	t.Helper()
-	t.Parallel() // the tests mostly wait
 	o.Bin, o.Load = bin, 0.2
 	if o.Seed == 0 {
 		o.Seed = 1
 	}
-	f, err := rig.New(t.Context(), o)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		if t.Failed() {
-			for _, g := range f.Gateways {
-				log := g.Log()
-				t.Logf("%s:\n%s", rig.Name(g.Number), log[max(0, len(log)-3000):])
-			}
-		}
-		f.Close()
-	})
-	return f
-}
-
-// eventually waits for something, with a generous deadline.
-func eventually(t *testing.T, what string, is func() (bool, string)) {
-	t.Helper()
-	last := ""
-	for deadline := time.Now().Add(40 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
-		ok, state := is()
-		if ok {
-			return
-		}
-		last = state
-	}
-	t.Fatalf("not in time: %s; last: %s", what, last)
+	return rigtest.Fleet(t, o)
 }
 
 // owner is who holds a duty by the agreed table, asked at a gateway; -1: nobody.
@@ -86,7 +59,7 @@
 // time stands still.
 func hasOwner(t *testing.T, f *rig.Fleet, at int, duty string, but uint64) (i int, h lease.Holding) {
 	t.Helper()
-	eventually(t, "an owner of "+duty, func() (bool, string) {
+	rigtest.Eventually(t, "an owner of "+duty, func() (bool, string) {
 		var here fleetnode.Here
 		if i, h = owner(f, at, duty); i < 0 || h.Term <= but {
 			return false, fmt.Sprintf("%d %+v", i, h)
@@ -99,7 +72,7 @@
 
 func view(t *testing.T, f *rig.Fleet, at int) (v exports.View) {
 	t.Helper()
-	eventually(t, "the exports", func() (bool, string) {
+	rigtest.Eventually(t, "the exports", func() (bool, string) {
 		err := f.Call(at, "exports", &v)
 		return err == nil, fmt.Sprint(err)
 	})
@@ -144,7 +117,7 @@
 
 func logged(t *testing.T, f *rig.Fleet, i int, what string) {
 	t.Helper()
-	eventually(t, rig.Name(i)+" logs "+what, func() (bool, string) {
+	rigtest.Eventually(t, rig.Name(i)+" logs "+what, func() (bool, string) {
 		return strings.Contains(f.Gateways[i].Log(), what), ""
 	})
 }
@@ -169,7 +142,7 @@
 		t.Fatal("nothing was sent on: nothing is shown")
 	}
 	var v exports.View
-	eventually(t, fmt.Sprintf("%g units exported", want), func() (bool, string) {
+	rigtest.Eventually(t, fmt.Sprintf("%g units exported", want), func() (bool, string) {
 		if f.Call(at, "exports", &v) != nil {
 			return false, "nobody tells"
 		}
@@ -204,11 +177,11 @@
 		defer close(asked)
 		traffic(t, f, 2*time.Second)
 	}()
-	eventually(t, "the owner stops itself", func() (bool, string) { return f.Stopped(i), "" })
+	rigtest.Eventually(t, "the owner stops itself", func() (bool, string) { return f.Stopped(i), "" })
 	at := another(f, i)
 	_, next := hasOwner(t, f, at, duty, h.Term)
 	before := view(t, f, at)
-	eventually(t, "the next owner exports", func() (bool, string) {
+	rigtest.Eventually(t, "the next owner exports", func() (bool, string) {
 		v := view(t, f, at)
 		return v.Count > before.Count && v.Files[len(v.Files)-1].Term == next.Term, ""
 	})
@@ -228,7 +201,7 @@
 	run := &trialRun{f: f, o: Options{Instances: 4, Shards: 1}}
 	for _, says := range []bool{true, false} {
 		var i int
-		eventually(t, "a leader", func() (bool, string) { i = run.leader(); return i >= 0, "" })
+		rigtest.Eventually(t, "a leader", func() (bool, string) { i = run.leader(); return i >= 0, "" })
 		var was agree.List
 		if err := run.view("status", &was); err != nil {
 			t.Fatal(err)
@@ -236,7 +209,7 @@
 		held := f.Held()
 		f.Isolate(i, says, !says, true)
 		at := another(f, i)
-		eventually(t, "another leader", func() (bool, string) {
+		rigtest.Eventually(t, "another leader", func() (bool, string) {
 			var l agree.List
 			err := f.Call(at, "status", &l)
 			return err == nil && l.Leader != rig.Name(i) && l.Leader != "" && l.Term > was.Term, fmt.Sprintf("%+v %v", l, err)
@@ -246,7 +219,7 @@
 			t.Error("the cut met nothing: nothing was shown")
 		}
 		f.Isolate(i, says, !says, false)
-		eventually(t, "the cut one follows", func() (bool, string) {
+		rigtest.Eventually(t, "the cut one follows", func() (bool, string) {
 			var h struct{ Leader string }
 			err := f.Call(i, "here", &h)
 			return err == nil && h.Leader != "" && h.Leader != rig.Name(i), fmt.Sprint(h, err)
@@ -271,7 +244,7 @@
 	}
 	logged(t, f, 2, "must not vote: the operators' file names this gateway as a voter, but its folder is no voter's")
 	// The way out that the lines tell: removed, made anew, added.
-	eventually(t, "it is removed", func() (bool, string) {
+	rigtest.Eventually(t, "it is removed", func() (bool, string) {
 		err := f.Call(0, "remove n2", nil)
 		return err == nil || strings.Contains(err.Error(), "no voter"), fmt.Sprint(err)
 	})
@@ -282,8 +255,8 @@
 		f.Command(2, nil, "fleet", "join", "n2", "--operators", "operators.toml"), f.Begin(2)); err != nil {
 		t.Fatal(err)
 	}
-	eventually(t, "it is added", func() (bool, string) { err := f.Call(2, "add", nil); return err == nil, fmt.Sprint(err) })
-	eventually(t, "it votes and is up to date", func() (bool, string) {
+	rigtest.Eventually(t, "it is added", func() (bool, string) { err := f.Call(2, "add", nil); return err == nil, fmt.Sprint(err) })
+	rigtest.Eventually(t, "it votes and is up to date", func() (bool, string) {
 		var l agree.List
 		var h struct{ Applied uint64 }
 		err := errors.Join(f.Call(0, "status", &l), f.Call(2, "here", &h))
@@ -295,7 +268,7 @@
 	}
 	_, h := hasOwner(t, f, 0, exports.Duty(0), 0)
 	if err := f.Call(0, "transfer "+h.Duty+" n3", nil); err != nil && h.Owner.ID != "n3" {
-		eventually(t, "something is agreed", func() (bool, string) {
+		rigtest.Eventually(t, "something is agreed", func() (bool, string) {
 			err := f.Call(0, "transfer "+h.Duty+" n3", nil)
 			return err == nil || strings.Contains(err.Error(), "already"), fmt.Sprint(err)
 		})
@@ -362,7 +335,7 @@
 		i, h := hasOwner(t, f, 0, duty, 0)
 		traffic(t, f, time.Second)
 		to := (i + 1) % 4
-		eventually(t, "the duty is handed on", func() (bool, string) {
+		rigtest.Eventually(t, "the duty is handed on", func() (bool, string) {
 			_ = f.Call(0, fmt.Sprintf("transfer %s %s", duty, rig.Name(to)), nil)
 			j, next := owner(f, 0, duty)
 			return j >= 0 && next.Term > h.Term, fmt.Sprintf("%d %+v", j, next)
@@ -382,7 +355,7 @@
 	}
 	flag(t, f, i, "slow")
 	at := another(f, i)
-	eventually(t, "another leader", func() (bool, string) {
+	rigtest.Eventually(t, "another leader", func() (bool, string) {
 		var l agree.List
 		err := f.Call(at, "status", &l)
 		return err == nil && l.Leader != rig.Name(i) && l.Leader != "", fmt.Sprintf("%+v %v", l, err)
@@ -390,7 +363,7 @@
 	if err := os.Remove(filepath.Join(f.Gateways[i].Dir(), "slow")); err != nil {
 		t.Fatal(err)
 	}
-	eventually(t, "the slow one follows", func() (bool, string) {
+	rigtest.Eventually(t, "the slow one follows", func() (bool, string) {
 		var h struct{ Leader, Trouble string }
 		err := f.Call(i, "here", &h)
 		return err == nil && h.Leader != "" && h.Trouble == "", fmt.Sprint(h, err)
@@ -444,7 +417,7 @@
 	if err := errors.Join(f.End(3, syscall.SIGKILL), f.Empty(3), f.Begin(3)); err != nil {
 		t.Fatal(err)
 	}
-	eventually(t, "the gap of boot "+boot, func() (bool, string) {
+	rigtest.Eventually(t, "the gap of boot "+boot, func() (bool, string) {
 		for _, m := range view(t, f, at).Marks {
 			if m.Boot == boot && m.Gap != "" {
 				return true, ""
--- a/internal/ownertrial/watch_test.go
+++ b/internal/ownertrial/watch_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"mothcleat/internal/rig"
+	"mothcleat/internal/rig/rigtest"
 	"mothcleat/roster"
 )
 
@@ -33,7 +34,7 @@
 	i, h := hasOwner(t, f, 0, roster.Duty, 0)
 	only := func() {
 		t.Helper()
-		eventually(t, "the owner alone asks its agent", func() (bool, string) {
+		rigtest.Eventually(t, "the owner alone asks its agent", func() (bool, string) {
 			was, h := owner(f, 3, roster.Duty)
 			since := time.Now()
 			time.Sleep(2500 * time.Millisecond) // longer than a query waits
@@ -102,7 +103,7 @@
 	}
 	since := time.Now()
 	logged(t, f, 3, "this gateway watches the register itself")
-	eventually(t, "it asks its agent", func() (bool, string) { n := calls(f, since); return n[3] > 0, fmt.Sprint(n) })
+	rigtest.Eventually(t, "it asks its agent", func() (bool, string) { n := calls(f, since); return n[3] > 0, fmt.Sprint(n) })
 	for k := range 3 {
 		if err := f.Begin(k); err != nil {
 			t.Fatal(err)
--- a/internal/recorder/cells.go
+++ b/internal/recorder/cells.go
@@ -3,17 +3,12 @@
 import (
 	"encoding/binary"
 	"encoding/json"
-	"errors"
-	"fmt"
-	"io/fs"
 	"math"
-	"os"
 	"sync/atomic"
 	"unsafe"
 
-	"golang.org/x/sys/unix"
-
 	"mothcleat/chronicle"
+	"mothcleat/internal/mapped"
 )
 
 // cells are a file mapped into memory in which one goroutine counts: a cell for each set of versions, one after another. What was
@@ -44,32 +39,10 @@
 )
 
 func openCells(path string) (c *cells, before uint64, err error) {
-	f, err := os.OpenFile(path, os.O_RDWR, 0)
-	if errors.Is(err, fs.ErrNotExist) {
-		f, err = os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
-	}
-	if err != nil {
-		return nil, 0, err
-	}
-	defer f.Close() // the mapping stays
-	info, err := f.Stat()
+	memory, fresh, err := mapped.Open(path, cellsBytes)
 	if err != nil {
 		return nil, 0, err
 	}
-	fresh := info.Size() != cellsBytes
-	if fresh {
-		// All of it is written now: a full disk must not show when something is counted.
-		if err = f.Truncate(0); err == nil {
-			_, err = f.WriteAt(make([]byte, cellsBytes), 0)
-		}
-		if err != nil {
-			return nil, 0, fmt.Errorf("%s: %w", path, err)
-		}
-	}
-	memory, err := unix.Mmap(int(f.Fd()), 0, cellsBytes, unix.PROT_READ|unix.PROT_WRITE, unix.MAP_SHARED)
-	if err != nil {
-		return nil, 0, fmt.Errorf("%s: %w", path, err)
-	}
 	c = &cells{memory: memory, boot: (*uint64)(unsafe.Pointer(&memory[8])), begun: (*atomic.Uint64)(unsafe.Pointer(&memory[16]))}
 	if !fresh && binary.NativeEndian.Uint64(memory) == cellsMagic {
 		before = *c.boot
@@ -120,4 +93,4 @@
 	return all
 }
 
-func (c *cells) close() error { return unix.Munmap(c.memory) }
+func (c *cells) close() error { return mapped.Close(c.memory) }
--- /dev/null
+++ b/internal/rig/rigtest/rigtest.go
@@ -0,0 +1,53 @@
+// Package rigtest has what the tests of all trials need that start several processes.
+package rigtest
+
+import (
+	"testing"
+	"time"
+
+	"mothcleat/internal/rig"
+)
+
+// Fleet starts a fleet for a test, beside others, and ends it with the test. What the gateways logged last is told if the test fails.
+func Fleet(t *testing.T, o rig.Options) *rig.Fleet {
+	t.Helper()
+	t.Parallel() // the tests mostly wait
+	f, err := rig.New(t.Context(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			for _, g := range f.Gateways {
+				log := g.Log()
+				t.Logf("%s:\n%s", rig.Name(g.Number), log[max(0, len(log)-4000):])
+			}
+		}
+		f.Close()
+	})
+	return f
+}
+
+// Eventually waits for something, with a generous deadline. What is told with a no is told if it never comes.
+func Eventually(t *testing.T, what string, is func() (bool, string)) {
+	t.Helper()
+	last := ""
+	for deadline := time.Now().Add(40 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		ok, state := is()
+		if ok {
+			return
+		}
+		last = state
+	}
+	t.Fatalf("not in time: %s; last: %s", what, last)
+}
+
+// Check fails the test at the first error.
+func Check(t *testing.T, errs ...error) {
+	t.Helper()
+	for _, err := range errs {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/internal/usecount/ring.go
+++ b/internal/usecount/ring.go
@@ -2,15 +2,11 @@
 
 import (
 	"encoding/binary"
-	"errors"
-	"fmt"
-	"io/fs"
 	"math"
-	"os"
 	"sync/atomic"
 	"unsafe"
 
-	"golang.org/x/sys/unix"
+	"mothcleat/internal/mapped"
 )
 
 // ring is a file mapped into memory to which one goroutine adds what is sent on, and from which another
@@ -35,33 +31,10 @@
 
 // openRing maps a ring's file, made where there is none. before is the boot that added to it last, and how many.
 func openRing(path string) (r *ring, before uint64, added uint64, err error) {
-	f, err := os.OpenFile(path, os.O_RDWR, 0)
-	if errors.Is(err, fs.ErrNotExist) {
-		f, err = os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
-	}
-	if err != nil {
-		return nil, 0, 0, err
-	}
-	defer f.Close() // the mapping stays
-	const bytes = ringHead + ringRecords*recordBytes
-	info, err := f.Stat()
+	memory, fresh, err := mapped.Open(path, ringHead+ringRecords*recordBytes)
 	if err != nil {
 		return nil, 0, 0, err
 	}
-	fresh := info.Size() != bytes
-	if fresh {
-		// All of it is written now: a full disk must not show when a record is added.
-		if err = f.Truncate(0); err == nil {
-			_, err = f.WriteAt(make([]byte, bytes), 0)
-		}
-		if err != nil {
-			return nil, 0, 0, fmt.Errorf("%s: %w", path, err)
-		}
-	}
-	memory, err := unix.Mmap(int(f.Fd()), 0, bytes, unix.PROT_READ|unix.PROT_WRITE, unix.MAP_SHARED)
-	if err != nil {
-		return nil, 0, 0, fmt.Errorf("%s: %w", path, err)
-	}
 	r = &ring{memory: memory, size: ringRecords}
 	r.boot = (*uint64)(unsafe.Pointer(&memory[8]))
 	r.added = (*atomic.Uint64)(unsafe.Pointer(&memory[16]))
@@ -98,4 +71,4 @@
 	return binary.NativeEndian.Uint64(at), math.Float64frombits(binary.NativeEndian.Uint64(at[8:]))
 }
 
-func (r *ring) close() error { return unix.Munmap(r.memory) }
+func (r *ring) close() error { return mapped.Close(r.memory) }
