versions: what a gateway says of an older version takes back no refusal

The refusal now goes only with a report of its number or a later one, and a process marks the digest as told that it told of, not the one that is its target by then. A test in versions/ fails without the first.

lab audit tells in_force of those to which nothing was done.

--- a/internal/audittrial/hard_test.go
+++ b/internal/audittrial/hard_test.go
@@ -162,6 +162,7 @@
 		at := (i + 1) % 4
 		number := proposed(t, f, at, versions.One, plansText(f.Site, 0.7))
 		rigtest.Eventually(t, "the guide stops itself", func() (bool, string) { return f.Stopped(i), "" })
+		f.Record.AddLife(i, trial.Paused)
 		guide(t, f, term)
 		rigtest.Eventually(t, "another has it go on", func() (bool, string) {
 			v, err := agreed(f, at)
--- a/internal/audittrial/run.go
+++ b/internal/audittrial/run.go
@@ -32,7 +32,10 @@
 	Bin       string // built with the tag faults; "": it is built
 }
 
-const voters = 3
+const (
+	voters = 3
+	seen   = 100 * time.Millisecond // how often what is agreed is looked at
+)
 
 // Run plays a fleet that is given versions of its plans amid faults, and beside it the same traffic and versions without any.
 func Run(ctx context.Context, o Options, progress io.Writer) (*trial.Figures, error) {
@@ -78,6 +81,7 @@
 	mu      sync.Mutex
 	all     map[uint64]change
 	ended   map[uint64]time.Duration // when it was seen that nobody may act on a version any more
+	whole   map[uint64]time.Duration // when a version was seen to be for all
 	calls   int
 	refused int // of proposals, while another roll-out is under way or nobody is to be asked
 	drawn   int // withdrawn
@@ -92,7 +96,7 @@
 		return nil, err
 	}
 	defer f.Close()
-	c := &course{o: o, f: f, all: map[uint64]change{1: {to: 1 << 62, factor: 1}}, ended: map[uint64]time.Duration{}, behind: map[string]bool{},
+	c := &course{o: o, f: f, all: map[uint64]change{1: {to: 1 << 62, factor: 1}}, ended: map[uint64]time.Duration{}, whole: map[uint64]time.Duration{}, behind: map[string]bool{},
 		harm: &rig.Harm{Fleet: f, Seed: o.Seed, Voters: min(voters, o.Instances), Stops: 3 * Span, Progress: progress}}
 	c.harm.Likely = func(*rand.Rand) int { return c.guide() }
 	if err := c.settled(ctx); err != nil {
@@ -223,7 +227,7 @@
 // watch notes when versions end, and who is behind.
 func (c *course) watch(ctx context.Context) {
 	r := rand.New(rand.NewPCG(c.o.Seed, 0xae))
-	for rig.Pass(ctx, 100*time.Millisecond) {
+	for rig.Pass(ctx, seen) {
 		c.look(c.someone(r))
 	}
 }
@@ -238,6 +242,9 @@
 	defer c.mu.Unlock()
 	c.heads = v.Heads
 	for _, one := range v.Versions {
+		if _, ok := c.whole[one.Number]; !ok && one.State == versions.Whole && now > seen {
+			c.whole[one.Number] = now - seen // it was by then, or a little later
+		}
 		if _, ok := c.ended[one.Number]; !ok && one.Until != 0 && v.At >= one.Until {
 			c.ended[one.Number] = now
 			if k, ok := c.all[one.Number]; ok {
@@ -273,7 +280,7 @@
 			return fig, err
 		}
 	}
-	logs, shut, let, perGateway := map[int][]span{}, 0, 0, []time.Duration{}
+	logs, shut, let, perGateway, hearing := map[int][]span{}, 0, 0, []time.Duration{}, []time.Duration{}
 	broken := func(rule string, n int, format string, args ...any) {
 		if fig.Broken[trial.Rule(rule)] += n; n > 0 {
 			fig.Miss(rule + ": " + fmt.Sprintf(format, args...))
@@ -302,6 +309,10 @@
 			if k, ok := c.all[s.number]; ok && s.number > 1 && s.from > k.from && k.from > 0 {
 				perGateway = append(perGateway, s.from-k.from)
 			}
+			// Of those that hear: nothing was done to them since, nor so shortly before that they may have been shut out.
+			if at, ok := c.whole[s.number]; ok && s.from > at && !c.harm.Befell(i, at-2*Span, s.from) {
+				hearing = append(hearing, s.from-at)
+			}
 		}
 		if c.o.Logs != "" {
 			_ = os.WriteFile(fmt.Sprintf("%s/%s.log", c.o.Logs, rig.Name(i)), []byte(g.Log()), 0o600)
@@ -340,6 +351,7 @@
 	fig.Extra["rollouts"], fig.Extra["withdrawn"], fig.Extra["proposals_refused"] = len(c.all)-1, c.drawn, c.refused
 	fig.Extra["brought_up"], fig.Extra["shut_out"], fig.Extra["let_back"] = c.brought, shut, let
 	fig.Extra["in_force_ms_p50"], fig.Extra["in_force_ms_p99"] = trial.Quantile(perGateway, 0.5), trial.Quantile(perGateway, 0.99)
+	fig.Extra["in_force_hearing_ms_p50"], fig.Extra["in_force_hearing_ms_p99"] = trial.Quantile(hearing, 0.5), trial.Quantile(hearing, 0.99)
 	fig.Extra["entries"], fig.Extra["stretches"], fig.Extra["gaps"], fig.Extra["untaken"], fig.Extra["late_writes"] = len(all), len(rows), len(gaps), untaken, late
 	for _, k := range []string{"stops", "cuts", "kills", "leaves", "joins"} {
 		fig.Extra[k] = c.harm.Did(k)
--- a/internal/rig/harm.go
+++ b/internal/rig/harm.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -27,9 +28,23 @@
 	mu   sync.Mutex
 	did  map[string]int
 	busy map[int]bool
+	done []harmed
 	errs []error
 }
 
+// harmed is when something was done to a gateway.
+type harmed struct {
+	gateway  int
+	from, to time.Duration
+}
+
+// Befell tells whether something was done to a gateway in a time.
+func (h *Harm) Befell(i int, from, to time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.ContainsFunc(h.done, func(d harmed) bool { return d.gateway == i && d.from < to && d.to > from })
+}
+
 // Kind is one thing that is done to a gateway, from beginning to end.
 type Kind func(ctx context.Context, r *rand.Rand, i int)
 
@@ -99,8 +114,9 @@
 						return
 					}
 					if i := h.pick(r); i >= 0 {
+						began := h.Fleet.Record.Now()
 						kind(ctx, r, i)
-						h.free(i)
+						h.free(i, began)
 					}
 				}
 			}
@@ -132,9 +148,10 @@
 	return i
 }
 
-func (h *Harm) free(i int) {
+func (h *Harm) free(i int, began time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.done = append(h.done, harmed{i, began, h.Fleet.Record.Now()})
 	h.busy[i] = false
 }
 
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -413,6 +413,7 @@
 func (a *Agent) reporting(ctx context.Context) {
 	each(ctx, a.rules.Every/4, func() {
 		var ops []versions.Op
+		refuses := map[string]string{} // digests, by item
 		a.mu.Lock()
 		for name, number := range a.holder.InForce() {
 			target := a.holder.Target(name)
@@ -421,6 +422,7 @@
 			}
 			if why := a.holder.Refused(name, target.Digest); why != "" && !a.refused[target.Digest] {
 				ops = append(ops, versions.Op{Do: "report", Item: name, Number: target.Number, Refused: true, Why: why})
+				refuses[name] = target.Digest
 			}
 		}
 		a.mu.Unlock()
@@ -432,7 +434,7 @@
 			case err != nil:
 				a.log.Debug("fleet: versions: a report was not taken", "item", op.Item, "error", err)
 			case op.Refused:
-				a.refused[a.holder.Target(op.Item).Digest] = true
+				a.refused[refuses[op.Item]] = true
 			default:
 				a.told[op.Item] = max(a.told[op.Item], op.Number)
 			}
--- a/versions/machine.go
+++ b/versions/machine.go
@@ -180,7 +180,9 @@
 			s.Refused[op.Item] = Refusal{op.Number, cut(op.Why)}
 		} else if op.Number >= s.InForce[op.Item] {
 			s.InForce[op.Item], s.At = op.Number, at
-			delete(s.Refused, op.Item)
+			if s.Refused[op.Item].Number <= op.Number { // what it says of an older one takes nothing back
+				delete(s.Refused, op.Item)
+			}
 		}
 		return 0, nil
 	case "head":
--- a/versions/versions_test.go
+++ b/versions/versions_test.go
@@ -97,6 +97,8 @@
 	must(t, do(t, m, 0, a, Op{Do: "here"}))
 	must(t, do(t, m, 0, a, Op{Do: "propose", Item: "plans", Digest: one, Stage: One, Pilots: []string{"a"}}))
 	must(t, do(t, m, 1, a, Op{Do: "report", Item: "plans", Number: 2, Refused: true, Why: "no such plan"}))
+	// It says that it acts on what is for all: that takes nothing back.
+	must(t, do(t, m, 1, a, Op{Do: "report", Item: "plans", Number: 1}))
 	view := m.View(2)
 	ops := Guide(r, 1, &view)
 	if len(ops) != 1 || ops[0].Do != "hold" || !strings.Contains(ops[0].Why, "no such plan") {
