--- a/internal/lab/front.go
+++ b/internal/lab/front.go
@@ -290,6 +290,7 @@
 	wg    sync.WaitGroup
 	ids   atomic.Uint64
 	seed  uint64
+	runs  uint64 // added to the seed
 
 	asked, served, open atomic.Int64
 }
@@ -305,11 +306,14 @@
 func (c *Clients) Run(ctx context.Context) {
 	// What is out when the asking ends still has its time.
 	tries, cancel := context.WithCancel(context.Background())
+	// Clients that are run once more ask for other things: the same keys again, after their time, would be other effects.
+	seed := c.seed + c.runs
+	c.runs += 1 << 32
 	for i := range c.site.Customers {
 		c.wg.Add(1)
 		go func() {
 			defer c.wg.Done()
-			c.ask(ctx, tries, i)
+			c.ask(ctx, tries, seed, i)
 		}()
 	}
 	c.wg.Wait()
@@ -318,8 +322,8 @@
 }
 
 // ask sends one customer's requests.
-func (c *Clients) ask(ctx, tries context.Context, number int) {
-	traffic := c.site.Traffic(c.seed, number)
+func (c *Clients) ask(ctx, tries context.Context, seed uint64, number int) {
+	traffic := c.site.Traffic(seed, number)
 	for {
 		select {
 		case <-ctx.Done():
