Reread: the loop's turn is noted once; versions is shown as all else is

The loop took note of its turn before each event and again behind it, a clock read more for each event: now with each event and each timer that fires, which sees the same leaps. mothcleat fleet versions wrote again what asking does for the other commands.

--- a/cmd/mothcleat/fleetcommands.go
+++ b/cmd/mothcleat/fleetcommands.go
@@ -78,7 +78,7 @@
 		}
 		return nil
 	}
-	c.AddCommand(versionCommands(&address, &plain, out)...)
+	c.AddCommand(versionCommands(asking("versions", "what the fleet acts on, stage by stage, and who is behind", 0, showVersions), &address, &plain, out)...)
 	c.AddCommand(budgets,
 		asking("rights", "what the gateway at the door may use of the quotas, and what it divides", 0, nil),
 		asking("here", "what the gateway at the door knows of itself", 0, nil),
--- a/cmd/mothcleat/fleetversions.go
+++ b/cmd/mothcleat/fleetversions.go
@@ -22,8 +22,8 @@
 	"mothcleat/versions"
 )
 
-// versionCommands are about what the fleet acts on.
-func versionCommands(address *string, plain *bool, out io.Writer) []*cobra.Command {
+// versionCommands are about what the fleet acts on; show is the one that tells of it.
+func versionCommands(show *cobra.Command, address *string, plain *bool, out io.Writer) []*cobra.Command {
 	call := func(words ...string) error {
 		raw, err := callDoor(*address, "fleet versions "+strings.Join(words, " "))
 		if err != nil {
@@ -32,17 +32,6 @@
 		_, err = fmt.Fprintf(out, "%s\n", raw)
 		return err
 	}
-	show := &cobra.Command{Use: "versions", Short: "what the fleet acts on, stage by stage, and who is behind", Args: exactly(0), RunE: func(*cobra.Command, []string) error {
-		raw, err := callDoor(*address, "fleet versions")
-		if err != nil {
-			return err
-		}
-		if *plain {
-			_, err = fmt.Fprintf(out, "%s\n", raw)
-			return err
-		}
-		return showVersions(raw, out)
-	}}
 	var stage string
 	var lead time.Duration
 	propose := &cobra.Command{Use: "propose ITEM FILE", Short: "have the fleet act on a file that the gateway at the door can read", Args: exactly(2),
@@ -261,12 +250,11 @@
 	return nil
 }
 
-func showVersions(raw []byte, out io.Writer) error {
+func showVersions(raw []byte, w io.Writer) error {
 	var v fleetnode.Versions
 	if err := json.Unmarshal(raw, &v); err != nil {
 		return err
 	}
-	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprint(w, "ITEM\tNUMBER\tSTATE\tSTAGE\tAGREED\tDIGEST\tACTED ON\tWHY\n")
 	for _, one := range v.Versions {
 		acted := "yes"
@@ -293,5 +281,5 @@
 		fmt.Fprintf(w, "\nshut out by hand: %s, %s ago: %s", s.ID, seconds(v.At-s.At), s.Why)
 	}
 	fmt.Fprintln(w)
-	return w.Flush()
+	return nil
 }
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -107,7 +107,6 @@
 // run handles events until the gateway has ended.
 func (l *Loop) run() {
 	for !l.done {
-		l.turn()
 		l.fire()
 		// Discovery first: work queued before a drain was told must not be sent
 		// on after its grace.
@@ -124,6 +123,7 @@
 			l.handle(e)
 		case <-l.timer.C:
 			l.armed = 0
+			l.turn()
 		}
 	}
 }
