gateway: what waits for a connection ends with its client, and so does a half-written rest

Change: a request knows its attempts without an outcome. When it needs no answer any more (its client left, another answer, the backstop, the end) those that wait end at once as Moot, and a partly written one with its connection, as Cancelled. Their places at the module and in the queue for dials come back then and not with the dial.

Ruled out by reading: a request that waits for its home's word or an authenticator (both look it up anew), and a retry (the module sends none once Over).

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -468,14 +468,37 @@
 		return
 	}
 	if a.conn == nil {
-		b := l.backends.byNumber[a.backend]
-		b.waiting = slices.DeleteFunc(b.waiting, func(w *attempt) bool { return w == a })
-		l.finish(a, decide.Moot, nil)
+		l.backends.unwait(l, a)
 		return
 	}
+	l.backends.cut(l, a, decide.TimedOut)
+}
+
+// withdraw ends an attempt whose request needs no answer any more, if a backend has not got it whole:
+// one that waits for a connection is not sent, and the last byte of one that is partly written does
+// not come. What has got there goes on till it is answered, or its time is up.
+func (bs *backends) withdraw(l *Loop, a *attempt) {
+	switch {
+	case a.ended:
+	case a.conn == nil:
+		bs.unwait(l, a)
+	case !a.conn.out.idle():
+		bs.cut(l, a, decide.Cancelled) // its last byte may have gone this very moment
+	}
+}
+
+// unwait ends an attempt that waits for a connection.
+func (bs *backends) unwait(l *Loop, a *attempt) {
+	b := bs.byNumber[a.backend]
+	b.waiting = slices.DeleteFunc(b.waiting, func(w *attempt) bool { return w == a })
+	l.finish(a, decide.Moot, nil)
+}
+
+// cut ends an attempt with its connection.
+func (bs *backends) cut(l *Loop, a *attempt, result decide.Result) {
 	a.conn.a = nil
-	l.backends.close(a.conn)
-	l.finish(a, decide.TimedOut, nil)
+	bs.close(a.conn)
+	l.finish(a, result, nil)
 }
 
 // finish ends an attempt: the first call counts, and brings its one outcome.
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -225,7 +225,7 @@
 	l.granted(r)
 	a := &attempt{r: r, number: r.attempts, sent: l.now(), until: until}
 	r.attempts++
-	r.out++
+	r.out = append(r.out, a)
 	l.backends.start(l, a, backend)
 }
 
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"mothcleat/decide"
@@ -16,8 +17,8 @@
 	args     [][]byte
 	wait     [2]int // where the value of d stands in the list of fields
 	deadline decide.Time
-	attempts int // made so far
-	out      int // of those, without an outcome
+	attempts int        // made so far
+	out      []*attempt // of those, without an outcome
 	answered bool
 	long     *longValue // is its answer, in place of a reply; nil: none
 	reply    []byte     // waits in the client's line for its turn
@@ -62,11 +63,15 @@
 	l.forget(r)
 }
 
-// close takes note that a request has its final answer, or needs none any more.
+// close takes note that a request has its final answer, or needs none any more: what of it has not
+// reached a backend by now stays here.
 func (l *Loop) close(r *request) {
 	r.answered = true
 	l.open--
 	l.settled(r)
+	for _, a := range r.out {
+		l.backends.withdraw(l, a)
+	}
 }
 
 // settled takes note that nothing is to be done for a request's answer any more.
@@ -81,7 +86,7 @@
 
 // forget drops a request that nothing waits for any more.
 func (l *Loop) forget(r *request) {
-	if r.answered && r.out == 0 && r.long == nil && l.requests[r.id] == r {
+	if r.answered && len(r.out) == 0 && r.long == nil && l.requests[r.id] == r {
 		delete(l.requests, r.id)
 		l.held -= size(r.args)
 	}
@@ -123,7 +128,7 @@
 		l.module.Probed(l.now(), o.a.backend, o.result, o.load)
 		return
 	}
-	r.out--
+	r.out = slices.DeleteFunc(r.out, func(a *attempt) bool { return a == o.a })
 	if o.result == decide.OK && !r.answered {
 		l.answer(r, resp.AppendBulk(make([]byte, 0, len(o.value)+16), o.value))
 	}
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -249,12 +249,16 @@
 }
 
 // begin starts a gateway and waits until it is ready.
-func begin(t testing.TB, cfg Config) *rig {
+func begin(t testing.TB, cfg Config) *rig { return beginWith(t, cfg, func(*Loop) {}) }
+
+// beginWith is begin, with the loop as a test wants it.
+func beginWith(t testing.TB, cfg Config, prepare func(*Loop)) *rig {
 	t.Helper()
 	l, err := newLoop(cfg, quiet())
 	if err != nil {
 		t.Fatal(err)
 	}
+	prepare(l)
 	r := &rig{addr: l.clients.listener.Addr().String(), loop: l, stopped: make(chan struct{}), ended: make(chan struct{}),
 		reload: make(chan struct{}), configs: make(chan func() (Config, error), 1)}
 	control := Control{Stop: r.stopped, Reload: r.reload, Read: func() (Config, error) { return (<-r.configs)() }}
