gateway: the end of a process follows its settings and drops nothing that was taken

With a longest one of 0.4 s SIGKILL may come at 1.1 s: what came late on an open connection was lost. A connection now ends once its reader stands between two commands; eviction passes over those with commands that were read. - The listener closed over its backlog, and one accepted at that moment was ended unread. The machine had taken both. What lies there is accepted first, and answered (TestStopTakesWhatLiesInTheBacklog). TestConnectionAcceptedAtTheCloseIsEnded asked that such a connection ends; now it asks that what it brings is answered first, and that it ends. - Answers not yet written to a slow reader did not count as owed (TestStopWaitsForSlowReaders).

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -49,15 +49,17 @@
 	most     int           // connections that are served; those beyond are refused
 	conns    map[*client]bool
 	goOn     chan struct{} // has accepting go on after a pause; closed: it is over
+	accepts  bool          // accepting has begun
 }
 
 // client is one connection from the front.
 type client struct {
 	conn    *net.TCPConn
 	out     *sender
-	line    []*request // in the order of their commands; answers wait their turn
-	room    chan struct{}
+	line    []*request    // in the order of their commands; answers wait their turn
+	room    chan struct{} // a place for each command that was read and has no answer
 	done    chan struct{} // closed when it is gone
+	resume  chan struct{} // has the reading go on, which halted
 	barred  atomic.Bool   // what it still sends is not read
 	gone    bool          // nothing more can be written
 	ending  bool          // ends as soon as its line is empty
@@ -90,8 +92,9 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if errors.Is(err, os.ErrDeadlineExceeded) { // paused
+		if errors.Is(err, os.ErrDeadlineExceeded) { // paused, or the last one is in
 			<-cs.room
+			l.post(accepted{})
 			if _, ok := <-cs.goOn; !ok {
 				return
 			}
@@ -107,6 +110,19 @@
 	}
 }
 
+// lastWithin is how long no connection may have come when the listener is closed: what the machine has accepted by then
+// is taken, and would be lost with it.
+const lastWithin = 20 * time.Millisecond
+
+// accepted tells that no connection waits to be accepted any more.
+type accepted struct{}
+
+func (accepted) handle(l *Loop) {
+	if l.steps.closing {
+		l.shut()
+	}
+}
+
 // shutWithin is for how long the loop waits for an accept to end that blocks all the same.
 const shutWithin = 20 * time.Millisecond
 
@@ -135,7 +151,7 @@
 func newClient(conn *net.TCPConn, now decide.Time) *client {
 	return &client{
 		conn: conn, out: newSender(conn), room: make(chan struct{}, pipelined), done: make(chan struct{}),
-		used: now,
+		resume: make(chan struct{}, 1), used: now,
 	}
 }
 
@@ -149,11 +165,6 @@
 		return false
 	}
 	go c.read(l)
-	if l.life.Closed(l.now()) {
-		// It was accepted just before the end: what it sends is not taken.
-		c.end(l)
-		return false
-	}
 	return true
 }
 
@@ -169,7 +180,7 @@
 	}
 	var least *client
 	for c := range cs.conns {
-		if c == asking || c.ending || len(c.line) > 0 || c.writes(now) || now-c.lately() < spared[c.worth()] {
+		if c == asking || c.ending || c.busy() || c.writes(now) || now-c.lately() < spared[c.worth()] {
 			continue
 		}
 		if least == nil || c.worth() < least.worth() || c.worth() == least.worth() && c.lately() < least.lately() {
@@ -191,6 +202,14 @@
 // lose that request, where an idle one loses nothing. One that halted half way is not.
 func (c *client) writes(now decide.Time) bool { return c.amid.Load() && now-c.heard.Load() < halted }
 
+// busy tells whether an answer is owed: also to a command that was read, and has not been handled yet.
+func (c *client) busy() bool { return len(c.line) > 0 || len(c.room) > 0 }
+
+// owes tells whether a process that ends has something to wait for here: not for one that halted half way.
+func (c *client) owes(now decide.Time) bool {
+	return !c.ended && (!c.amid.Load() || c.writes(now)) || !c.out.idle()
+}
+
 // worth ranks a connection by what it has asked: nothing, once, or more.
 func (c *client) worth() int { return min(c.asked, 2) }
 
@@ -200,8 +219,8 @@
 	}
 	now := l.now()
 	for c := range cs.conns {
-		if now-c.lately() > [...]decide.Time{idleMost, onceMost, idleMost}[c.worth()] && len(c.line) == 0 && !c.ending {
-			c.drop(l)
+		if now-c.lately() > [...]decide.Time{idleMost, onceMost, idleMost}[c.worth()] && !c.busy() {
+			c.end(l)
 		}
 	}
 }
@@ -218,13 +237,22 @@
 	for {
 		e := taken{client: c}
 		err := in.Await()
-		if !c.share.begin() {
+		if !c.share.begin(c.conn, err) {
 			if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
 				l.post(partedFrom{c, in.Rest()})
 				return
 			}
 			break
 		}
+		if c.share.halts(err) {
+			l.post(halts{c})
+			select {
+			case <-c.resume:
+				continue
+			case <-c.done:
+				return
+			}
+		}
 		if err != nil {
 			break
 		}
@@ -454,7 +482,7 @@
 	}
 	if len(c.line) == 0 && (c.ending || l.life.EndsBusy(l.now())) {
 		c.ending = true
-		c.finish(l)
+		c.retire(l)
 	}
 	l.pass(c)
 }
@@ -474,8 +502,34 @@
 	}
 	c.ending = true
 	if len(c.line) == 0 {
+		c.retire(l)
+	}
+}
+
+// retire has a connection that waits for no answer end as soon as its reader stands between two commands: what was read of
+// it, if only by the reader, is answered first.
+func (c *client) retire(l *Loop) {
+	if c.barred.Load() || c.share.parted { // it is read no more
+		c.finish(l)
+		return
+	}
+	c.share.halt(c.conn)
+}
+
+// halts tells that the reader of a connection that is to end has read nothing that it has not posted, and reads no more
+// until it may.
+type halts struct{ client *client }
+
+func (e halts) handle(l *Loop) {
+	c := e.client
+	if c.gone {
+		return
+	}
+	if c.ending && len(c.line) == 0 {
 		c.finish(l)
 	}
+	c.share.resume(c.conn)
+	c.resume <- struct{}{}
 }
 
 // finish ends the sending and gives the other side some time to close first: to
--- a/internal/gateway/endings_test.go
+++ b/internal/gateway/endings_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -152,3 +153,135 @@
 		t.Fatal("nothing was begun: the test shows nothing")
 	}
 }
+
+// A command that the reader has read, and the loop has not come to, is answered before its connection ends, whatever ends it:
+// its client sends again only what was not read.
+func TestWhatWasReadIsAnsweredBeforeTheEnd(t *testing.T) {
+	for name, end := range map[string]func(l *Loop, c *client){
+		"told to": func(l *Loop, c *client) { c.end(l) },
+		"the process ends": func(l *Loop, c *client) {
+			l.life.Part(false)
+			stop{}.handle(l)
+		},
+		"idle for long": func(l *Loop, c *client) {
+			c.used -= 100_000_000
+			c.heard.Store(0)
+			l.clients.sweep(l)
+		},
+		"others come": func(l *Loop, c *client) {
+			c.used -= 100_000_000
+			c.heard.Store(0)
+			l.clients.most = 0
+			l.clients.sweep(l)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := unstarted(t, newFakeDiscovery(t))
+			here, there := pipe(t)
+			l.clients.room <- struct{}{}
+			connected{here}.handle(l)
+			c := &testClient{t: t, conn: there, in: bufio.NewReader(there)}
+			c.raw("*1\r\n$4\r\nPING\r\n*1\r\n$4\r\nPING\r\n") // both are read at once
+			first := wait(t, l.events, "the first command")
+			for k := range l.clients.conns {
+				end(l, k)
+			}
+			first.handle(l)
+			wait(t, l.events, "the second command").handle(l)
+			if got := c.line(); got != "+PONG" && !strings.HasPrefix(got, "-ERR") {
+				t.Fatalf("first answer %q", got)
+			}
+			if got := c.line(); got != "+PONG" && !strings.HasPrefix(got, "-ERR") {
+				t.Fatalf("second answer %q", got)
+			}
+			l.step()
+			for k := range l.clients.conns {
+				k.end(l)
+			}
+			wait(t, l.events, "the end of the reading").handle(l)
+			c.closed()
+		})
+	}
+}
+
+// A connection that the machine has accepted, and this process has not, is taken: the end waits for it, also where there was
+// no place for it before.
+func TestStopTakesWhatLiesInTheBacklog(t *testing.T) {
+	b := newBackend(t)
+	r := beginWith(t, configure(t, newFakeDiscovery(t, b.entry("s-00000001", "Ready")), nil), func(l *Loop) {
+		l.clients.room = make(chan struct{}, 1)
+	})
+	c := r.client(t)
+	c.lookup(1, "60000")
+	call := b.next(t)
+	late := r.client(t) // there is no place for it
+	late.lookup(2, "60000")
+	r.stop()
+	until(t, r.loop, "the closing", func(l *Loop) bool { return l.life.Closed(l.now()) && l.life.Stopping() })
+	call.serve(t, "one")
+	c.value("one")
+	c.closed()
+	c.conn.Close()
+	b.next(t).serve(t, "two")
+	late.value("two")
+	late.closed()
+	late.conn.Close()
+	wait(t, r.ended, "the gateway's end")
+}
+
+// An answer that its client has not read to the end is still owed: the process waits for it, as long as there is time.
+func TestStopWaitsForSlowReaders(t *testing.T) {
+	b := newBackend(t)
+	cfg := configure(t, newFakeDiscovery(t, b.entry("s-00000001", "Ready")), nil)
+	small := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, 4096) })
+	}}
+	cfg.Survival.Listen = func(address string) (net.Listener, error) { return small.Listen(context.Background(), "tcp", address) }
+	r := begin(t, cfg)
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+	}}
+	conn, err := dialer.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	c := &testClient{t, conn, bufio.NewReader(conn)}
+	c.lookup(1, "60000")
+	value := strings.Repeat("v", resp.MaxValue)
+	b.next(t).serve(t, value)
+	until(t, r.loop, "the answer", func(l *Loop) bool { return l.open == 0 && l.nextID == 1 })
+	r.stop()
+	until(t, r.loop, "the end of the connection", func(l *Loop) bool {
+		for k := range l.clients.conns {
+			return l.steps.shut && k.ended
+		}
+		t.Error("the connection has gone")
+		return true
+	})
+	if owed := ask(t, r.loop, func(l *Loop) int { return l.owed(l.now()) }); owed != 1 {
+		t.Errorf("%d are owed something, want the one that has not read its answer", owed)
+	}
+	c.value(value)
+	c.closed()
+	conn.Close()
+	wait(t, r.ended, "the gateway's end")
+}
+
+// The steps of the end follow from the longest deadline of the settings: SIGKILL comes that much, and 0.7 s, after SIGTERM.
+func TestStepsOfTheEndFollowTheSettings(t *testing.T) {
+	const longest = 400_000
+	cfg := configure(t, newFakeDiscovery(t), func(f map[string]any) {
+		f["settings"] = json.RawMessage(strings.ReplaceAll(settingsText, `"promise-us":10000000`, `"promise-us":300000,"hard-limit-us":400000`))
+	})
+	l, err := newLoop(cfg, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.clients.listener.Close() })
+	stop{}.handle(l)
+	at := l.now() + longest + 700_000
+	if !l.life.Abandons(at-300_000) || !l.life.Over(at, 1, 1) {
+		t.Error("requests are still open when SIGKILL may come")
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"time"
 
 	"mothcleat/decide"
 	"mothcleat/internal/figures"
 	"mothcleat/internal/registry"
+	"mothcleat/internal/wire"
 	"mothcleat/lifecycle"
 	"mothcleat/membership"
 )
@@ -56,7 +58,7 @@
 		events: make(chan event, queued), urgents: make(chan event, 16),
 		requests: map[uint64]*request{}, names: map[uint64]*request{}, timer: time.NewTimer(time.Hour),
 		counter: newCounter(&cfg), survival: newSurvival(cfg.Survival),
-		life: lifecycle.New(lifecycle.Defaults()), tally: figures.New(cfg.Host.Classes),
+		life: lifecycle.New(lifecycle.For(longest(&cfg.Host))), tally: figures.New(cfg.Host.Classes),
 	}
 	l.timer.Stop()
 	l.askBefore()
@@ -116,6 +118,14 @@
 	return l, nil
 }
 
+// longest is how long a client waits at the most; 0: the settings don't tell it of every class.
+func longest(h *wire.Host) decide.Time {
+	if len(h.Limits) == 0 || slices.Min(h.Limits) <= 0 {
+		return 0
+	}
+	return slices.Max(h.Limits)
+}
+
 // start begins with the list as last known and has all sockets read.
 func (l *Loop) start(ctx context.Context) {
 	l.backends.members(l, decide.Cached, l.cfg.Known.Members)
@@ -169,6 +179,7 @@
 func (l *Loop) serveClients() {
 	l.log.Info("ready", "listen", l.clients.listener.Addr().String(), "backends", len(l.backends.byNumber))
 	l.life.Ready()
+	l.clients.accepts = true
 	go l.clients.accept(l)
 	l.meet()
 }
--- a/internal/gateway/succeed.go
+++ b/internal/gateway/succeed.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -228,7 +230,7 @@
 func (l *Loop) resume() {
 	l.heirs.after = nil
 	l.life.Unpause()
-	if !l.steps.shut {
+	if !l.steps.closing {
 		_ = l.clients.listener.SetDeadline(time.Time{})
 		select {
 		case l.clients.goOn <- struct{}{}:
@@ -344,8 +346,10 @@
 // what has no lock.
 type share struct {
 	mu      sync.Mutex
-	command bool // a command is being read
-	parting bool // the reading ends between two commands
+	command bool      // a command is being read
+	parting bool      // the reading ends between two commands
+	halting bool      // it halts there, once nothing of another is read
+	first   time.Time // by when the first command has to come; zero: it has
 
 	parted bool    // it has
 	rest   []byte  // what was read beyond the last command
@@ -356,12 +360,22 @@
 	ageAt decide.Time // at this time
 }
 
-// begin tells a reader whether it may read a command.
-func (s *share) begin() bool {
+// begin tells a reader whether it may read a command, given what its waiting for one ended with.
+func (s *share) begin(conn net.Conn, err error) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.command = !s.parting
-	return s.command
+	s.command = !s.parting && err == nil
+	if s.command && s.halting {
+		_ = conn.SetReadDeadline(s.first) // it came while the reading was about to halt
+	}
+	return !s.parting
+}
+
+// halts tells whether the waiting for a command has ended because the reading is to halt.
+func (s *share) halts(err error) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.halting && errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // end tells that the command was read.
@@ -369,7 +383,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.command = false
-	if s.parting {
+	if spoken {
+		s.first = time.Time{}
+	}
+	if s.parting || s.halting {
 		_ = conn.SetReadDeadline(time.Unix(1, 0))
 	} else if spoken {
 		_ = conn.SetReadDeadline(time.Time{})
@@ -380,11 +397,31 @@
 func (s *share) until(conn net.Conn, first time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.parting {
+	s.first = first
+	if !s.parting && !s.halting {
 		_ = conn.SetReadDeadline(first)
 	}
 }
 
+// halt has the reading halt once nothing of a command is read that was not posted.
+func (s *share) halt(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.halting = true
+	if !s.command {
+		_ = conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// resume lets it go on.
+func (s *share) resume(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.halting = false; !s.parting {
+		_ = conn.SetReadDeadline(s.first)
+	}
+}
+
 // part ends the reading: at once, or after the command that is being read.
 func (s *share) part(conn net.Conn) {
 	s.mu.Lock()
--- a/internal/gateway/survive_test.go
+++ b/internal/gateway/survive_test.go
@@ -205,18 +205,33 @@
 	}
 }
 
-// A connection that was accepted just before a drain closes is ended, not left to
-// be cut off with a request on it.
+// A connection that was accepted just before a process closes is not left to be cut off with a request on it: what it brings
+// is answered, and it ends after that; one that brings nothing ends by itself.
 func TestConnectionAcceptedAtTheCloseIsEnded(t *testing.T) {
-	d := newFakeDiscovery(t)
-	l := unstarted(t, d)
-	l.life.Part(false)
-	stop{}.handle(l)
-	here, there := pipe(t)
-	l.clients.room <- struct{}{}
-	connected{here}.handle(l)
-	c := &testClient{t: t, conn: there, in: bufio.NewReader(there)}
-	c.closed()
+	for _, speaks := range []bool{true, false} {
+		l := unstarted(t, newFakeDiscovery(t))
+		l.life.Part(false)
+		stop{}.handle(l)
+		here, there := pipe(t)
+		l.clients.room <- struct{}{}
+		connected{here}.handle(l)
+		l.step()
+		c := &testClient{t: t, conn: there, in: bufio.NewReader(there)}
+		if speaks {
+			c.lookup(1, "60000")
+			wait(t, l.events, "the request").handle(l)
+			if got := c.line(); !strings.HasPrefix(got, "-BUSY") {
+				t.Fatalf("answer %q", got)
+			}
+		} else {
+			for k := range l.clients.conns {
+				k.used -= 100_000
+			}
+			l.step()
+		}
+		wait(t, l.events, "the end of the reading").handle(l)
+		c.closed()
+	}
 }
 
 // pipe is a pair of ends of one connection.
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -20,20 +20,35 @@
 
 	// AcceptFor is how long a process that was told to stop goes on as before.
 	AcceptFor Time
+	// Hear is how long a connection has then that came too late to have brought anything.
+	Hear Time
 	// AnswerFor is when it answers all that is still open.
 	AnswerFor Time
 	// CloseFor is how long the other sides then have to close.
 	CloseFor Time
 }
 
-// Defaults are the steps that the platform's times leave room for: new connections come
-// for 0.3 s after a drain was told and 0.4 s after SIGTERM, nothing may be held 4 s
-// after a drain, or taken in its last 2 s, and SIGKILL comes 3.7 s after SIGTERM.
-func Defaults() Settings {
-	return Settings{
-		Settle: 400_000, IdleAfter: 1_500_000, Speak: 400_000,
-		AcceptFor: 500_000, AnswerFor: 3_200_000, CloseFor: 300_000,
+// The platform's times: new connections come for 0.3 s after a drain was told and 0.4 s after SIGTERM,
+// nothing may be held 4 s after a drain, or taken in its last 2 s, and SIGKILL comes so long after SIGTERM
+// as a client waits at the most, but no more than killMost of it, and killAfter.
+const (
+	killMost  Time = 3_000_000
+	killAfter Time = 700_000
+	answerDue Time = 500_000 // before SIGKILL
+	exitDue   Time = 100_000 // the same
+)
+
+// For are the steps that the platform's times leave room for where a client waits so long at the most;
+// 0: that is not known.
+func For(longest Time) Settings {
+	if longest <= 0 {
+		longest = killMost
 	}
+	kill := min(longest, killMost) + killAfter
+	s := Settings{Settle: 400_000, IdleAfter: 1_500_000, Speak: 400_000, AcceptFor: 500_000, Hear: 100_000}
+	s.AnswerFor = max(s.AcceptFor, kill-answerDue)
+	s.CloseFor = max(0, min(300_000, kill-exitDue-s.AnswerFor))
+	return s
 }
 
 // Process is the state of one process. Make it with New.
@@ -145,16 +160,23 @@
 	return p.draining && now-p.drainAt >= p.set.IdleAfter && now-used >= p.set.Speak
 }
 
+// EndsNew tells the same of a connection that has brought nothing since it was opened: it may have been
+// on its way here before anything was told.
+func (p *Process) EndsNew(now, opened Time) bool {
+	return p.EndsIdle(now, opened) && (!p.ends(now) || now-opened >= p.set.Hear)
+}
+
 // Abandons tells whether all that is open must be answered at once.
 func (p *Process) Abandons(now Time) bool { return p.stopping && now-p.stopAt >= p.set.AnswerFor }
 
-// Over tells whether the process has ended, given its open requests and connections.
-// It must be asked whenever one of them has become none.
+// Over tells whether the process has ended, given what is owed (its open requests, and all else that
+// somebody still waits for) and its connections. It must be asked whenever one of them has become none.
 func (p *Process) Over(now Time, open, connections int) bool {
 	if !p.stopping || !p.Closed(now) {
 		return false
 	}
 	if open > 0 {
+		p.emptied = false // what has come since has its own time to be read
 		return now-p.stopAt >= p.set.AnswerFor+p.set.CloseFor
 	}
 	if !p.emptied {
--- a/lifecycle/lifecycle_test.go
+++ b/lifecycle/lifecycle_test.go
@@ -16,7 +16,7 @@
 func TestDrainEmpties(t *testing.T) {
 	for seed := range uint64(300) {
 		r := rand.New(rand.NewPCG(seed, 1))
-		p := New(Defaults())
+		p := New(For(3_000_000))
 		p.Ready()
 		const begun = Time(10_000_000)
 		var conns []conn
@@ -71,7 +71,9 @@
 func TestAnyOrder(t *testing.T) {
 	for seed := range uint64(3000) {
 		r := rand.New(rand.NewPCG(seed, 2))
-		set := Defaults()
+		longest := r.Int64N(20_000_000)
+		set := For(longest)
+		kill := min(longest, 3_000_000) + 700_000
 		p := New(set)
 		var now, stopped Time
 		ready, draining, parted, stopping, closed := false, false, false, false, false
@@ -120,6 +122,9 @@
 			if stopping && now >= stopped+set.AnswerFor+set.CloseFor && !p.Over(now, 1+r.IntN(3), 1) {
 				t.Fatalf("seed %d: still there when SIGKILL comes", seed)
 			}
+			if stopping && now >= stopped+kill && !p.Over(now, 1, 1) {
+				t.Fatalf("seed %d: still there when SIGKILL may come, with a longest deadline of %d us", seed, longest)
+			}
 			if p.Over(now, 1, 1) && now < stopped+set.AnswerFor {
 				t.Fatalf("seed %d: ends with a request open", seed)
 			}
@@ -137,3 +142,41 @@
 		}
 	}
 }
+
+// TestStepsFitAnyDeadline: whatever clients wait at the most, all is answered before SIGKILL may come, and connections that
+// were on their way are accepted.
+func TestStepsFitAnyDeadline(t *testing.T) {
+	for _, longest := range []Time{1, 10_000, 100_000, 300_000, 700_000, 1_000_000, 2_999_999, 3_000_000, 15_000_000, 0} {
+		kill := Time(3_700_000)
+		if longest > 0 && longest < 3_000_000 {
+			kill = longest + 700_000
+		}
+		s := For(longest)
+		if s.AcceptFor <= 400_000 || s.AnswerFor < s.AcceptFor || s.AnswerFor+s.CloseFor >= kill {
+			t.Errorf("longest %d: SIGKILL at %d, steps %+v", longest, kill, s)
+		}
+	}
+}
+
+// TestWhatComesAfterAnEmptyMomentHasItsTime: one moment without work is not the end of what comes on a connection that is
+// still open.
+func TestWhatComesAfterAnEmptyMomentHasItsTime(t *testing.T) {
+	set := For(0)
+	p := New(set)
+	p.Stop(0)
+	now := set.AcceptFor
+	if p.Over(now, 0, 2) {
+		t.Fatal("ends with connections open")
+	}
+	now += set.CloseFor / 2
+	if p.Over(now, 1, 2) {
+		t.Fatal("ends with a request open")
+	}
+	now += set.CloseFor
+	if p.Over(now, 0, 2) {
+		t.Fatal("the request was answered this moment: its connection has had no time to close")
+	}
+	if now += set.CloseFor; !p.Over(now, 0, 2) {
+		t.Fatal("does not end")
+	}
+}
