registry: a silent discovery is asked again beside, within a part of the drain grace

A call for the list made at 3.1 s, while it was down, was never answered, not at its return either; one made after it took 3 ms. Watches that were open all along were answered.

Ruled out: the watch (held ones go on), the move to another address (4 s are given).

Change: where lists are pushed, a call that is silent for a quarter of the settings' drain grace (50 to 500 ms; a watch: that long after its wait) gets another beside it, eight at once at most; the first answer counts. A failure is followed as soon. Elsewhere, and where a register turns calls away, nothing changes. The grace is read from the settings (guarantees.drain-grace-us).

Tests: TestSilentDiscoveryIsAskedBeside (real connections, calls held for good; failed with the patience taken out), TestPaceHeedsTheGrace.

--- a/cmd/mothcleat/register.go
+++ b/cmd/mothcleat/register.go
@@ -30,7 +30,7 @@
 		if err != nil {
 			return nil, err
 		}
-		platform := registry.NewPlatform(cfg.Discovery, cfg.Settings.AskMembers, membership.NewPace(cfg.Settings.Gateways, cfg.Seed), log)
+		platform := gateway.NewPlatform(cfg, log)
 		switch r.Source {
 		case "consul+platform":
 			return registry.Merge(c, platform), nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,8 +62,7 @@
 	}
 	l.timer.Stop()
 	l.askBefore()
-	source := registry.Source(registry.NewPlatform(cfg.Discovery, cfg.Settings.AskMembers,
-		membership.NewPace(cfg.Settings.Gateways, cfg.Seed), log))
+	source := registry.Source(NewPlatform(&cfg, log))
 	if cfg.Register != nil {
 		var err error
 		if source, err = cfg.Register(&cfg, log); err != nil {
@@ -118,6 +117,15 @@
 	return l, nil
 }
 
+// NewPlatform makes the platform's discovery as a configuration has it.
+func NewPlatform(cfg *Config, log *slog.Logger) *registry.Platform {
+	pace := membership.NewPace(cfg.Settings.Gateways, cfg.Seed)
+	if !cfg.Settings.AskMembers {
+		pace.Binds(cfg.Host.DrainGrace)
+	}
+	return registry.NewPlatform(cfg.Discovery, cfg.Settings.AskMembers, pace, log)
+}
+
 // longest is how long a client waits at the most; 0: the settings don't tell it of every class.
 func longest(h *wire.Host) decide.Time {
 	if len(h.Limits) == 0 || slices.Min(h.Limits) <= 0 {
--- a/internal/registry/platform.go
+++ b/internal/registry/platform.go
@@ -20,6 +20,7 @@
 	listWait   = 2 * time.Second       // for the whole list, which comes at once
 	tooSoon    = 50 * time.Millisecond // for a watch that tells nothing
 	mostList   = 8 << 20               // bytes
+	mostCalls  = 8                     // that are out at once
 )
 
 const mostHeader = 16 << 10 // bytes of an answer's header
@@ -45,7 +46,7 @@
 			// No redirect is followed: only the addresses of the configuration are called.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 			Transport: &http.Transport{
-				MaxConnsPerHost: 1, MaxIdleConns: 1, DisableCompression: true, MaxResponseHeaderBytes: mostHeader,
+				MaxConnsPerHost: mostCalls, MaxIdleConns: 1, DisableCompression: true, MaxResponseHeaderBytes: mostHeader,
 			},
 		},
 		asks: asks, start: make(chan struct{}),
@@ -115,7 +116,7 @@
 	}
 	for ctx.Err() == nil {
 		called := time.Now()
-		list, err := d.get(ctx, url, version)
+		list, err := d.ask(ctx, url, version)
 		if ctx.Err() != nil {
 			return
 		}
@@ -146,6 +147,67 @@
 	}
 }
 
+// The causes of calls that end.
+var (
+	errBroken  = errors.New("the connection broke")
+	errGivenUp = errors.New("given up")
+)
+
+// ask makes one call, and as long as it is silent further ones for the whole list beside it: a discovery that was
+// down, or lost a call, may answer only calls that are made later, and at once. The first answer counts.
+func (d *Platform) ask(ctx context.Context, url, version string) (List, error) {
+	type answer struct {
+		list List
+		err  error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan answer)
+	var out []context.CancelCauseFunc // oldest first
+	call := func(version string, wait time.Duration) {
+		ctx, giveUp := context.WithCancelCause(ctx)
+		if out = append(out, giveUp); len(out) > mostCalls {
+			out[0](errGivenUp)
+			out = out[1:]
+		}
+		go func() {
+			defer giveUp(nil)
+			list, err := d.get(ctx, url, version, wait)
+			select {
+			case answers <- answer{list, err}:
+			case <-ctx.Done():
+			}
+		}()
+	}
+	wait := time.Duration(0)
+	if version != "" {
+		wait = micros(d.pace.Watch())
+	}
+	call(version, wait)
+	patience := micros(d.pace.Patience())
+	again := time.NewTimer(wait + patience)
+	defer again.Stop()
+	if patience == 0 {
+		again.Stop() // silence is waited out
+	}
+	for asked := 0; ; {
+		select {
+		case a := <-answers:
+			if patience == 0 || !errors.Is(a.err, context.DeadlineExceeded) {
+				return a.list, a.err
+			}
+		case <-again.C:
+			if asked++; asked == 1 {
+				d.log.Warn("discovery is silent: asking again beside", "version", version)
+			}
+			call("", 0)
+			again.Reset(patience)
+		case <-ctx.Done():
+			return List{}, ctx.Err()
+		}
+	}
+}
+
 // sentOnce has a call end where the transport would send it once more: it does so
 // by itself for a GET on a kept connection that broke. What answers then may be
 // another process, to which the version of the old one means nothing.
@@ -161,17 +223,23 @@
 	}
 }
 
-// get makes one call: a watch from a version on, or one for the whole list.
-func (d *Platform) get(ctx context.Context, url, version string) (list List, err error) {
-	wait := listWait
+// get makes one call: a watch from a version on, which may wait, or one for the whole list.
+func (d *Platform) get(ctx context.Context, url, version string, wait time.Duration) (list List, err error) {
+	most := listWait
 	if version != "" {
-		watch := micros(d.pace.Watch())
-		url += fmt.Sprintf("?index=%s&wait=%d", version, watch.Milliseconds())
-		wait = watch + watchSlack
+		url += fmt.Sprintf("?index=%s&wait=%d", version, wait.Milliseconds())
+		most = wait + watchSlack
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait)
+	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
-	ctx = httptrace.WithClientTrace(ctx, sentOnce(cancel))
+	ctx, broke := context.WithCancelCause(ctx)
+	defer broke(nil)
+	defer func() {
+		if err != nil && ctx.Err() != nil {
+			err = fmt.Errorf("discovery call: %w", context.Cause(ctx))
+		}
+	}()
+	ctx = httptrace.WithClientTrace(ctx, sentOnce(func() { broke(errBroken) }))
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return list, fmt.Errorf("discovery call: %w", err)
--- a/internal/registry/platform_test.go
+++ b/internal/registry/platform_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -58,11 +60,10 @@
 func script(t *testing.T, answers ...string) (string, chan string) {
 	t.Helper()
 	calls := make(chan string, 1024)
-	n := 0
+	var n atomic.Int32
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		calls <- r.URL.RawQuery
-		answer := answers[min(n, len(answers)-1)]
-		n++ // calls come one at a time
+		answer := answers[min(int(n.Add(1))-1, len(answers)-1)]
 		if status := 0; strings.HasPrefix(answer, "!") {
 			_, _ = fmt.Sscan(answer[1:], &status)
 			w.WriteHeader(status)
@@ -127,3 +128,55 @@
 		t.Errorf("%+v", n)
 	}
 }
+
+// A discovery that was down answers no call that was made meanwhile, and what it has told counts from its return: another call is
+// made beside one that is silent, be it a watch whose wait is over or one for the whole list. The first that is answered counts.
+func TestSilentDiscoveryIsAskedBeside(t *testing.T) {
+	const list = `{"revision":4,"complete":true,"members":[{"id":"s"}]}`
+	for name, held := range map[string][]bool{ // call by call
+		"a list": {true, false}, "three lists": {true, true, true, false}, "a watch": {false, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel() // a watch's wait is seconds
+			var mu sync.Mutex
+			var open []context.Context // the calls that are held
+			calls, given := 0, 0
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				mu.Lock()
+				n := calls
+				calls++
+				hold := n >= len(held) || held[n]
+				if hold {
+					open = append(open, r.Context())
+				} else if n == len(held)-1 {
+					for _, c := range open {
+						if c.Err() != nil {
+							given++
+						}
+					}
+				}
+				mu.Unlock()
+				if hold {
+					<-r.Context().Done()
+					return
+				}
+				fmt.Fprint(w, list)
+			}))
+			t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+			told := follow(t, NewPlatform(strings.TrimPrefix(s.URL, "http://"), false, membership.NewPace(1, 7).Binds(2_000_000), quiet()))
+			for _, h := range held {
+				if h {
+					continue
+				}
+				if n := next(t, told); n.Kind != Whole || len(n.Members) != 1 {
+					t.Errorf("%+v", n)
+				}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if given > 0 {
+				t.Errorf("%d calls were given up before another was made", given)
+			}
+		})
+	}
+}
--- a/internal/trial/site.go
+++ b/internal/trial/site.go
@@ -253,6 +253,7 @@
 		},
 		"guarantees": map[string]any{
 			"cold-from": s.ColdFrom, "cold-us": s.ColdTime.Microseconds(), "tip-after-us": s.FallSpan.Microseconds(),
+			"drain-grace-us": s.DrainGrace.Microseconds(),
 		},
 		"membership-mode": "pushed", "weights": "silent", "report": map[string]any{"names": []string{}, "via": "silent"},
 		"request-classes": classes, "tariffs": plans,
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -21,6 +21,7 @@
 	DialTimeout    decide.Time
 	IdleClose      decide.Time // backends close an idle connection by then
 	CounterTimeout decide.Time
+	DrainGrace     decide.Time // after a drain was told, in which sends there must stop
 }
 
 // draft is a settings text being read.
@@ -106,6 +107,7 @@
 	"family-info.max-units":       number(func(d *draft) *float64 { return &d.host.MaxUnits }),
 	"family-info.mail-per-s":      number(func(d *draft) *float64 { return &d.MailPerSecond }),
 	"guarantees.ask-within-us":    whole(func(d *draft) *decide.Time { return &d.AskWithin }),
+	"guarantees.drain-grace-us":   whole(func(d *draft) *decide.Time { return &d.host.DrainGrace }),
 	"guarantees.cold-from":        number(func(d *draft) *float64 { return &d.ColdFrom }),
 	"guarantees.cold-us":          whole(func(d *draft) *decide.Time { return &d.ColdTime }),
 	"guarantees.tip-after-us":     whole(func(d *draft) *decide.Time { return &d.TipAfter }),
--- a/membership/pace.go
+++ b/membership/pace.go
@@ -10,6 +10,7 @@
 	rand     *rand.Rand
 	fails    int
 	gap      Time // between an answer and the next call; 0 where there is room
+	patience Time // see Binds; 0: silence and failures are waited out
 }
 
 // A register that all ask at once answers none; but what it has to tell binds even who did
@@ -22,6 +23,11 @@
 	againMost    = 3_000_000  // doubled with each in a row; of that, half is chance
 	againAtLeast = 50_000
 
+	// Of the time in which what is told must be acted on, silence may take this part, within bounds.
+	patiencePart  = 4
+	patienceLeast = 50_000
+	patienceMost  = 500_000
+
 	gapEach  = 60_000    // a gap's least, for each gateway, once a call was turned away,
 	gapMost  = 5_000_000 // doubled with each further one up to this,
 	gapHeals = 0.85      // and less by this with each that was answered
@@ -32,6 +38,18 @@
 	return &Pace{gateways: gateways, rand: rand.New(rand.NewPCG(seed, 0x9ace))}
 }
 
+// Binds tells that what the register has to tell binds a gateway that long after the register has it,
+// whether or not a call brought it: so it is where lists are pushed to an agent that answers at once. An
+// agent that was silent for a while answers no call that was made meanwhile; so another one is made soon.
+func (p *Pace) Binds(within Time) *Pace {
+	p.patience = max(patienceLeast, min(patienceMost, within/patiencePart))
+	return p
+}
+
+// Patience is how long a call may be silent that could be answered, before another one is made beside it;
+// 0: none is.
+func (p *Pace) Patience() Time { return p.patience }
+
 // Watch is how long a watch may wait.
 func (p *Pace) Watch() Time {
 	wait := max(watchLeast, min(watchMost, Time(p.gateways)*watchEach))
@@ -69,5 +87,8 @@
 		wait = min(againMost, Time(againFirst)<<p.fails)
 	}
 	p.fails++
+	if p.patience > 0 && !turnedAway {
+		wait = min(wait, p.patience)
+	}
 	return max(againAtLeast, p.about(p.gap), wait/2+Time(p.rand.Float64()*float64(wait/2)))
 }
--- a/membership/pace_test.go
+++ b/membership/pace_test.go
@@ -74,3 +74,25 @@
 		}
 	}
 }
+
+// Where what a register has binds at once, silence and failures end within a part of the time that is given to act on it.
+func TestPaceHeedsTheGrace(t *testing.T) {
+	for _, grace := range []Time{0, 100_000, 250_000, 600_000, 2_000_000, 60_000_000} {
+		p := NewPace(300, 7).Binds(grace)
+		soon := p.Patience()
+		if soon < 50_000 || soon > 500_000 || grace >= 200_000 && soon > grace/4 {
+			t.Errorf("grace %d: patience %d", grace, soon)
+		}
+		for range 20 {
+			if again := p.Failed(false); again > soon {
+				t.Errorf("grace %d: %d after a failure, patience %d", grace, again, soon)
+			}
+		}
+		if again := p.Failed(true); again < 300*60_000*3/4 && again < 3_000_000 {
+			t.Errorf("grace %d: turned away, and again after %d", grace, again)
+		}
+	}
+	if p := NewPace(300, 7); p.Patience() != 0 {
+		t.Error("impatient without a reason")
+	}
+}
