gateway: a dial to where a backend was tells nothing of it; a drain ends what waits at once

Causes, by tests that failed with the old lines put back: - dialed.handle charged an error to the attempt that waited longest also when the backend had moved, or its process had started anew, since the dial began: ConnectFailed, the backend left out and held for cold, the attempt used up (TestADialToAnOldAddressIsMadeAnew, both). Such a dial is made anew, to where it is now. - Attempts that waited for a dial when the drain was told waited on, until the dial was up or their time over, and then ended as Moot, one for each dial; with dials that come up late their requests ran out of time (TestADrainEndsWhatWaits, timed out). They end as Moot with the news, and the module sends them elsewhere. Nothing was sent to the drain before either (TestDrainDuringDial).

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -155,14 +155,14 @@
 		}
 		b.dialing++
 		bs.open++
-		go func(address string) {
+		go func(address string, upSince int64) {
 			conn, err := bs.dial.DialContext(context.Background(), "tcp", address)
-			e := dialed{b: b, address: address, err: err}
+			e := dialed{b: b, address: address, upSince: upSince, err: err}
 			if err == nil {
 				e.conn = conn.(*net.TCPConn)
 			}
 			l.post(e)
-		}(b.address)
+		}(b.address, b.upSince)
 	}
 }
 
@@ -192,6 +192,7 @@
 type dialed struct {
 	b       *backend
 	address string
+	upSince int64 // both as they were when it began
 	conn    *net.TCPConn
 	err     error
 }
@@ -201,6 +202,10 @@
 	b.dialing--
 	if e.err != nil {
 		bs.open--
+		if e.address != b.address || e.upSince != b.upSince {
+			bs.connect(l, b) // it was the process before that did not answer
+			return
+		}
 		if len(b.waiting) > b.dialing {
 			a := b.waiting[0]
 			if errors.Is(e.err, syscall.ECONNRESET) && !a.redialed {
@@ -541,6 +546,9 @@
 	for id, b := range bs.byID {
 		if b.state != decide.Ready {
 			bs.drop(b)
+			for len(b.waiting) > 0 {
+				bs.unwait(l, b.waiting[0]) // nothing goes there, however its dial ends
+			}
 		}
 		if b.state == decide.Left && len(b.waiting) == 0 && b.dialing == 0 {
 			delete(bs.byID, id)
--- a/internal/gateway/endings_test.go
+++ b/internal/gateway/endings_test.go
@@ -285,3 +285,76 @@
 		t.Error("requests are still open when SIGKILL may come")
 	}
 }
+
+// A dial to where a backend was does not speak against it: the process before refused, or was not there.
+func TestADialToAnOldAddressIsMadeAnew(t *testing.T) {
+	for name, change := range map[string]func(old, new *fakeBackend) string{
+		"moved": func(old, new *fakeBackend) string { return new.entry("s-00000001", "Ready") },
+		"started anew": func(old, new *fakeBackend) string {
+			return strings.Replace(old.entry("s-00000001", "Ready"), `"up_since_ms":0`, `"up_since_ms":1000000000000`, 1)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			old, other := newBackend(t), newBackend(t)
+			address := old.listener.Addr().String()
+			old.listener.Close()
+			d := newFakeDiscovery(t, old.entry("s-00000001", "Ready"))
+			var dials *heldDials
+			r := beginWith(t, configure(t, d, func(f map[string]any) {
+				slowDials(f)
+				f["settings"] = json.RawMessage(strings.Replace(string(f["settings"].(json.RawMessage)), `"max-attempts":3`, `"max-attempts":1`, 1))
+			}), func(l *Loop) { dials = holdDials(l) })
+			c := r.client(t)
+			c.lookup(1, "60000")
+			wait(t, dials.begun, "the dial to the old process")
+			d.tell(change(old, other))
+			d.settled(t)
+			if name == "started anew" {
+				// The old process refuses this one dial, and the new one listens from then on.
+				dials.goOn <- true
+				wait(t, dials.begun, "another dial")
+				l, err := net.Listen("tcp", address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				other.serveOn(l)
+				t.Cleanup(func() { l.Close() })
+			}
+			close(dials.goOn)
+			other.next(t).serve(t, "ok")
+			c.value("ok")
+			if n := ask(t, r.loop, func(l *Loop) int { return l.figures().Unhealthy }); n != 0 {
+				t.Error("the backend is held for dead")
+			}
+		})
+	}
+}
+
+// A drain that is told while attempts wait for their dials ends them at once: none waits till its dial is up, or its time over.
+func TestADrainEndsWhatWaits(t *testing.T) {
+	b, other := newBackend(t), newBackend(t)
+	d := newFakeDiscovery(t, b.entry("s-00000001", "Ready"))
+	var dials *heldDials
+	r := beginWith(t, configure(t, d, slowDials), func(l *Loop) { dials = holdDials(l) })
+	c := r.client(t)
+	c.lookup(1, "60000")
+	c.lookup(2, "60000")
+	for range 2 {
+		wait(t, dials.begun, "the dials")
+	}
+	d.tell(b.entry("s-00000001", "Terminating"), other.entry("s-00000002", "Ready"))
+	for range 2 {
+		if got := wait(t, dials.begun, "a dial elsewhere"); got != other.listener.Addr().String() {
+			t.Errorf("a dial to %s", got)
+		}
+	}
+	close(dials.goOn)
+	for range 2 {
+		other.next(t).serve(t, "ok")
+	}
+	c.value("ok")
+	c.value("ok")
+	if len(b.got) > 0 {
+		t.Error("sent to a backend that drains")
+	}
+}
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -54,6 +54,12 @@
 	}
 	b := &fakeBackend{listener: l, got: make(chan *backendCall, 1024), ended: make(chan error, 1024)}
 	t.Cleanup(func() { l.Close() })
+	b.serveOn(l)
+	return b
+}
+
+// serveOn has commands read that come by a listener.
+func (b *fakeBackend) serveOn(l net.Listener) {
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -74,7 +80,6 @@
 			}()
 		}
 	}()
-	return b
 }
 
 func (b *fakeBackend) entry(id, phase string) string {
