decide: a repeat that waited for its connection past the window is not sent

Cause: the module looks at a keyed class's window when it decides on a repeat, with four ticks to spare, but the repeat may then wait for a dial (250 ms here, more where one is made anew) and backends.write did not look again. Where the window is shorter than the deadline what may have run would run twice.

Change: decide.StillMay, by the same rule (Class.may) over the attempts before it, is asked at the last moment before a repeat is written; if not, the attempt ends as Moot and the module answers.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1026,6 +1026,17 @@
 	}
 }
 
+// StillMay tells whether an attempt that was to be sent may be sent now: its host may have waited for a
+// connection, and what drops repeats of a keyed request forgets it. It only looks: it may be asked amid Send.
+func (g *Gateway) StillMay(now Time, id uint64, attempt int) bool {
+	r := g.requests[id]
+	if r == nil || attempt >= len(r.attempts) {
+		return false
+	}
+	again, _, _ := g.set.Classes[r.Class].may(r.attempts[:attempt], g.set.SecondCopies, now, 4*g.set.Tick)
+	return again
+}
+
 // settle books an attempt's end on its backend and its customer.
 func (g *Gateway) settle(r *request, a *attempt, o *Outcome) {
 	b := a.b
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -280,7 +280,7 @@
 	default:
 		b = []byte("*1\r\n$4\r\nPING\r\n")
 	}
-	if l.lapsed(a) {
+	if l.lapsed(a) || l.outlived(a) {
 		bs.free(l, c)
 		return true
 	}
@@ -309,6 +309,16 @@
 	return true
 }
 
+// outlived ends an attempt that was to repeat one that may have run, where the repeat may not be sent any more: it waited for
+// its connection for too long. It tells whether it has.
+func (l *Loop) outlived(a *attempt) bool {
+	if a.r == nil || a.number == 0 || l.module.StillMay(l.now(), a.r.id, a.number) {
+		return false
+	}
+	l.finish(a, decide.Moot, nil)
+	return true
+}
+
 // sweep closes idle connections well before their backends do: a request that
 // crosses the close would end as a reset.
 func (bs *backends) sweep(l *Loop) {
--- a/internal/gateway/endings_test.go
+++ b/internal/gateway/endings_test.go
@@ -358,3 +358,32 @@
 		t.Error("sent to a backend that drains")
 	}
 }
+
+// A repeat of a keyed request that waits for its connection until the window has closed is not sent: the backends have
+// forgotten what may have run.
+func TestARepeatIsNotSentAfterItsWindow(t *testing.T) {
+	first, second := newBackend(t), newBackend(t)
+	d := newFakeDiscovery(t, first.entry("s-00000001", "Ready"))
+	var dials *heldDials
+	r := beginWith(t, configure(t, d, slowDials), func(l *Loop) { dials = holdDials(l) })
+	c := r.client(t)
+	c.send("API.WRITE", "0000000000000007", "0000000000000001", "c=order,t=team,d=80000000,k=5c0f6e1a2b3d4c59,units=1,spread=1,first=0", "x")
+	wait(t, dials.begun, "the first dial")
+	dials.goOn <- true
+	call := first.next(t)
+	d.tell(first.entry("s-00000001", "Terminating"), second.entry("s-00000002", "Ready"))
+	d.settled(t)
+	call.answer(t, "-ERR failed\r\n") // it may have run
+	wait(t, dials.begun, "the repeat's dial")
+	ask(t, r.loop, func(l *Loop) bool {
+		l.clock.wall += 30_000_000 // the class's window
+		return true
+	})
+	close(dials.goOn)
+	if got := c.line(); !strings.HasPrefix(got, "-BUSY") {
+		t.Errorf("answer %q", got)
+	}
+	if len(second.got) > 0 {
+		t.Error("sent again though the window has closed")
+	}
+}
