ownertrial: two tests that a busy machine turned, at their causes

Causes, from the processes' logs: rig.Save copied the folder of a running voter file by file, and its log grew meanwhile: the copy was a damaged folder ("ends here; bytes up to 2562, batch 16, were promised", and refused rightly), not an older one. It now copies until what it has is what is there. In the other the gateway had not yet taken its id when the test took it as a newer process: so the gateway was the newer one. The test now waits until the fleet lists it. What both ask is the same as before.

--- a/internal/ownertrial/owner_test.go
+++ b/internal/ownertrial/owner_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -375,6 +376,11 @@
 func TestTwoProcessesWithOneID(t *testing.T) {
 	f := fleet(t, rig.Options{Instances: 4})
 	hasOwner(t, f, 0, exports.Duty(0), 0)
+	rigtest.Eventually(t, "n3 has its id", func() (bool, string) { // else it would be the newer one
+		var l agree.List
+		err := f.Call(0, "status", &l)
+		return err == nil && slices.ContainsFunc(l.Members, func(p agree.Present) bool { return p.ID == "n3" }), fmt.Sprintf("%+v %v", l.Members, err)
+	})
 	me := lease.Member{ID: "n3", Boot: 42}
 	c := fleetlink.NewClient(rig.FleetName, me, "", f.Voters(), f.Addresses(-1), slog.New(slog.DiscardHandler))
 	defer c.Close()
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -10,6 +10,8 @@
 	"flag"
 	"fmt"
 	"io"
+	"io/fs"
+	"maps"
 	"net"
 	"os"
 	"os/exec"
@@ -350,12 +352,52 @@
 func (f *Fleet) FleetDir(i int) string { return filepath.Join(f.dir(i), "fleet") }
 
 // Save copies a gateway's folder as it is, while its process may run; Restore puts the copy in its place.
+//
+// It is a copy of one moment: a file that grew while others were copied would make it a damaged folder, not an older one.
 func (f *Fleet) Save(i int) error {
 	to := filepath.Join(f.dir(i), "older")
-	if err := os.RemoveAll(to); err != nil {
-		return err
+	for range savesMost {
+		err := errors.Join(os.RemoveAll(to), os.CopyFS(to, os.DirFS(f.FleetDir(i))))
+		if errors.Is(err, fs.ErrNotExist) {
+			continue // a file went meanwhile
+		}
+		if err != nil {
+			return err
+		}
+		if same, err := sameFiles(to, f.FleetDir(i)); same || err != nil {
+			return err
+		}
+	}
+	return fmt.Errorf("folder of %s: not still for the time of a copy", Name(i))
+}
+
+const savesMost = 1000
+
+// sameFiles tells whether two folders hold the same.
+func sameFiles(a, b string) (bool, error) {
+	one, err := contents(a)
+	if err != nil {
+		return false, err
+	}
+	other, err := contents(b)
+	if errors.Is(err, fs.ErrNotExist) {
+		return false, nil
 	}
-	return os.CopyFS(to, os.DirFS(f.FleetDir(i)))
+	return maps.Equal(one, other), err
+}
+
+// contents are a folder's files by their paths in it.
+func contents(dir string) (map[string]string, error) {
+	files := map[string]string{}
+	err := fs.WalkDir(os.DirFS(dir), ".", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() {
+			return err
+		}
+		text, err := os.ReadFile(filepath.Join(dir, path))
+		files[path] = string(text)
+		return err
+	})
+	return files, err
 }
 
 // Restore puts what Save copied in the place of what the folder holds. The folders stay the same ones, as when a disk
