lab: clients that leave, and a count of what was sent on for nobody

Need: a request whose client left while it waited is not sent on 0.3 s later; the auditor could not tell, as its clients waited for every answer.

Change: a try may be left by its client (trial.Left, its time), 3 in 100 in `lab fleet`; such a one is owed no answer. Of those of which no server had the whole request by then the auditor counts what came 0.3 s later all the same (left_waiting, left_sent_on); over a quarter is a breach of the first rule.

--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -117,6 +117,7 @@
 		return nil, err
 	}
 	defer w.Close()
+	w.Site.Impatient = impatient
 	c := &chaos{w: w, o: o, busy: make([]sync.Mutex, o.Instances)}
 	asking, cancel := context.WithTimeout(ctx, o.For)
 	defer cancel()
@@ -136,6 +137,9 @@
 	return f, nil
 }
 
+// impatient is the part of a fleet's tries whose client leaves before an answer: what of them waits must not be sent on.
+const impatient = 0.03
+
 // chaos restarts a world's gateways and servers.
 type chaos struct {
 	w    *World
--- a/internal/lab/front.go
+++ b/internal/lab/front.go
@@ -180,7 +180,8 @@
 
 // send sends a try to its gateway and waits for the answer. A kept connection
 // that the gateway closed, unread, has it sent once more on a new one.
-func (f *front) send(ctx context.Context, s *trial.Site, c *trial.Customer, t *trial.Try) {
+// A client that loses patience closes the connection so long after the request; 0: it waits.
+func (f *front) send(ctx context.Context, s *trial.Site, c *trial.Customer, t *trial.Try, leave time.Duration) {
 	deadline := time.Now().Add(t.Wait)
 	for again := false; ; again = true {
 		conn, err := f.take(t.Gateway, again)
@@ -196,7 +197,11 @@
 			t.Sent = now
 		}
 		cmd := command(s, c, t, max(time.Millisecond, time.Until(deadline)))
-		_ = conn.SetDeadline(deadline.Add(trial.OnSockets))
+		until := deadline.Add(trial.OnSockets)
+		if leave > 0 {
+			until = time.Now().Add(leave)
+		}
+		_ = conn.SetDeadline(until)
 		if _, err = conn.Write(cmd); err == nil {
 			if !again {
 				t.Sent = f.rec.Now()
@@ -211,7 +216,9 @@
 		used := conn.used
 		conn.Close()
 		if errors.Is(err, context.DeadlineExceeded) || isTimeout(err) {
-			t.Kind = trial.Silent
+			if t.Kind = trial.Silent; leave > 0 {
+				t.Kind, t.Left = trial.Left, f.rec.Now()
+			}
 			return
 		}
 		t.Kind, t.Reset = trial.Ended, t.Reset || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
@@ -344,7 +351,7 @@
 
 // request sends a request until it is served or the client gives up.
 func (c *Clients) request(ctx context.Context, who *trial.Customer, first trial.Try, r *rand.Rand) {
-	wait := c.site.Patience(first.Class, r)
+	wait, leave := c.site.Patience(first.Class, r), c.site.Leaves(r)
 	last := -1
 	for n := 0; n <= c.site.Retries; n++ {
 		t := first
@@ -357,12 +364,15 @@
 		}
 		t.Gateway = c.site.Choose(who, last, c.rec.Now(), c.front.up, r)
 		last = t.Gateway
-		c.front.send(ctx, c.site, who, &t)
+		c.front.send(ctx, c.site, who, &t, leave)
 		c.rec.AddTry(t)
 		if t.Kind == trial.Served {
 			c.served.Add(1)
 			return
 		}
+		if t.Kind == trial.Left {
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/trial/audit.go
+++ b/internal/trial/audit.go
@@ -45,6 +45,8 @@
 	KilledUnanswered int // of those taken: lost with a gateway that was killed outright
 	PausedUnanswered int // and with one that lay stopped while their clients waited
 	PausedLate       int // and what such a one sent on, or answered, when it was just awake again: no breach here
+	LeftWaiting      int // tries of which no attempt was whole when their client left,
+	LeftSentOn       int // and those of them that were sent on leftWithin later all the same
 	Crossed          int // sent on a connection that was just being closed, unread: sent again
 	OverQuota        float64
 	AttemptsOver     int // tries with more attempts than a request may have
@@ -118,7 +120,24 @@
 	return paused >= 0 && paused <= to+OnSockets
 }
 
-var kinds = [...]string{"unsent", "served", "refused", "failed", "ended", "silent"}
+var kinds = [...]string{"unsent", "served", "refused", "failed", "ended", "silent", "left"}
+
+// leftWithin is how long after its client has left a request may still be sent on; over so large a part of those that waited is a breach.
+const (
+	leftWithin = 300 * time.Millisecond
+	leftPart   = 0.25
+)
+
+// left counts what was sent on for nobody.
+func (v *Verdict) left(t *Try, seen []Attempt) {
+	if len(seen) > 0 && seen[0].Whole <= t.Left {
+		return
+	}
+	v.LeftWaiting++
+	if slices.ContainsFunc(seen, func(a Attempt) bool { return a.Whole > t.Left+leftWithin }) {
+		v.LeftSentOn++
+	}
+}
 
 func times(list []Attempt) (at []time.Duration) {
 	for _, a := range list {
@@ -164,6 +183,12 @@
 				continue
 			}
 		}
+		if t.Kind == Left {
+			if !paused {
+				v.left(&t, seen)
+			}
+			continue
+		}
 		if t.Kind == Ended && len(seen) == 0 && !t.Reset && !killed {
 			continue
 		}
@@ -204,6 +229,9 @@
 			v.AttemptsOver++
 		}
 	}
+	if float64(v.LeftSentOn) > leftPart*float64(v.LeftWaiting) {
+		v.breach(Lost, rec.Now(), "%d of %d requests whose clients had left while they waited were sent on %v and more later", v.LeftSentOn, v.LeftWaiting, leftWithin)
+	}
 }
 
 // twice judges the second rule. What a server turned away never ran.
--- a/internal/trial/audit_test.go
+++ b/internal/trial/audit_test.go
@@ -51,6 +51,14 @@
 		"drained, sent within the grace": func(r *Record) {
 			r.Told = []Told{{0, "a", true, r.Attempts[9].First - 1900*ms}}
 		},
+		"left while it was worked on": func(r *Record) {
+			x := &r.Tries[3]
+			x.Kind, x.Answers, x.Answered, x.Left = Left, 0, 0, r.Attempts[3].Whole+ms
+		},
+		"left at the moment it was sent on": func(r *Record) {
+			x := &r.Tries[3]
+			x.Kind, x.Answers, x.Answered, x.Left = Left, 0, 0, r.Attempts[3].Whole-299*ms
+		},
 		"drained and back": func(r *Record) {
 			r.Told = []Told{{0, "a", true, 100 * ms}, {0, "a", false, 200 * ms}}
 		},
@@ -96,6 +104,10 @@
 			x.Kind, x.Answers, x.Reset = Ended, 0, true
 			r.Lives = append(r.Lives, Life{1, Killed, x.Sent + 100*ms})
 		}},
+		{"sent on though its client had left", Lost, func(_ *Site, r *Record) {
+			x := &r.Tries[3]
+			x.Kind, x.Answers, x.Answered, x.Left = Left, 0, 0, r.Attempts[3].Whole-301*ms
+		}},
 		{"effect twice", Twice, func(_ *Site, r *Record) { again(r, 1, "b", 50*ms) }},
 		{"keyed after its window", Twice, func(s *Site, r *Record) {
 			s.Classes[1].Window = 100 * ms
--- a/internal/trial/figures.go
+++ b/internal/trial/figures.go
@@ -60,6 +60,9 @@
 			times = append(times, o.Took)
 		}
 	}
+	if v.LeftWaiting > 0 {
+		f.Extra["left_waiting"], f.Extra["left_sent_on"] = v.LeftWaiting, v.LeftSentOn
+	}
 	if v.PausedUnanswered+v.PausedLate > 0 {
 		f.Extra["paused_unanswered"], f.Extra["paused_late"] = v.PausedUnanswered, v.PausedLate
 	}
--- a/internal/trial/record.go
+++ b/internal/trial/record.go
@@ -25,6 +25,7 @@
 	Failed
 	Ended
 	Silent
+	Left // its client went away before an answer, at the time of that name
 )
 
 // Try is one request of a client as the client saw it. Times are lengths since
@@ -49,6 +50,7 @@
 	Why      string        // the gateway's reason for it, where it tells
 	Closed   time.Duration // its first connection ended without a byte of an answer, then; it was sent once more
 	Reset    bool          // a connection was reset, not closed
+	Left     time.Duration // its client closed the connection of its own accord, waiting for the answer; 0: it did not
 	NoPort   time.Duration // when nothing listened at the gateway's address; 0: something did
 }
 
--- a/internal/trial/site.go
+++ b/internal/trial/site.go
@@ -67,6 +67,8 @@
 	MaxAttempts  int
 	Counter      bool // no notes: the gateways count at the counter
 
+	Impatient float64 // the part of the tries whose client leaves before an answer; 0 unless a rig sets it
+
 	keys keyMemory
 }
 
--- a/internal/trial/traffic.go
+++ b/internal/trial/traffic.go
@@ -50,6 +50,14 @@
 	return time.Duration(Between(r, 0.5, 1) * float64(s.Classes[class].GiveUp))
 }
 
+// Leaves is how long after a try its client loses patience and closes the connection; 0: it waits for the answer.
+func (s *Site) Leaves(r *rand.Rand) time.Duration {
+	if s.Impatient == 0 || r.Float64() >= s.Impatient {
+		return 0
+	}
+	return time.Duration(Between(r, 5, 250) * float64(time.Millisecond))
+}
+
 // Backoff is how long a client waits after its nth try, from 0, in vain.
 func Backoff(n int, advice time.Duration, r *rand.Rand) time.Duration {
 	return max(time.Duration(Between(r, 50, 100)*float64(int(1)<<n))*time.Millisecond, advice)
