gateway: nothing is taken from a client that has sent much at once and gone

Cause: a reader holds what came in one piece, and waits where its connection's line is full. When a place came free it posted the next command, also when its client had closed the connection long before: the close is read behind what it sent. The request then went on to a backend.

Change: for a command that lay behind another, the reader looks (a peek, no more) whether the connection has ended before it posts it; if so the client has left.

Test: TestNothingIsTakenFromWhoHasSentMuchAndGone, a line of one, three commands, a close and a place that comes free after it; failed without the look (the second command was taken), passes ten times under the race detector.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -236,6 +236,7 @@
 	}
 	for {
 		e := taken{client: c}
+		behind := in.Buffered() > 0 // another command
 		err := in.Await()
 		if !c.share.begin(c.conn, err) {
 			if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
@@ -275,6 +276,12 @@
 			l.coming.Add(-int64(e.size))
 			return
 		}
+		if behind && c.out.hungUp() {
+			// Its client sent much at once and has gone: it may have waited here for long, and nobody waits for it.
+			l.coming.Add(-int64(e.size))
+			<-c.room
+			break
+		}
 		l.post(e)
 		if e.last || c.barred.Load() {
 			return // it is closed after its last answer
--- a/internal/gateway/endings_test.go
+++ b/internal/gateway/endings_test.go
@@ -387,3 +387,29 @@
 		t.Error("sent again though the window has closed")
 	}
 }
+
+// Of a client that has sent much at once and gone nothing is taken any more that waited behind its other requests.
+func TestNothingIsTakenFromWhoHasSentMuchAndGone(t *testing.T) {
+	l := unstarted(t, newFakeDiscovery(t))
+	here, there := pipe(t)
+	l.clients.room <- struct{}{}
+	k := newClient(here, l.now())
+	k.room = make(chan struct{}, 1) // a line of one
+	l.begin(k)
+	c := &testClient{t: t, conn: there, in: bufio.NewReader(there)}
+	c.raw(strings.Repeat("*1\r\n$4\r\nPING\r\n", 3))
+	first := wait(t, l.events, "the first command")
+	there.Close()
+	for late := time.After(patience); !k.out.hungUp(); {
+		select {
+		case <-late:
+			t.Fatal("the close is not seen")
+		default:
+			runtime.Gosched()
+		}
+	}
+	first.handle(l) // there is room for another
+	if e, ok := wait(t, l.events, "what comes next").(left); !ok {
+		t.Fatalf("%+v was taken, its client has gone", e)
+	}
+}
--- a/internal/gateway/sender.go
+++ b/internal/gateway/sender.go
@@ -50,16 +50,28 @@
 
 // quiet tells whether the connection is open and nothing waits to be read from it.
 func (s *sender) quiet() bool {
+	_, err := s.peek()
+	return err == syscall.EAGAIN || err == syscall.EINTR
+}
+
+// hungUp tells whether the other side has closed the connection, as far as nothing is in the way that waits to be read.
+func (s *sender) hungUp() bool {
+	n, err := s.peek()
+	return n == 0 && err != syscall.EAGAIN && err != syscall.EINTR
+}
+
+// peek looks for what waits to be read, of which it takes nothing. 0 without an error is the end.
+func (s *sender) peek() (n int, err error) {
 	if s.raw == nil {
-		return false
+		return 0, net.ErrClosed
 	}
-	quiet := false
-	err := s.raw.Control(func(fd uintptr) {
+	if cerr := s.raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN || err == syscall.EINTR
-	})
-	return err == nil && quiet
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	}); cerr != nil {
+		return 0, cerr
+	}
+	return max(n, 0), err
 }
 
 // send writes b, which is the sender's from then on. It tells whether there was
