registry: silence is waited out by a channel that never comes, not by a timer stopped late

Reread of ask: where no patience is set its timer was made with what may be no wait and stopped behind that, which relies on the timers of this Go alone.

--- a/internal/registry/platform.go
+++ b/internal/registry/platform.go
@@ -187,8 +187,9 @@
 	patience := micros(d.pace.Patience())
 	again := time.NewTimer(wait + patience)
 	defer again.Stop()
+	late := again.C
 	if patience == 0 {
-		again.Stop() // silence is waited out
+		late = nil // silence is waited out
 	}
 	for asked := 0; ; {
 		select {
@@ -196,7 +197,7 @@
 			if patience == 0 || !errors.Is(a.err, context.DeadlineExceeded) {
 				return a.list, a.err
 			}
-		case <-again.C:
+		case <-late:
 			if asked++; asked == 1 {
 				d.log.Warn("discovery is silent: asking again beside", "version", version)
 			}
