gateway: a connection that had no place until long after the close is accepted

Seen: a test that lets a process reach its closing with every place for connections taken, and frees one 60 ms later, never gets the answer to the connection that lay in the backlog.

Cause: step sets the listener's deadline once, 20 ms after the closing. An accept that waits for a place for longer finds it passed, is given an error without a look at the backlog, and the listener closes over what the machine had accepted (clients.accept, steps.step).

Change: once the end has begun, the wait for one more connection is counted from each accept's own beginning. TestStopTakesWhatLiesInTheBacklog now frees the place three such waits after the closing; without the mend it fails ("timed out waiting for a command at the backend"), with it five runs pass.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -50,6 +50,7 @@
 	conns    map[*client]bool
 	goOn     chan struct{} // has accepting go on after a pause; closed: it is over
 	accepts  bool          // accepting has begun
+	last     atomic.Bool   // it ends when no connection has come for a while
 }
 
 // client is one connection from the front.
@@ -88,6 +89,9 @@
 		// Whoever shares the socket may have had it block since, as each process does that hands it to another. An accept that
 		// blocks can't be ended.
 		_ = raw.Control(func(fd uintptr) { _ = syscall.SetNonblock(int(fd), true) })
+		if cs.last.Load() { // the wait for a place may have been long
+			_ = cs.listener.SetDeadline(time.Now().Add(lastWithin))
+		}
 		conn, err := cs.listener.AcceptTCP()
 		if errors.Is(err, net.ErrClosed) {
 			return
--- a/internal/gateway/endings_test.go
+++ b/internal/gateway/endings_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"mothcleat/decide"
 	"mothcleat/internal/resp"
 )
 
@@ -217,7 +218,13 @@
 	late := r.client(t) // there is no place for it
 	late.lookup(2, "60000")
 	r.stop()
-	until(t, r.loop, "the closing", func(l *Loop) bool { return l.life.Closed(l.now()) && l.life.Stopping() })
+	var closing decide.Time
+	until(t, r.loop, "the closing, and a place long after it", func(l *Loop) bool {
+		if l.steps.closing && closing == 0 {
+			closing = l.now()
+		}
+		return closing > 0 && l.now()-closing > 3*lastWithin.Microseconds()
+	})
 	call.serve(t, "one")
 	c.value("one")
 	c.closed()
--- a/internal/gateway/steps.go
+++ b/internal/gateway/steps.go
@@ -38,7 +38,8 @@
 		if l.life.Parted() || l.heirs.after != nil || !l.clients.accepts {
 			l.shut() // others accept here
 		} else {
-			_ = l.clients.listener.SetDeadline(time.Now().Add(lastWithin))
+			l.clients.last.Store(true)
+			_ = l.clients.listener.SetDeadline(time.Now().Add(lastWithin)) // for an accept that waits already
 		}
 	}
 	for c := range l.clients.conns {
