gateway: a connection rests after an answer, so that a late second one answers nobody

Cause: backends.free gave a connection to what waited for one in the very turn in which its answer came, and backends.place took the one used last first. The look for unasked bytes (clean) is made before the write, so a second copy that comes behind it was taken for the next request's answer: that client was served with what no backend made for it, which loses the request.

Change: after an answer a connection rests for 20 ms. What waits goes by its dial, or by the rested connection if that is sooner. Two tests hold a dial or the next answer and send the second copy behind it; both fail without the mend (the second client gets "one" for "two"). Three existing tests that look for reuse wait until the connection has rested; what they assert is as it was.

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -52,6 +52,8 @@
 	a      *attempt
 	closed bool
 	since  decide.Time  // idle since
+	rests  decide.Time  // until when it is not used: more may come behind its last answer
+	stirs  bool         // it is looked at again when it has rested
 	read   atomic.Int64 // bytes that have come
 	used   int64        // those of them that belong to the answers taken in
 	in     *resp.Reader // the receiver's, or of who copies a long value
@@ -78,13 +80,18 @@
 	keep     keep
 	most     int // connections and dials
 	open     int
+	rest     decide.Time // how long a connection rests after an answer
 	dial     net.Dialer
 }
 
+// restAfter is how long a connection rests after an answer. A second copy of it that comes only behind the next request
+// would be taken for that one's answer: nothing in a value tells what it answers. They come some milliseconds late.
+const restAfter decide.Time = 20_000
+
 func newBackends(cfg *Config, most int) *backends {
 	return &backends{
 		byNumber: map[uint32]*backend{}, byID: map[string]*backend{}, most: most,
-		keep: keep{longest: cfg.Host.IdleClose / 2},
+		keep: keep{longest: cfg.Host.IdleClose / 2}, rest: restAfter,
 		dial: net.Dialer{Timeout: time.Duration(cfg.Host.DialTimeout) * time.Microsecond, KeepAlive: -1},
 	}
 }
@@ -124,24 +131,51 @@
 	bs.place(l, b, a)
 }
 
-// place gives an attempt the idle connection used last, or has one dialed.
+// place gives an attempt the idle connection used last of those that have rested, or has one dialed.
 func (bs *backends) place(l *Loop, b *backend, a *attempt) {
-	trusted := l.now() - bs.keep.most(l.now())
-	for n := len(b.idle); n > 0; n = len(b.idle) {
-		c := b.idle[n-1]
+	now := l.now()
+	trusted := now - bs.keep.most(now)
+	for i := len(b.idle) - 1; i >= 0; i-- {
+		c := b.idle[i]
 		if c.since < trusted {
 			bs.close(c)
 			continue
 		}
-		b.idle = b.idle[:n-1]
+		if now < c.rests {
+			continue
+		}
+		b.idle = slices.Delete(b.idle, i, i+1)
 		if bs.write(l, c, a) {
 			return
 		}
 	}
 	b.waiting = append(b.waiting, a)
+	for _, c := range b.idle {
+		c.stir(l)
+	}
 	bs.connect(l, b)
 }
 
+// stir has a connection that rests looked at again once it has rested: somebody waits for one, and a dial may take longer.
+func (c *backendConn) stir(l *Loop) {
+	if !c.stirs {
+		c.stirs = true
+		l.at(c.rests, rested{c})
+	}
+}
+
+// rested tells that a connection has rested.
+type rested struct{ c *backendConn }
+
+func (e rested) due(l *Loop) {
+	c, b := e.c, e.c.b
+	c.stirs = false
+	if i := slices.Index(b.idle, c); i >= 0 && len(b.waiting) > 0 {
+		b.idle = slices.Delete(b.idle, i, i+1)
+		l.backends.free(l, c)
+	}
+}
+
 // connect dials as long as more attempts wait than dials are under way.
 func (bs *backends) connect(l *Loop, b *backend) {
 	for b.dialing < len(b.waiting) {
@@ -230,7 +264,7 @@
 	bs.free(l, c)
 }
 
-// free gives a connection to the attempt that has waited longest, or keeps it.
+// free gives a connection that has rested to the attempt that has waited longest, or keeps it.
 func (bs *backends) free(l *Loop, c *backendConn) {
 	b := c.b
 	if b.state != decide.Ready && len(b.waiting) == 0 || !c.out.idle() {
@@ -240,7 +274,10 @@
 		bs.connect(l, b)
 		return
 	}
-	for len(b.waiting) > 0 {
+	if l.now() < c.rests && len(b.waiting) > 0 {
+		c.stir(l)
+	}
+	for len(b.waiting) > 0 && l.now() >= c.rests {
 		a := b.waiting[0]
 		b.waiting = b.waiting[1:]
 		if bs.write(l, c, a) {
@@ -391,7 +428,7 @@
 		return
 	}
 	kept := c.used > 0 // it has carried an answer before this one
-	c.used = e.used
+	c.used, c.rests = e.used, l.now()+l.backends.rest
 	if a == nil || e.err != nil && !e.spoilt {
 		l.backends.close(c)
 		if c.a = nil; a != nil {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -281,6 +281,7 @@
 		second := b.next(t)
 		second.serve(t, "second")
 		other.value("second") // its connection is idle by now
+		haveRested(t, r)
 		if !alive {
 			second.conn.Close()
 		}
@@ -308,6 +309,7 @@
 	}
 	c.value("ok")
 	other.value("ok")
+	haveRested(t, r)
 	c.lookup(3, "60000")
 	stale := b.next(t)
 	if stale.conn != first.conn && stale.conn != second.conn {
--- a/internal/gateway/long.go
+++ b/internal/gateway/long.go
@@ -161,7 +161,7 @@
 func (e longDone) handle(l *Loop) {
 	c := e.c
 	v := c.long
-	c.long, c.used = nil, e.used
+	c.long, c.used, c.rests = nil, e.used, l.now()+l.backends.rest
 	if v != nil && !v.ended {
 		// It could not be copied to its end: the client must be able to tell.
 		v.end(l)
--- a/internal/gateway/spoilt_test.go
+++ b/internal/gateway/spoilt_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 
@@ -52,6 +53,87 @@
 	}
 }
 
+// restsFor has connections to backends rest after an answer for as long as a test wants.
+func restsFor(rest decide.Time) func(*Loop) {
+	return func(l *Loop) { l.backends.rest = rest }
+}
+
+// haveRested waits until the idle connections to a backend have rested.
+func haveRested(t testing.TB, r *rig) {
+	t.Helper()
+	until(t, r.loop, "connections that have rested", func(l *Loop) bool {
+		b := l.backends.byNumber[1]
+		return len(b.idle) > 0 && !slices.ContainsFunc(b.idle, func(c *backendConn) bool { return l.now() < c.rests })
+	})
+}
+
+// A second copy of an answer may come when the next request has long been written, and would be its answer: until it
+// can't be under way any more the connection is not used, neither for what comes next nor for what waits already.
+func TestLateSecondAnswerAnswersNothing(t *testing.T) {
+	const value, second = "one", "*3\r\n$3\r\none\r\n$-1\r\n$-1\r\n"
+	t.Run("the next request", func(t *testing.T) {
+		b := newBackend(t)
+		r := beginWith(t, configure(t, newFakeDiscovery(t, b.entry("s-00000001", "Ready")), nil), restsFor(1e12))
+		c := r.client(t)
+		c.lookup(1, "60000")
+		first := b.next(t)
+		first.serve(t, value)
+		c.value(value)
+		c.lookup(2, "60000")
+		next := b.next(t)
+		first.answer(t, second)
+		wait(t, b.ended, "the end of the connection with a second answer")
+		next.serve(t, "two")
+		c.value("two")
+	})
+	t.Run("what waits for a connection", func(t *testing.T) {
+		b := newBackend(t)
+		var dials *heldDials
+		r := beginWith(t, configure(t, newFakeDiscovery(t, b.entry("s-00000001", "Ready")), slowDials), func(l *Loop) {
+			restsFor(1e12)(l)
+			dials = holdDials(l)
+		})
+		c, other := r.client(t), r.client(t)
+		c.lookup(1, "60000")
+		wait(t, dials.begun, "the first dial")
+		dials.goOn <- true
+		first := b.next(t)
+		other.lookup(2, "60000")
+		wait(t, dials.begun, "the second dial")
+		first.serve(t, value)
+		c.value(value)
+		until(t, r.loop, "the answer", func(l *Loop) bool { return l.open == 1 })
+		first.answer(t, second)
+		wait(t, b.ended, "the end of the connection with a second answer")
+		close(dials.goOn)
+		b.next(t).serve(t, "two")
+		other.value("two")
+	})
+}
+
+// What waits for a connection goes by one that has rested, if that is sooner than its dial.
+func TestRestedConnectionIsUsed(t *testing.T) {
+	b := newBackend(t)
+	var dials *heldDials
+	r := beginWith(t, configure(t, newFakeDiscovery(t, b.entry("s-00000001", "Ready")), slowDials), func(l *Loop) { dials = holdDials(l) })
+	defer close(dials.goOn)
+	c, other := r.client(t), r.client(t)
+	c.lookup(1, "60000")
+	wait(t, dials.begun, "the first dial")
+	dials.goOn <- true
+	first := b.next(t)
+	other.lookup(2, "60000")
+	wait(t, dials.begun, "the second dial")
+	first.serve(t, "one")
+	c.value("one")
+	next := b.next(t) // its own dial is held all along
+	if next.conn != first.conn {
+		t.Error("it went by another connection")
+	}
+	next.serve(t, "two")
+	other.value("two")
+}
+
 // An answer that can't be read is one failed attempt and ends one connection.
 // The others to that backend go on: its process has not died.
 func TestSpoiltAnswerEndsOneConnection(t *testing.T) {
@@ -69,6 +151,7 @@
 			fine := b.next(t)
 			fine.serve(t, "fine")
 			other.value("fine")
+			haveRested(t, r)
 			spoilt.answer(t, answer)
 			again := b.next(t)
 			again.serve(t, "again")
