gateway: what comes while a connection rests waits for it; idle time counts to the write

Cause: replied.handle took an attempt's idle time from when it was sent, not written. One that waits while its connection rests is sent before that began to stand idle: a reset then taught keep an idle time below nothing, so that for seconds no connection idle for over 30 ms was trusted, and all were dialed anew. Before, a connection handed on in the turn of its answer had a time that was too long in the same way.

Change: place and connect count a resting connection as one that comes up, so no dial is made for who can have it; if it ends otherwise, one is. An attempt notes when it was written and how long its connection had stood.

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -24,6 +24,8 @@
 	number   int
 	backend  uint32
 	sent     decide.Time
+	wrote    decide.Time // when it was written to its connection,
+	stood    decide.Time // and for how long that had stood idle
 	until    decide.Time
 	conn     *backendConn // nil: it waits for one
 	giveUp   *timer
@@ -150,13 +152,22 @@
 		}
 	}
 	b.waiting = append(b.waiting, a)
+	bs.connect(l, b)
+}
+
+// resting counts the connections that somebody who waits may have soon, and sees to that.
+func (b *backend) resting(l *Loop) int {
+	n := 0
 	for _, c := range b.idle {
-		c.stir(l)
+		if l.now() < c.rests {
+			c.stir(l)
+			n++
+		}
 	}
-	bs.connect(l, b)
+	return n
 }
 
-// stir has a connection that rests looked at again once it has rested: somebody waits for one, and a dial may take longer.
+// stir has a connection that rests looked at again once it has rested, whatever has become of it.
 func (c *backendConn) stir(l *Loop) {
 	if !c.stirs {
 		c.stirs = true
@@ -174,11 +185,15 @@
 		b.idle = slices.Delete(b.idle, i, i+1)
 		l.backends.free(l, c)
 	}
+	l.backends.connect(l, b) // where it has ended, or was taken
 }
 
-// connect dials as long as more attempts wait than dials are under way.
+// connect dials as long as more attempts wait than dials are under way, and connections rest.
 func (bs *backends) connect(l *Loop, b *backend) {
-	for b.dialing < len(b.waiting) {
+	if len(b.waiting) == 0 {
+		return
+	}
+	for resting := b.resting(l); b.dialing+resting < len(b.waiting); {
 		if bs.open >= bs.most && !bs.evict() {
 			// No descriptor to spare is no fault of the backend's: nothing was
 			// sent, and nothing is to be learnt of it.
@@ -240,7 +255,7 @@
 			bs.connect(l, b) // it was the process before that did not answer
 			return
 		}
-		if len(b.waiting) > b.dialing {
+		if len(b.waiting) > 0 && len(b.waiting) > b.dialing+b.resting(l) {
 			a := b.waiting[0]
 			if errors.Is(e.err, syscall.ECONNRESET) && !a.redialed {
 				// Something listens there: nothing was sent, and another may do
@@ -343,6 +358,7 @@
 		}
 	}
 	c.a, a.conn = a, c
+	a.wrote, a.stood = l.now(), l.now()-c.since
 	return true
 }
 
@@ -435,14 +451,15 @@
 			// Its last byte was written, or may have been: it may have run. Where a
 			// connection was kept and proved dead when used, those that have been
 			// kept for longer are most likely dead too, though nothing shows it.
-			if idle := a.sent - c.since; kept && l.now()-a.sent < atOnce {
-				l.backends.keep.broke(l.now(), idle)
+			if kept && l.now()-a.wrote < atOnce {
+				l.backends.keep.broke(l.now(), a.stood)
 			}
 			for kept && len(c.b.idle) > 0 && c.b.idle[0].since <= c.since {
 				l.backends.close(c.b.idle[0])
 			}
 			l.finish(a, decide.Reset, nil)
 		}
+		l.backends.connect(l, c.b) // somebody may have waited for it to have rested
 		return
 	}
 	result, value, load, fine := classify(e.reply, a.r == nil)
--- a/internal/gateway/spoilt_test.go
+++ b/internal/gateway/spoilt_test.go
@@ -80,10 +80,10 @@
 		first.serve(t, value)
 		c.value(value)
 		c.lookup(2, "60000")
-		next := b.next(t)
+		until(t, r.loop, "the next request", func(l *Loop) bool { return l.nextID == 2 })
 		first.answer(t, second)
 		wait(t, b.ended, "the end of the connection with a second answer")
-		next.serve(t, "two")
+		b.next(t).serve(t, "two")
 		c.value("two")
 	})
 	t.Run("what waits for a connection", func(t *testing.T) {
@@ -111,6 +111,39 @@
 	})
 }
 
+// What comes while a connection rests waits for it, and is not dialed for; where the connection ends otherwise, it is.
+func TestNextRequestWaitsForTheRest(t *testing.T) {
+	for _, ends := range []bool{false, true} {
+		b := newBackend(t)
+		r := beginWith(t, configure(t, newFakeDiscovery(t, b.entry("s-00000001", "Ready")), nil), restsFor(1e12))
+		c := r.client(t)
+		c.lookup(1, "60000")
+		first := b.next(t)
+		first.serve(t, "one")
+		c.value("one")
+		c.lookup(2, "60000")
+		until(t, r.loop, "the next request", func(l *Loop) bool { return l.nextID == 2 })
+		ask(t, r.loop, func(l *Loop) bool {
+			b := l.backends.byNumber[1]
+			if len(b.waiting) != 1 || b.dialing != 0 || len(b.idle) != 1 {
+				t.Errorf("%d wait, %d dials, %d idle connections", len(b.waiting), b.dialing, len(b.idle))
+			}
+			c := b.idle[0]
+			if c.rests = 0; ends {
+				l.backends.drop(b)
+			}
+			rested{c}.due(l)
+			return true
+		})
+		next := b.next(t)
+		if (next.conn == first.conn) == ends {
+			t.Errorf("the connection, ended %t, was used %t", ends, next.conn == first.conn)
+		}
+		next.serve(t, "two")
+		c.value("two")
+	}
+}
+
 // What waits for a connection goes by one that has rested, if that is sooner than its dial.
 func TestRestedConnectionIsUsed(t *testing.T) {
 	b := newBackend(t)
