decide: idle servers are chosen in proportion to their size, not the largest alone

Checked: refusals by reason, on a scratch copy (zone, 40 gateways): 10,444 of 14,328 for load, 3,719 for an empty store, 151 for a slice. Ruled out: dials (all had a connection at once), zones (gateways are even in all five), a class's own room.

Cause: cost divided an idle server's cost by its size (decide.cost). With 300 gateways each sees next to nothing out anywhere, so the idle largest servers were always the cheapest, at every gateway, and the smaller half stood idle.

Change: size divides what is out, not the one to come, in means of all sizes; among servers alike in cost the choice is by size. Where the list tells no sizes nothing changes but the random draw.

The test fails without the mend (servers of size 1 beside 3 get 0.000 of the requests, an eighth is theirs).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -694,7 +694,7 @@
 func (g *Gateway) choose(r *request, within *attempt) *backend {
 	for _, anyway := range []bool{false, true} {
 		var best *backend
-		bestCost, ties := math.Inf(1), 0
+		bestCost, ties := math.Inf(1), 0.0
 		for _, b := range g.backends {
 			if b.State != Ready || !b.listed || !g.warmEnough(b) ||
 				b.unsure && (b.out > 0 || g.now < b.opens) ||
@@ -709,7 +709,8 @@
 			} else if cost < bestCost {
 				ties = 0
 			}
-			if ties++; g.rand.IntN(ties) == 0 {
+			size := g.size(b)
+			if ties += size; g.rand.Float64()*ties < size {
 				best, bestCost = b, cost
 			}
 		}
@@ -720,19 +721,37 @@
 	return nil
 }
 
-// cost is how long a request may have to wait at a backend, compared with others.
+// size is what a backend can do, in means of all, as far as the list tells.
+func (g *Gateway) size(b *backend) float64 {
+	if g.set.HintsTell && b.Hint > 0 && g.meanSize > 0 {
+		return b.Hint / g.meanSize
+	}
+	return 1
+}
+
+// weigh takes the mean of the sizes that the list tells.
+func (g *Gateway) weigh() {
+	sum, n := 0.0, 0.0
+	for _, b := range g.backends {
+		if b.State == Ready && b.listed && b.Hint > 0 {
+			sum, n = sum+b.Hint, n+1
+		}
+	}
+	g.meanSize = sum / math.Max(n, 1)
+}
+
+// cost is how long a request may have to wait at a backend, compared with others. An idle one is no better for
+// being larger: of many gateways each sees next to nothing out anywhere, and all would send to the largest alone.
+// Idle ones alike in all else are chosen in proportion to their size.
 func (g *Gateway) cost(b *backend) float64 {
 	held := float64(b.out)
 	if g.now-b.queueAt < second {
 		held = math.Max(held, held/2+b.queue)
 	}
-	cost := (held + 1) * b.slowness(g.now)
+	cost := (held/g.size(b) + 1) * b.slowness(g.now)
 	if b.Zone != g.set.Zone {
 		cost *= 1 + g.set.CrossZonePrice*zoneWeight
 	}
-	if g.set.HintsTell && b.Hint > 0 {
-		cost /= b.Hint
-	}
 	if g.set.Gateways > fewTry && (b.sentAt == 0 || g.now-b.sentAt > keptFor) && g.share(b) == 1 {
 		// It needs a handshake, which costs it work. In a large fleet each gateway sends a
 		// backend a request now and then only: nearly every one would pay for a handshake.
@@ -767,6 +786,7 @@
 		}
 	}
 	g.prune()
+	g.weigh()
 }
 
 // warmEnough tells whether a backend may be sent one more. A cold one is sent its share of
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -666,6 +666,37 @@
 	}
 }
 
+// Of many gateways each sees hardly anything out: where the list tells sizes, idle servers get their part by size, and
+// the smaller ones are not left to stand idle while all send to the largest. What is out counts by size as well.
+func TestIdleServersAreChosenBySize(t *testing.T) {
+	for name, sizes := range map[string][]float64{"told": {1, 1, 3, 3}, "scaled": {2.5, 2.5, 7.5, 7.5}} {
+		set := settings()
+		set.HintsTell = true
+		r := newRig(t, set)
+		list := members(4)
+		for i := range list {
+			list[i].Hint = sizes[i]
+		}
+		r.Members(r.at, Whole, list)
+		got := map[uint32]int{}
+		const asked = 2000
+		for range asked {
+			r.at += second / 20
+			id, sent := r.ask(0, 1, r.next, 1)
+			if !sent {
+				t.Fatalf("%s: request %d was not sent: %s", name, id, r.last())
+			}
+			got[r.requests[id].attempts[0].b.Backend]++
+			r.end(id, OK, true)
+		}
+		for i, m := range list {
+			if part, want := float64(got[m.Backend])/asked, sizes[i]/sizes[2]*3/8; math.Abs(part-want) > 0.03 {
+				t.Errorf("%s: server %d of size %g got %.3f of all, want %.3f", name, i+1, sizes[i], part, want)
+			}
+		}
+	}
+}
+
 func TestErrorsLeaveABackendOut(t *testing.T) {
 	r := newRig(t, settings())
 	for i := range 200 {
--- a/decide/state.go
+++ b/decide/state.go
@@ -85,6 +85,7 @@
 
 	backends []*backend
 	byID     map[uint32]*backend
+	meanSize float64 // of those that are ready, by the list; 0: it tells none
 	asked    Time
 	follows  bool
 
