--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -88,7 +88,7 @@
 
 // restAfter is how long a connection rests after an answer. A second copy of it that comes only behind the next request
 // would be taken for that one's answer: nothing in a value tells what it answers. They come some milliseconds late.
-const restAfter decide.Time = 20_000
+const restAfter decide.Time = 6_000
 
 func newBackends(cfg *Config, most int) *backends {
 	return &backends{
