decide: a slice that holds no request saves up for one

Cause: without notes or a counter a gateway holds an even slice of a customer's quota (decide.refill). A burst of two units over four gateways is half a unit each: the bank could never hold a request of one, and the customer was refused for ever. With a meter the same: no use is read of who sends nothing.

Change: such a slice's bank may fill up to the largest request that was asked, at the slice's own rate; no more passes in the long run. The test fails without the mend (0 units pass where the slice gives 60).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -171,7 +171,8 @@
 	part := g.part(c)
 	if !g.pooled {
 		p := &g.set.Plans[c.plan]
-		c.store.rate, c.store.cap = part*p.Rate, part*p.Burst
+		// A slice that holds no request would never let one pass: it saves up for one.
+		c.store.rate, c.store.cap = part*p.Rate, math.Max(part*p.Burst, math.Min(c.most, p.Burst))
 		part = 1
 	}
 	c.ceiling.refill(g.now)
@@ -400,7 +401,7 @@
 func (g *Gateway) ask(c *customer, units float64) {
 	c.use.add(g.now, c.window, units)
 	c.metered.add(g.now, max(1, g.set.MeterPeriod), units)
-	c.asked, c.lastAsk = c.asked+units, units
+	c.asked, c.lastAsk, c.most = c.asked+units, units, math.Max(c.most, units)
 	if !g.consults(c) {
 		c.slice = math.Min(c.slice+c.grant*units, sliceMost*units)
 	}
--- a/decide/quota_test.go
+++ b/decide/quota_test.go
@@ -291,3 +291,32 @@
 		t.Errorf("the restored gateway holds %g once it has heard, the other %g", got, now)
 	}
 }
+
+// Gateways that hear nothing of one another go by slices. One of a small burst holds less than a request: it saves up for the
+// largest that was asked, at its rate, and the customer is not shut out.
+func TestASliceThatHoldsNoRequestSavesUp(t *testing.T) {
+	for _, metered := range []bool{false, true} {
+		set := settings()
+		set.Peers, set.Gateways = false, 4
+		if metered {
+			set.MeterPeriod = second
+		}
+		set.Plans = []Plan{{Rate: 2, Burst: 4, Price: 1, BeyondCosts: 1}}
+		r := newRig(t, set)
+		const seconds, units, slice = 120, 2, 0.5 // a request's units; those a second, and one at once, of the slice
+		passed := 0.0
+		for range 2 * seconds {
+			r.at += second / 2
+			r.next++
+			before := r.fake.count("send")
+			r.Request(r.at, Request{ID: r.next, Customer: 9, Units: units, Grace: 2 * second, Spread: 4})
+			if r.fake.count("send") > before {
+				passed += units
+				r.end(r.next, OK, true)
+			}
+		}
+		if passed < 0.9*slice*seconds || passed > slice*seconds+units {
+			t.Errorf("metered %t: %g units passed, the slice gives %g", metered, passed, slice*seconds)
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -18,6 +18,7 @@
 	asked         float64   // units asked here
 	askedTold     float64   // those of them told
 	lastAsk       float64   // units of the last request
+	most          float64   // units of the largest one
 	use, others   fading    // units asked here, and elsewhere, lately
 	heard         []heard   // what each gateway of the set told, where they tell this one
 	grant         float64   // wide sets: the part of what is asked that may be taken
