--- a/decide/decide.go
+++ b/decide/decide.go
@@ -741,9 +741,9 @@
 	g.meanSize = sum / math.Max(n, 1)
 }
 
-// cost is how long a request may have to wait at a backend, compared with others. An idle one is no better for
-// being larger: of many gateways each sees next to nothing out anywhere, and all would send to the largest alone.
-// Idle ones alike in all else are chosen in proportion to their size.
+// cost is how long a request may have to wait at a backend, compared with others. An idle one is
+// no better for being larger: of many gateways each sees next to nothing out anywhere, and all would
+// send to the largest alone. Idle ones alike in all else are chosen in proportion to their size.
 func (g *Gateway) cost(b *backend) float64 {
 	held := float64(b.out)
 	if g.now-b.queueAt < second {
