--- a/internal/gateway/spoilt_test.go
+++ b/internal/gateway/spoilt_test.go
@@ -87,19 +87,7 @@
 		c.value("two")
 	})
 	t.Run("what waits for a connection", func(t *testing.T) {
-		b := newBackend(t)
-		var dials *heldDials
-		r := beginWith(t, configure(t, newFakeDiscovery(t, b.entry("s-00000001", "Ready")), slowDials), func(l *Loop) {
-			restsFor(1e12)(l)
-			dials = holdDials(l)
-		})
-		c, other := r.client(t), r.client(t)
-		c.lookup(1, "60000")
-		wait(t, dials.begun, "the first dial")
-		dials.goOn <- true
-		first := b.next(t)
-		other.lookup(2, "60000")
-		wait(t, dials.begun, "the second dial")
+		r, b, dials, first, c, other := oneWaitsForItsDial(t, restsFor(1e12))
 		first.serve(t, value)
 		c.value(value)
 		until(t, r.loop, "the answer", func(l *Loop) bool { return l.open == 1 })
@@ -111,6 +99,23 @@
 	})
 }
 
+// oneWaitsForItsDial is a backend that has got one client's request, while another's waits for a dial that is held.
+func oneWaitsForItsDial(t *testing.T, prepare func(*Loop)) (r *rig, b *fakeBackend, dials *heldDials, first *backendCall, c, other *testClient) {
+	b = newBackend(t)
+	r = beginWith(t, configure(t, newFakeDiscovery(t, b.entry("s-00000001", "Ready")), slowDials), func(l *Loop) {
+		prepare(l)
+		dials = holdDials(l)
+	})
+	c, other = r.client(t), r.client(t)
+	c.lookup(1, "60000")
+	wait(t, dials.begun, "the first dial")
+	dials.goOn <- true
+	first = b.next(t)
+	other.lookup(2, "60000")
+	wait(t, dials.begun, "the second dial")
+	return r, b, dials, first, c, other
+}
+
 // What comes while a connection rests waits for it, and is not dialed for; where the connection ends otherwise, it is.
 func TestNextRequestWaitsForTheRest(t *testing.T) {
 	for _, ends := range []bool{false, true} {
@@ -146,17 +151,8 @@
 
 // What waits for a connection goes by one that has rested, if that is sooner than its dial.
 func TestRestedConnectionIsUsed(t *testing.T) {
-	b := newBackend(t)
-	var dials *heldDials
-	r := beginWith(t, configure(t, newFakeDiscovery(t, b.entry("s-00000001", "Ready")), slowDials), func(l *Loop) { dials = holdDials(l) })
+	_, b, dials, first, c, other := oneWaitsForItsDial(t, func(*Loop) {})
 	defer close(dials.goOn)
-	c, other := r.client(t), r.client(t)
-	c.lookup(1, "60000")
-	wait(t, dials.begun, "the first dial")
-	dials.goOn <- true
-	first := b.next(t)
-	other.lookup(2, "60000")
-	wait(t, dials.begun, "the second dial")
 	first.serve(t, "one")
 	c.value("one")
 	next := b.next(t) // its own dial is held all along
