--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,7 @@
 // cases are the cases by name. trouble says whether the disruption takes place.
 var cases = map[string]func(rec *record, trouble bool) (verdict, error){
 	"second-answer": secondAnswer,
+	"slow-reader":   slowReader,
 	"upgrade":       upgrade,
 }
 
