Review, case 3: requests wait unread and unanswered behind a crowd of half-written commands

The entry TestSoakInSmallWithCrowds of KNOWN-RED.txt saw attempts that told their server more than was left, and suspected requests that wait in the backlog while all places are taken. This case takes the place of the slow reader, which hits only the client that is slow itself.

What: review/3 has 300 clients write a command for 2 s and halt, with half the descriptors, and then 40 sound clients, each with a whole request on a new connection. The report lists the cases, the entries, further findings with their probes (slow-reader, unsent, drain, two-holders) and what held.

--- a/review/standin/gateway.go
+++ b/review/standin/gateway.go
@@ -58,7 +58,11 @@
 	if err := os.MkdirAll(tmp, 0o700); err != nil {
 		return nil, err
 	}
-	p := &process{cmd: exec.Command("/bin/sh", "-c", command), exited: make(chan struct{}), log: log}
+	p := &process{
+		cmd:    exec.Command("/bin/sh", "-c", command),
+		exited: make(chan struct{}),
+		log:    log,
+	}
 	p.cmd.Env = append(os.Environ(),
 		"RELAY_CONFIG="+path,
 		"RELAY_NAME="+cfg["name"].(string),
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,11 +21,17 @@
 
 var errTooLittle = errors.New("too little was served to judge")
 
-// cases are the cases by name. trouble says whether the disruption takes place.
+// cases are the cases by name, and after them probes that are no cases: see REPORT.md. trouble says
+// whether the disruption takes place.
 var cases = map[string]func(rec *record, trouble bool) (verdict, error){
 	"second-answer": secondAnswer,
-	"slow-reader":   slowReader,
 	"upgrade":       upgrade,
+	"crowd":         crowd,
+
+	"slow-reader": slowReader,
+	"drain":       drain,
+	"unsent":      unsent,
+	"two-holders": twoHolders,
 }
 
 func init() {
@@ -57,6 +63,7 @@
 		rec.say("the case could not run: %v", err)
 		return didNotRun
 	}
-	rec.say("verdict: %s", map[verdict]string{held: "the rule held", broken: "the rule was broken"}[found])
+	words := map[verdict]string{held: "the rule held", broken: "the rule was broken"}
+	rec.say("verdict: %s", words[found])
 	return found
 }
--- a/review/standin/secondanswer.go
+++ b/review/standin/secondanswer.go
@@ -52,7 +52,8 @@
 	var clients sync.WaitGroup
 	send := func(r request, p *pool) {
 		defer clients.Done()
-		rec.add("client asks %s as %s of customer %016x at %s", r.id, r.class, r.customer, p.address)
+		rec.add("client asks %s as %s of customer %016x at %s",
+			r.id, r.class, r.customer, p.address)
 		answer, err := p.do(r.command(w.gateways), r.wait)
 		if err != nil {
 			silent.Add(1)
--- a/review/standin/slowreader.go
+++ b/review/standin/slowreader.go
@@ -83,8 +83,9 @@
 		mu.Lock()
 		r, at := sent[i], sentAt[i]
 		mu.Unlock()
-		rec.add("client gets to %s after %v: %s %.40s (%d bytes)", r.id,
-			time.Since(at).Round(time.Millisecond), answer.outcome(), answer.value, len(answer.value))
+		rec.add("client gets to %s after %v: %s %.40s (%d bytes)",
+			r.id, time.Since(at).Round(time.Millisecond), answer.outcome(),
+			answer.value, len(answer.value))
 		count[answer.outcome()]++
 	}
 	<-writer
