--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -34,6 +34,20 @@
 	body     string // of an alerta
 }
 
+// writeSlowly writes a command byte by byte, the last one once the time is nearly over, never after
+// it on a machine that keeps up.
+func writeSlowly(c net.Conn, command []byte, within time.Duration) error {
+	started := time.Now()
+	for i := range command {
+		part := time.Duration(i) * (within * 19 / 20) / time.Duration(len(command))
+		time.Sleep(time.Until(started.Add(part)))
+		if _, err := c.Write(command[i : i+1]); err != nil {
+			return fmt.Errorf("byte %d: %w", i, err)
+		}
+	}
+	return nil
+}
+
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
 // command returns the request as PROTOCOL has it. The customer's set are all gateways.
--- a/review/standin/crowd.go
+++ b/review/standin/crowd.go
@@ -21,9 +21,10 @@
 	shortWait      = 1500 * time.Millisecond // half of the 3 s of the class
 	longWait       = 3 * time.Second
 	toldSlack      = 150 * time.Millisecond
-	soundAfter     = 300 * time.Millisecond
-	stillInTime    = 500 * time.Millisecond
-	crowdFreeBytes = 10 // of the command, which are never written
+	soundAfter     = 200 * time.Millisecond
+	soundEvery     = 5 * time.Millisecond
+	stillInTime    = 550 * time.Millisecond // half a second, and 50 ms as on sockets
+	crowdFreeBytes = 10                     // of the command, which are never written
 )
 
 // crowd has a crowd fill a gateway's places for clients. Clients that come then, each with a whole
@@ -42,6 +43,7 @@
 	ends := map[string]time.Time{} // when the client of a request gives up
 	tooLong := 0
 	for _, s := range w.servers {
+		s.work = func([]string) time.Duration { return 60 * time.Millisecond }
 		s.arrived = func(args []string) {
 			told := toldTime(args[3])
 			mu.Lock()
@@ -77,7 +79,7 @@
 			defer mu.Unlock()
 			count[outcome]++
 		}()
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(soundEvery)
 	}
 	clients.Wait()
 	rec.say("%d sound clients: %v; attempts that told their server over 0.15 s too much: %d; "+
@@ -104,13 +106,11 @@
 	}
 	command := r.command(w.gateways)
 	command = command[:len(command)-crowdFreeBytes]
-	for k, b := range command {
-		if _, err := c.Write([]byte{b}); err != nil {
-			w.record.add("crowd %d: cut after %d bytes: %v", i, k, err)
-			return
-		}
-		time.Sleep(crowdWrites / time.Duration(len(command)))
+	if err := writeSlowly(c, command, crowdWrites); err != nil {
+		w.record.add("crowd %d: cut: %v", i, err)
+		return
 	}
+	w.record.add("crowd %d halts", i)
 	_ = c.SetReadDeadline(time.Now().Add(crowdStays))
 	rest, err := io.ReadAll(c)
 	w.record.add("crowd %d: ends with %q %v", i, rest, err)
@@ -127,7 +127,6 @@
 // soundClient sends a request on a new connection and returns what comes of it. It calls sent
 // with the request's id and the time at which it gives up.
 func (w *world) soundClient(i int, sent func(id string, end time.Time)) string {
-	started := time.Now()
 	c, err := dialGateway(w.addresses[0])
 	if err != nil {
 		w.record.add("client %d: no connection: %v", i, err)
@@ -141,8 +140,10 @@
 	if i%2 == 1 {
 		r.wait = longWait
 	}
-	sent(r.id, started.Add(r.wait))
-	if _, err := c.Write(r.command(w.gateways)); err != nil {
+	sent(r.id, time.Now().Add(r.wait))
+	_, err = c.Write(r.command(w.gateways))
+	started := time.Now() // a request's time counts from its last byte
+	if err != nil {
 		w.record.add("client %d: can't write: %v", i, err)
 		return "shut"
 	}
--- a/review/standin/upgrade.go
+++ b/review/standin/upgrade.go
@@ -14,11 +14,12 @@
 // The times of the case.
 const (
 	upgradeClients   = 10
-	firstTakes       = 3500 * time.Millisecond // an alerta is wanted within 4 s
-	secondBegins     = 200 * time.Millisecond
-	secondWritten    = 2 * time.Second // a head may take a client 2 s
-	upgradeBegins    = 500 * time.Millisecond
-	oldEndedAfterYes = 300 * time.Millisecond // SIGTERM comes within 6 s of the yes
+	firstTakes       = 2 * time.Second // an alerta is wanted within 4 s
+	secondBegins     = 100 * time.Millisecond
+	secondWritten    = 1200 * time.Millisecond // a head may take a client 2 s
+	secondLookedAt   = 200 * time.Millisecond  // after its last byte
+	upgradeBegins    = 200 * time.Millisecond
+	oldEndedAfterYes = 100 * time.Millisecond // SIGTERM comes within 6 s of the yes
 	killedAfter      = 3700 * time.Millisecond
 )
 
@@ -117,7 +118,7 @@
 }
 
 // twoCommands sends two commands on one connection and returns their outcomes, "" for none, and
-// whether the gateway had read the second one half a second after its last byte was written.
+// whether the gateway had read the second one a while after its last byte was written.
 func twoCommands(rec *record, w *world, i int) (first, second string, read bool) {
 	c, err := dialGateway(w.addresses[0])
 	if err != nil {
@@ -142,16 +143,12 @@
 		time.Sleep(secondBegins)
 		command := r2.command(w.gateways)
 		rec.add("client %d begins to write %s as %s", i, r2.id, r2.class)
-		pause := secondWritten / time.Duration(len(command))
-		for _, b := range command {
-			if _, err := c.Write([]byte{b}); err != nil {
-				rec.add("client %d can't write %s: %v", i, r2.id, err)
-				return
-			}
-			time.Sleep(pause)
+		if err := writeSlowly(c, command, secondWritten); err != nil {
+			rec.add("client %d can't write %s: %v", i, r2.id, err)
+			return
 		}
 		rec.add("client %d has written the last byte of %s", i, r2.id)
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(secondLookedAt)
 		read = nothingUnread(c.LocalAddr())
 		rec.add("client %d: the gateway has read all of %s: %v", i, r2.id, read)
 	}()
