Upgrade: one decision passes, keeps or closes a connection, so no read command is lost

Callers saw: in an upgrade, a command that the old process had read behind an open one was never answered.

Cause: five places decided on a connection for themselves (flushAnswers, haltThenFinish, readerHalted, readerDetached, passToSuccessor), each from a part of its state. Closing looked at the open requests and not at the commands that are held for the successor, and came before passing; what was closed was not passed any more.

Change: lifecycle.DecideConn, a pure function of the process and the connection, says what happens: pass, keep, stop or restart the reader, admit what is held, halt, close. settleConn carries it out, and is called wherever the state may have changed. While connections are passed, a wish to close (shutdown, drain, idle time, connection limit) gives way. Every decision other than to keep is logged at level debug.

The same cause on three more paths, mended by the same decision: a drain closed a connection in the pause before the takeover although commands were held; a connection over the limit was never passed, and closed with what was held; a reader that ended on a closing connection lost what it had read.

--- a/internal/dataplane/gateway/accept.go
+++ b/internal/dataplane/gateway/accept.go
@@ -193,9 +193,9 @@
 // passed to a successor, it passes the connection on instead and returns false.
 func (g *Gateway) startClient(c *client) bool {
 	g.clients.conns[c] = true
-	if g.handover.passingConns() {
+	if g.lifecycle.PassesConns() {
 		c.reading.detached = true // no reader was started
-		g.passToSuccessor(c)
+		g.settleConn(c)
 		return false
 	}
 	go c.readCommands(g)
--- a/internal/dataplane/gateway/client.go
+++ b/internal/dataplane/gateway/client.go
@@ -109,7 +109,7 @@
 		<-c.pipelineSlots
 		return // it arrived while the connection was closing; the client retries it
 	}
-	if g.holdForSuccessor(e) {
+	if g.holdCommand(e) {
 		return
 	}
 	g.admit(e)
@@ -215,11 +215,10 @@
 	if n == 0 {
 		return
 	}
-	if len(c.pipeline) == 0 && (c.closeWhenIdle || g.lifecycle.ClosesAfterAnswer(g.now())) {
+	if len(c.pipeline) == 0 && g.lifecycle.ClosesAfterAnswer(g.now()) {
 		c.closeWhenIdle = true
-		c.haltThenFinish(g)
 	}
-	g.passToSuccessor(c)
+	g.settleConn(c)
 }
 
 // pingReply returns the answer to a health check by clients or load balancers that choose among
--- a/internal/dataplane/gateway/client_close.go
+++ b/internal/dataplane/gateway/client_close.go
@@ -10,26 +10,14 @@
 	maxLingers                   = 10      // number of extensions for a client that reads slowly
 )
 
-// closeAfterAnswers closes a connection: immediately if no request is open on it, otherwise after
-// its last answer.
+// closeAfterAnswers closes a connection once all commands that were read from it are answered.
+// While connections are passed to a successor, the connection is passed instead.
 func (c *client) closeAfterAnswers(g *Gateway) {
 	if c.closeWhenIdle || c.closed {
 		return
 	}
 	c.closeWhenIdle = true
-	if len(c.pipeline) == 0 {
-		c.haltThenFinish(g)
-	}
-}
-
-// haltThenFinish closes a connection without open requests as soon as its reader is between two
-// commands, so that commands already received are answered first.
-func (c *client) haltThenFinish(g *Gateway) {
-	if c.ignoreInput.Load() || c.reading.detached { // the connection is no longer read
-		c.finish(g)
-		return
-	}
-	c.reading.requestHalt(c.conn)
+	g.settleConn(c)
 }
 
 // readerHalted reports that a reader has posted everything it has read and waits to be resumed.
@@ -40,9 +28,9 @@
 	if c.closed {
 		return
 	}
-	if c.closeWhenIdle && len(c.pipeline) == 0 {
-		c.finish(g)
-	}
+	c.reading.halted = true
+	g.settleConn(c)
+	c.reading.halted = false
 	c.reading.resume(c.conn)
 	c.resumeReading <- struct{}{}
 }
--- /dev/null
+++ b/internal/dataplane/gateway/conn_settle.go
@@ -0,0 +1,161 @@
+package gateway
+
+import (
+	"mothcleat/internal/dataplane/hotrestart"
+	"mothcleat/internal/dataplane/lifecycle"
+	"mothcleat/internal/dataplane/policy"
+)
+
+// settleConns carries out the lifecycle's decisions on all connections.
+func (g *Gateway) settleConns() {
+	for c := range g.clients.conns {
+		g.settleConn(c)
+	}
+}
+
+// settleConn carries out the lifecycle's decision on a connection: to pass it to the successor, to
+// keep it, or to answer its commands and close it. It is called whenever the state of the
+// connection or of the process may have changed, and is the only caller of what it calls.
+func (g *Gateway) settleConn(c *client) {
+	if c.closed {
+		return
+	}
+	state := c.lifecycleState()
+	action := g.lifecycle.DecideConn(state)
+	if action == lifecycle.KeepConn {
+		return
+	}
+	g.log.Debug("client connection", "action", action, "open", state.Open, "held", state.Held,
+		"unread", len(c.reading.unread), "closing", state.CloseRequested)
+	switch action {
+	case lifecycle.StopReader:
+		c.reading.requestDetach(c.conn)
+	case lifecycle.PassConn:
+		g.passConn(c)
+	case lifecycle.RestartReader:
+		g.readAgain(c)
+	case lifecycle.AdmitHeld:
+		g.admitHeld(c)
+	case lifecycle.HaltReader:
+		c.reading.requestHalt(c.conn)
+	case lifecycle.CloseConn:
+		c.finish(g)
+	}
+}
+
+// lifecycleState returns the state on which the lifecycle's decision depends.
+func (c *client) lifecycleState() lifecycle.Conn {
+	return lifecycle.Conn{
+		Reader:         c.readerState(),
+		Open:           len(c.pipeline),
+		Held:           len(c.reading.held),
+		CloseRequested: c.closeWhenIdle,
+		WriteEnded:     c.writeEnded,
+		OutputPending:  !c.out.drained(),
+	}
+}
+
+func (c *client) readerState() lifecycle.ReaderState {
+	switch {
+	case c.ignoreInput.Load():
+		return lifecycle.ReaderDone
+	case c.reading.detached:
+		return lifecycle.ReaderStopped
+	case c.reading.halted:
+		return lifecycle.ReaderHalted
+	}
+	return lifecycle.ReaderRunning
+}
+
+// passConn passes a connection to the successor.
+func (g *Gateway) passConn(c *client) {
+	passed := c.exportForSuccessor(g.now())
+	c.endReader()
+	g.clients.remove(c)
+	g.metrics.ConnsPassed.Add(1)
+	g.handover.passer.pass(passed)
+}
+
+// readAgain starts a new reader for a connection whose reader has ended. The connection keeps its
+// slot.
+func (g *Gateway) readAgain(c *client) {
+	kept := c.exportForSuccessor(g.now())
+	c.endReader()
+	delete(g.clients.conns, c)
+	g.restartReader(kept)
+}
+
+// holdCommand holds a command while a successor may answer it, and reports whether it does. A
+// command that needs no decision by the balancer is held only behind others, or if the connection is
+// passed on.
+func (g *Gateway) holdCommand(e commandRead) bool {
+	if !g.lifecycle.HoldsCommands() {
+		return false
+	}
+	c := e.client
+	needsDecision := e.command.args != nil
+	if len(c.reading.held) == 0 && !needsDecision && !g.lifecycle.PassesConns() {
+		return false
+	}
+	c.reading.held = append(c.reading.held, e)
+	if e.framingLost { // no more commands are read after it
+		c.reading.detached = true
+	}
+	g.settleConn(c)
+	return true
+}
+
+// admitHeld admits the held commands of a connection in their order. An admission may answer the
+// command at once, and so settle the connection.
+func (g *Gateway) admitHeld(c *client) {
+	for len(c.reading.held) > 0 && !c.closed {
+		e := c.reading.held[0]
+		c.reading.held = c.reading.held[1:]
+		g.admit(e)
+	}
+}
+
+// exportForSuccessor returns a connection with the state that a successor needs.
+func (c *client) exportForSuccessor(now policy.Time) hotrestart.ClientConn {
+	rc := &c.reading
+	p := hotrestart.ClientConn{
+		Conn:  c.conn,
+		State: hotrestart.ConnState{Commands: c.commands, HeldCommands: len(rc.held)},
+	}
+	if k := c.credential; k != nil {
+		p.State.HasCredential = true
+		p.State.User = k.User
+		p.State.Secret = k.Secret
+		p.State.Named = k.Named
+	}
+	for i, e := range rc.held {
+		if i == 0 {
+			p.State.AgeUS = max(0, now-e.arrived)
+		}
+		p.Unread = e.appendEncoded(p.Unread)
+	}
+	if rc.inheritedCommands > 0 && len(rc.held) == 0 {
+		// The commands came from the predecessor and were not read here.
+		p.State.HeldCommands = rc.inheritedCommands
+		p.State.AgeUS = rc.inheritedAge + now - rc.inheritedAt
+	}
+	p.Unread = append(p.Unread, rc.unread...)
+	return p
+}
+
+// readerDetached reports that a client's reader has ended. rest is the data it had read beyond the
+// last command.
+type readerDetached struct {
+	client *client
+	rest   []byte
+}
+
+func (e readerDetached) handle(g *Gateway) {
+	c := e.client
+	if c.closed {
+		return
+	}
+	c.reading.detached = true
+	c.reading.unread = e.rest
+	g.settleConn(c)
+}
--- a/internal/dataplane/gateway/connpasser.go
+++ b/internal/dataplane/gateway/connpasser.go
@@ -189,7 +189,7 @@
 	close(h.passer.queue)
 	h.passer = nil
 	h.successor = nil
-	h.keepsDetached = true
+	g.lifecycle.StopPassing()
 	if e.successorExited {
 		g.log.Error("handover: the successor has exited; this process resumes serving",
 			"open", g.requests.open, "connections", len(g.clients.conns))
@@ -197,10 +197,7 @@
 	} else {
 		g.log.Warn("handover: the successor accepts no more connections", "error", e.err)
 	}
-	g.admitHeld()
-	for c := range g.clients.conns {
-		g.passToSuccessor(c)
-	}
+	g.settleConns()
 }
 
 // resumeAfterSuccessorExit resumes service after the successor has exited. The buckets start empty,
--- a/internal/dataplane/gateway/gateway.go
+++ b/internal/dataplane/gateway/gateway.go
@@ -236,7 +236,7 @@
 func (idleSweep) due(g *Gateway) {
 	g.clients.closeIdle(g)
 	g.backends.closeIdle(g)
-	if g.lifecycle.Draining() || g.lifecycle.Stopping() || g.handover.passingConns() {
+	if g.lifecycle.Draining() || g.lifecycle.Stopping() || g.lifecycle.PassesConns() {
 		g.shutdown.step(g) // connections become closable one by one
 	}
 	g.rejections.flush(g)
--- a/internal/dataplane/gateway/handover.go
+++ b/internal/dataplane/gateway/handover.go
@@ -17,9 +17,6 @@
 	listener    *hotrestart.Listener    // accepts a successor; nil: successors are not accepted
 	successor   *hotrestart.Successor   // has taken over or is about to; nil: none
 	passer      *connPasser             // nil: connections are not being passed
-	// keepsDetached is set once the successor accepts no more connections: detached connections
-	// are then read here again.
-	keepsDetached bool
 }
 
 const (
@@ -28,9 +25,6 @@
 	bindRetryDelay                  = 200 * time.Millisecond
 )
 
-// passingConns reports whether connections are being passed to a successor.
-func (h *handoverLinks) passingConns() bool { return h.passer != nil }
-
 // findPredecessor looks for a process that already serves.
 func (g *Gateway) findPredecessor() {
 	if g.snapshots.RendezvousPath == "" {
@@ -64,7 +58,7 @@
 	if h.listener != nil {
 		h.listener.Close()
 	}
-	if h.passingConns() {
+	if h.passer != nil {
 		h.passer.finish()
 	}
 	if h.successor != nil {
@@ -240,16 +234,13 @@
 		"open", g.requests.open, "connections", len(g.clients.conns))
 	g.lifecycle.HandOver(true)
 	h := &g.handover
-	h.keepsDetached = false
 	h.passer = newConnPasser(g, h.successor)
 	if g.peers.conn != nil {
 		_ = g.peers.conn.Close()
 		g.peers.conn = nil
 	}
 	g.storeLastSnapshot()
-	for c := range g.clients.conns {
-		c.reading.requestDetach(c.conn)
-	}
+	g.settleConns()
 	g.shutdown.step(g)
 }
 
@@ -262,7 +253,7 @@
 		_ = g.peers.conn.SetReadDeadline(time.Time{})
 		go g.peers.readMessages(g)
 	}
-	g.admitHeld()
+	g.settleConns()
 }
 
 // resumeAccepting accepts clients again after a pause, unless accepting has ended.
@@ -276,111 +267,3 @@
 	default:
 	}
 }
-
-// admitHeld admits the commands that were held for a successor.
-func (g *Gateway) admitHeld() {
-	for c := range g.clients.conns {
-		held := c.reading.held
-		c.reading.held = nil
-		for _, e := range held {
-			if c.closed {
-				break
-			}
-			g.admit(e)
-		}
-	}
-}
-
-// holdForSuccessor holds a command while it is undecided which process answers it, or passes it to
-// the successor with its connection. It returns false if this process is to answer the command.
-func (g *Gateway) holdForSuccessor(e commandRead) bool {
-	if g.handover.successor == nil || g.lifecycle.FailsOpenRequests(g.now()) {
-		return false
-	}
-	c := e.client
-	needsDecision := e.command.args != nil
-	if len(c.reading.held) == 0 && !needsDecision && !g.handover.passingConns() {
-		return false
-	}
-	c.reading.held = append(c.reading.held, e)
-	if e.framingLost { // no more commands are read after it
-		c.reading.detached = true
-	}
-	g.passToSuccessor(c)
-	return true
-}
-
-// mayPass reports whether a client's connection can be passed now: it stays open, its reader has
-// ended and no answer is pending.
-func (c *client) mayPass() bool {
-	ended := c.closed || c.writeEnded || c.overLimit || c.ignoreInput.Load()
-	return c.reading.detached && !ended && len(c.pipeline) == 0 && c.out.drained()
-}
-
-// passToSuccessor passes a client's connection to the successor if connections are being passed and
-// mayPass is true. If the successor accepts no more connections, it restarts the reader here
-// instead. It is called whenever these conditions may have changed.
-func (g *Gateway) passToSuccessor(c *client) {
-	h := &g.handover
-	if !h.passingConns() && !h.keepsDetached || !c.mayPass() {
-		return
-	}
-	passed := c.exportForSuccessor(g.now())
-	c.endReader()
-	if !h.passingConns() {
-		delete(g.clients.conns, c)
-		g.restartReader(passed) // keeps its slot
-		return
-	}
-	g.clients.remove(c)
-	g.metrics.ConnsPassed.Add(1)
-	h.passer.pass(passed)
-}
-
-// exportForSuccessor returns a connection with the state that a successor needs.
-func (c *client) exportForSuccessor(now policy.Time) hotrestart.ClientConn {
-	rc := &c.reading
-	p := hotrestart.ClientConn{
-		Conn:  c.conn,
-		State: hotrestart.ConnState{Commands: c.commands, HeldCommands: len(rc.held)},
-	}
-	if k := c.credential; k != nil {
-		p.State.HasCredential = true
-		p.State.User = k.User
-		p.State.Secret = k.Secret
-		p.State.Named = k.Named
-	}
-	for i, e := range rc.held {
-		if i == 0 {
-			p.State.AgeUS = max(0, now-e.arrived)
-		}
-		p.Unread = e.appendEncoded(p.Unread)
-	}
-	if rc.inheritedCommands > 0 && len(rc.held) == 0 {
-		// The commands came from the predecessor and were not read here.
-		p.State.HeldCommands = rc.inheritedCommands
-		p.State.AgeUS = rc.inheritedAge + now - rc.inheritedAt
-	}
-	p.Unread = append(p.Unread, rc.unread...)
-	return p
-}
-
-// readerDetached reports that a client's reader has ended. rest is the data it had read beyond the
-// last command.
-type readerDetached struct {
-	client *client
-	rest   []byte
-}
-
-func (e readerDetached) handle(g *Gateway) {
-	c := e.client
-	if c.closed {
-		return
-	}
-	c.reading.detached = true
-	c.reading.unread = e.rest
-	g.passToSuccessor(c)
-	if !c.closed && c.closeWhenIdle && len(c.pipeline) == 0 {
-		c.finish(g)
-	}
-}
--- /dev/null
+++ b/internal/dataplane/gateway/handover_close_test.go
@@ -0,0 +1,153 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+
+	"mothcleat/internal/dataplane/policy"
+	"mothcleat/internal/dataplane/resp"
+)
+
+// acceptingHasEnded is a time from the start of a shutdown at which connections close after their
+// answers.
+const acceptingHasEnded policy.Time = 600_000
+
+// commandPrefixLength is how many bytes of a command arrive before the rest.
+const commandPrefixLength = 40
+
+// encodedLookup returns a command of class lookup in its RESP2 encoding.
+func encodedLookup(id int) string {
+	b := resp.AppendArray(nil, 4)
+	for _, arg := range []string{
+		"API.READ", "0000000000000007", fmt.Sprintf("%016x", id),
+		"c=lookup,t=team,d=60000,units=1,spread=1,first=0",
+	} {
+		b = resp.AppendBulk(b, []byte(arg))
+	}
+	return string(b)
+}
+
+// stoppedSince starts the shutdown of a process as if it had been requested some time ago.
+func (r *testGateway) stoppedSince(t testing.TB, elapsed policy.Time) {
+	t.Helper()
+	onEventLoop(t, r.gateway, func(g *Gateway) bool {
+		g.lifecycle.Stop(g.now() - elapsed)
+		g.shutdown.step(g)
+		return true
+	})
+}
+
+// connOf returns the gateway's side of a client's connection, or nil if it has none.
+func connOf(g *Gateway, c *testClient) *client {
+	for conn := range g.clients.conns {
+		if conn.conn.RemoteAddr().String() == c.conn.LocalAddr().String() {
+			return conn
+		}
+	}
+	return nil
+}
+
+// awaitHeld waits until a process holds a number of commands of a client.
+func (r *testGateway) awaitHeld(t testing.TB, c *testClient, commands int) {
+	t.Helper()
+	waitUntil(t, r.gateway, "a held command", func(g *Gateway) bool {
+		conn := connOf(g, c)
+		return conn != nil && len(conn.reading.held) == commands
+	})
+}
+
+// awaitPartialCommand waits until a process has read a part of a client's command.
+func (r *testGateway) awaitPartialCommand(t testing.TB, c *testClient) {
+	t.Helper()
+	waitUntil(t, r.gateway, "a partial command", func(g *Gateway) bool {
+		conn := connOf(g, c)
+		return conn != nil && conn.midCommand.Load()
+	})
+}
+
+// Guards against the loss of a command that the predecessor had read behind an open request: when
+// that request was answered more than AcceptTime after SIGTERM, the connection was closed instead of
+// passed to the successor.
+func TestUpgradePassesCommandReadBehindOpenRequest(t *testing.T) {
+	b := newFakeBackend(t)
+	h := newSharedListener(t)
+	d := newFakeDiscovery(t, b.memberJSON("s-1", "Ready"))
+	old := h.startProcess(t, d)
+	c := old.dialClient(t)
+	c.sendOnce(1)
+	open := b.nextCommand(t)
+	second := encodedLookup(2)
+	c.writeRaw(second[:commandPrefixLength])
+	old.awaitPartialCommand(t, c)
+	h.startProcess(t, d)
+	old.stoppedSince(t, acceptingHasEnded)
+	c.writeRaw(second[commandPrefixLength:])
+	old.awaitHeld(t, c, 1)
+	open.replyValue(t, "open")
+	c.wantValue("open")
+	b.commandWithID(t, 2).replyValue(t, "second")
+	c.wantValue("second")
+	wait(t, old.exited, "the end of the predecessor")
+	c.sendLookup(3, "60000")
+	b.commandWithID(t, 3).replyValue(t, "third")
+	c.wantValue("third")
+}
+
+// Guards against the loss of held commands on a connection that is over the limit: it was closed
+// after its answer although commands had been read behind it.
+func TestUpgradePassesConnectionOverLimit(t *testing.T) {
+	b := newFakeBackend(t)
+	h := newSharedListener(t)
+	d := newFakeDiscovery(t, b.memberJSON("s-1", "Ready"))
+	old := h.startProcess(t, d)
+	c := old.dialClient(t)
+	c.sendOnce(1)
+	open := b.nextCommand(t)
+	second := encodedLookup(2)
+	c.writeRaw(second[:commandPrefixLength])
+	old.awaitPartialCommand(t, c)
+	onEventLoop(t, old.gateway, func(g *Gateway) bool {
+		conn := connOf(g, c)
+		conn.overLimit = true
+		conn.closeWhenIdle = true
+		return true
+	})
+	h.startProcess(t, d)
+	c.writeRaw(second[commandPrefixLength:])
+	old.awaitHeld(t, c, 1)
+	open.replyValue(t, "open")
+	c.wantValue("open")
+	b.commandWithID(t, 2).replyValue(t, "second")
+	c.wantValue("second")
+}
+
+// Guards against the loss of a command that is held until it is known whether a successor takes
+// over: a drain closed the connection after its last open answer. The successor exits before it has
+// taken over, and the command is answered here.
+func TestDrainKeepsCommandHeldForSuccessor(t *testing.T) {
+	b := newFakeBackend(t)
+	old, successor := startAndFindPredecessor(t, newFakeDiscovery(t, b.memberJSON("s-1", "Ready")))
+	c := old.dialClient(t)
+	c.sendOnce(1)
+	open := b.nextCommand(t)
+	onEventLoop(t, old.gateway, func(g *Gateway) bool {
+		g.lifecycle.Drain(g.now() - 1_000_000)
+		return true
+	})
+	if _, err := successor.TakeState(); err != nil {
+		t.Fatal(err)
+	}
+	c.sendOnce(2)
+	old.awaitHeld(t, c, 1)
+	open.replyValue(t, "open")
+	c.wantValue("open")
+	waitUntil(t, old.gateway, "the decision on the connection", func(g *Gateway) bool {
+		conn := connOf(g, c)
+		// Before the fix, the reader halted here and the write side was shut down.
+		return conn.closeWhenIdle && (conn.writeEnded || !conn.reading.haltRequested)
+	})
+	successor.Close()
+	b.commandWithID(t, 2).replyValue(t, "second")
+	c.wantValue("second")
+	c.wantClosed()
+}
--- a/internal/dataplane/gateway/read_control.go
+++ b/internal/dataplane/gateway/read_control.go
@@ -28,6 +28,7 @@
 	// firstDeadline is the read deadline of the first command; zero: the command has arrived.
 	firstDeadline time.Time
 
+	halted   bool          // the reader waits to be resumed
 	detached bool          // the reader has ended
 	unread   []byte        // data read beyond the last command
 	held     []commandRead // commands waiting until it is known which process answers them
--- a/internal/dataplane/gateway/shutdown.go
+++ b/internal/dataplane/gateway/shutdown.go
@@ -38,21 +38,21 @@
 		s.acceptingEnds = true
 		s.endAccepting(g)
 	}
+	if g.lifecycle.FailsOpenRequests(now) && !s.requestsFailed {
+		// Requests that are unanswered at SIGKILL would be lost.
+		s.requestsFailed = true
+		s.closeListener(g)
+		g.failOpenRequests()
+	}
 	for c := range g.clients.conns {
-		g.passToSuccessor(c) // the answers of a slow client may have been pending before
 		ends := g.lifecycle.ClosesIdle
 		if c.activityRank() == 0 {
 			ends = g.lifecycle.ClosesUnused
 		}
 		if !c.awaitingAnswer() && ends(now, c.lastActivity()) {
-			c.closeAfterAnswers(g)
+			c.closeWhenIdle = true
 		}
-	}
-	if g.lifecycle.FailsOpenRequests(now) && !s.requestsFailed {
-		// Requests that are unanswered at SIGKILL would be lost.
-		s.requestsFailed = true
-		s.closeListener(g)
-		g.failOpenRequests()
+		g.settleConn(c) // also because answers may have been written since
 	}
 	s.endIfDone(g)
 }
--- a/internal/dataplane/lifecycle/lifecycle.go
+++ b/internal/dataplane/lifecycle/lifecycle.go
@@ -77,9 +77,10 @@
 	stopping  bool
 	stopStart Time
 
-	paused      bool // the state is being sent to a successor
-	handedOver  bool
-	passesConns bool // connections are passed to the successor
+	paused         bool // the state is being sent to a successor
+	handedOver     bool
+	passesConns    bool // connections are passed to the successor
+	passingStopped bool // the successor accepts no more connections
 
 	empty      bool // no work has been pending since emptySince; set only after accepting has ended
 	emptySince Time
@@ -123,8 +124,25 @@
 	p.paused = false
 	p.handedOver = true
 	p.passesConns = passesConns
+	p.passingStopped = false
 }
 
+// StopPassing records that the successor accepts no more connections. This process keeps those that
+// it still has.
+func (p *Process) StopPassing() { p.passingStopped = true }
+
+// PassesConns reports whether connections are being passed to a successor.
+func (p *Process) PassesConns() bool {
+	return p.handedOver && p.passesConns && !p.passingStopped
+}
+
+// successorUndecided reports whether it is unknown whether a successor takes over.
+func (p *Process) successorUndecided() bool { return p.paused }
+
+// HoldsCommands reports whether commands are held, because a successor answers them or may be about
+// to.
+func (p *Process) HoldsCommands() bool { return p.PassesConns() || p.successorUndecided() }
+
 // TakeBack records that the successor has exited and that this process resumes serving.
 func (p *Process) TakeBack() {
 	p.handedOver = false
