Upgrade: a command held in the pause before a takeover is rejected in time before SIGKILL

Callers saw: no answer to a command that arrived while it was undecided whether a successor takes over, if the time to fail all open requests came before the decision.

Cause: failOpenRequests goes through the request table, and a held command is not in it yet.

Change: from that time on, the process no longer counts as undecided: held commands are admitted, and so rejected with advice to come again.

TestDecideConnEndsEveryWait checks the same in all states.

--- a/internal/dataplane/gateway/conn_settle.go
+++ b/internal/dataplane/gateway/conn_settle.go
@@ -21,7 +21,7 @@
 		return
 	}
 	state := c.lifecycleState()
-	action := g.lifecycle.DecideConn(state)
+	action := g.lifecycle.DecideConn(g.now(), state)
 	if action == lifecycle.KeepConn {
 		return
 	}
@@ -89,7 +89,7 @@
 // command that needs no decision by the balancer is held only behind others, or if the connection is
 // passed on.
 func (g *Gateway) holdCommand(e commandRead) bool {
-	if !g.lifecycle.HoldsCommands() {
+	if !g.lifecycle.HoldsCommands(g.now()) {
 		return false
 	}
 	c := e.client
--- a/internal/dataplane/gateway/handover_close_test.go
+++ b/internal/dataplane/gateway/handover_close_test.go
@@ -2,15 +2,18 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"mothcleat/internal/dataplane/policy"
 	"mothcleat/internal/dataplane/resp"
 )
 
-// acceptingHasEnded is a time from the start of a shutdown at which connections close after their
-// answers.
-const acceptingHasEnded policy.Time = 600_000
+// The times of the shutdown in these tests, from its start.
+const (
+	acceptingHasEnded   policy.Time = 600_000   // connections close after their answers
+	openRequestsAreLate policy.Time = 3_250_000 // open requests are failed
+)
 
 // commandPrefixLength is how many bytes of a command arrive before the rest.
 const commandPrefixLength = 40
@@ -151,3 +154,23 @@
 	c.wantValue("second")
 	c.wantClosed()
 }
+
+// Guards against the loss of a command that is held until it is known whether a successor takes
+// over, when the time to fail open requests comes first: it is rejected.
+func TestHeldCommandIsRejectedBeforeKill(t *testing.T) {
+	b := newFakeBackend(t)
+	old, successor := startAndFindPredecessor(t, newFakeDiscovery(t, b.memberJSON("s-1", "Ready")))
+	c := old.dialClient(t)
+	c.send("PING")
+	c.wantLine("+PONG")
+	if _, err := successor.TakeState(); err != nil {
+		t.Fatal(err)
+	}
+	c.sendOnce(1)
+	old.awaitHeld(t, c, 1)
+	old.stoppedSince(t, openRequestsAreLate)
+	if line := c.readLine(); !strings.HasPrefix(line, "-BUSY") {
+		t.Errorf("reply %q, want -BUSY", line)
+	}
+	c.wantClosed()
+}
--- a/internal/dataplane/lifecycle/connection.go
+++ b/internal/dataplane/lifecycle/connection.go
@@ -62,11 +62,11 @@
 // or to answer its commands and close it. It is the only place that decides this, so that no
 // connection is closed on which a command was read that no process has answered. The caller queries
 // it whenever the state of the connection or of the process may have changed.
-func (p *Process) DecideConn(c Conn) ConnAction {
+func (p *Process) DecideConn(now Time, c Conn) ConnAction {
 	switch {
 	case c.WriteEnded:
 		return KeepConn
-	case p.successorUndecided():
+	case p.successorUndecided(now):
 		return KeepConn // whether to pass or to close is known soon
 	case c.Reader == ReaderDone:
 		return decideDone(c)
--- a/internal/dataplane/lifecycle/connection_test.go
+++ b/internal/dataplane/lifecycle/connection_test.go
@@ -76,7 +76,7 @@
 func TestDecideConnLosesNoCommand(t *testing.T) {
 	for _, s := range processStates() {
 		for _, c := range connStates() {
-			action := s.process.DecideConn(c)
+			action := s.process.DecideConn(0, c)
 			where := fmt.Sprintf("%s, %+v: %v", s.name, c, action)
 			if action == CloseConn && (c.Held > 0 || c.Open > 0) {
 				t.Error("closed with commands that are not answered:", where)
@@ -84,7 +84,7 @@
 			if action == CloseConn && (c.Reader == ReaderRunning || c.Reader == ReaderStopped) {
 				t.Error("closed although its reader may have read a command:", where)
 			}
-			if action == CloseConn && s.process.HoldsCommands() && c.Reader != ReaderDone {
+			if action == CloseConn && s.process.HoldsCommands(0) && c.Reader != ReaderDone {
 				t.Error("closed although a successor can answer what follows:", where)
 			}
 			if action == PassConn && (c.Open > 0 || c.OutputPending || c.Reader != ReaderStopped) {
@@ -103,12 +103,15 @@
 func TestDecideConnEndsEveryWait(t *testing.T) {
 	for _, s := range processStates() {
 		for _, c := range connStates() {
-			action := s.process.DecideConn(c)
+			action := s.process.DecideConn(0, c)
 			waits := action == KeepConn && c.Held > 0
 			event := c.Open > 0 || c.OutputPending || s.process.paused
 			if waits && !event {
 				t.Errorf("%s, %+v: the held command waits for nothing", s.name, c)
 			}
+			if waits && s.process.FailsOpenRequests(0) && c.Open == 0 && !c.OutputPending {
+				t.Errorf("%s, %+v: the held command waits until the process is killed", s.name, c)
+			}
 			stopped := c.Reader == ReaderStopped && c.Open == 0 && c.Held == 0
 			if stopped && action == KeepConn && !c.OutputPending && !s.process.paused {
 				t.Errorf("%s, %+v: nobody reads the connection", s.name, c)
--- a/internal/dataplane/lifecycle/lifecycle.go
+++ b/internal/dataplane/lifecycle/lifecycle.go
@@ -136,12 +136,17 @@
 	return p.handedOver && p.passesConns && !p.passingStopped
 }
 
-// successorUndecided reports whether it is unknown whether a successor takes over.
-func (p *Process) successorUndecided() bool { return p.paused }
+// successorUndecided reports whether it is unknown whether a successor takes over, and time is left
+// to wait for that.
+func (p *Process) successorUndecided(now Time) bool {
+	return p.paused && !p.FailsOpenRequests(now)
+}
 
 // HoldsCommands reports whether commands are held, because a successor answers them or may be about
 // to.
-func (p *Process) HoldsCommands() bool { return p.PassesConns() || p.successorUndecided() }
+func (p *Process) HoldsCommands(now Time) bool {
+	return p.PassesConns() || p.successorUndecided(now)
+}
 
 // TakeBack records that the successor has exited and that this process resumes serving.
 func (p *Process) TakeBack() {
