Upgrade: a connection whose input can't be parsed is answered and closed, not passed on

Cause: holdForSuccessor marked such a connection as detached, so it was passed with a placeholder; the successor could not know that the framing was lost, and read on.

Change: a held command after which nothing can be parsed puts the reader into the state ReaderDone. This process then answers what it holds (advice to come again, and the error), and closes the connection.

Result: TestUnparsableInputIsNotPassed failed on (the connection was passed, no answer came) and passes.

--- a/internal/dataplane/gateway/conn_settle.go
+++ b/internal/dataplane/gateway/conn_settle.go
@@ -57,7 +57,7 @@
 
 func (c *client) readerState() lifecycle.ReaderState {
 	switch {
-	case c.ignoreInput.Load():
+	case c.ignoreInput.Load() || c.reading.framingLost:
 		return lifecycle.ReaderDone
 	case c.reading.detached:
 		return lifecycle.ReaderStopped
@@ -98,9 +98,7 @@
 		return false
 	}
 	c.reading.held = append(c.reading.held, e)
-	if e.framingLost { // no more commands are read after it
-		c.reading.detached = true
-	}
+	c.reading.framingLost = c.reading.framingLost || e.framingLost
 	g.settleConn(c)
 	return true
 }
--- a/internal/dataplane/gateway/handover_close_test.go
+++ b/internal/dataplane/gateway/handover_close_test.go
@@ -174,3 +174,30 @@
 	}
 	c.wantClosed()
 }
+
+// Guards against a successor that reads on after input that can't be parsed: the predecessor passed
+// the connection with a placeholder command, and the client's remaining bytes were taken for new
+// commands. The predecessor answers what it had read and closes the connection.
+func TestUnparsableInputIsNotPassed(t *testing.T) {
+	b := newFakeBackend(t)
+	old, successor := startAndFindPredecessor(t, newFakeDiscovery(t, b.memberJSON("s-1", "Ready")))
+	c := old.dialClient(t)
+	c.send("PING")
+	c.wantLine("+PONG")
+	if _, err := successor.TakeState(); err != nil {
+		t.Fatal(err)
+	}
+	c.sendOnce(1)
+	c.writeRaw("no array\r\n")
+	old.awaitHeld(t, c, 2)
+	if err := successor.Confirm(); err != nil {
+		t.Fatal(err)
+	}
+	if line := c.readLine(); !strings.HasPrefix(line, "-BUSY") {
+		t.Errorf("reply %q, want -BUSY", line)
+	}
+	if line := c.readLine(); !strings.HasPrefix(line, "-ERR protocol error") {
+		t.Errorf("reply %q, want an error", line)
+	}
+	c.wantClosed()
+}
--- a/internal/dataplane/gateway/read_control.go
+++ b/internal/dataplane/gateway/read_control.go
@@ -32,6 +32,8 @@
 	detached bool          // the reader has ended
 	unread   []byte        // data read beyond the last command
 	held     []commandRead // commands waiting until it is known which process answers them
+	// framingLost is set once a command is held after which nothing can be parsed.
+	framingLost bool
 
 	// inheritedCommands is the number of complete commands in unread of a connection received from
 	// a predecessor. The first of them had the age inheritedAge at inheritedAt.
