Upgrade: a connection with more commands than the pipeline has slots for is passed on

Callers saw: none of their commands answered if over 256 of them were read in the pause before a takeover.

Cause: a held command keeps its slot of the pipeline. The reader then waits for a slot with the next command in its hand, and a request to detach woke only a reader that waits for data: it never ended, and the connection was never passed. It ended with the old process.

Change: a request to detach also ends the wait for a slot. The command in the reader's hand goes along behind the held ones; as it has no slot, a request now says whether it holds one.

--- a/internal/dataplane/gateway/client.go
+++ b/internal/dataplane/gateway/client.go
@@ -69,6 +69,7 @@
 		done:          make(chan struct{}),
 		resumeReading: make(chan struct{}, 1),
 		lastCommand:   now,
+		reading:       readControl{detachSignal: make(chan struct{})},
 	}
 }
 
@@ -123,6 +124,7 @@
 		args:         e.command.args,
 		timeoutField: e.command.timeoutField,
 		clientID:     e.command.clientID,
+		hasSlot:      e.hasSlot,
 	}
 	c.pipeline = append(c.pipeline, r)
 	c.lastCommand = g.now()
@@ -201,7 +203,9 @@
 		g.requests.heldBytes -= len(r.reply)
 		r.reply = nil
 		n++
-		<-c.pipelineSlots
+		if r.hasSlot {
+			<-c.pipelineSlots
+		}
 	}
 	if n > 0 {
 		c.pipeline = slices.Delete(c.pipeline, 0, n)
--- a/internal/dataplane/gateway/client_reader.go
+++ b/internal/dataplane/gateway/client_reader.go
@@ -71,7 +71,7 @@
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			return readDisconnected
 		}
-		g.post(readerDetached{c, in.Unread()})
+		g.post(readerDetached{client: c, rest: in.Unread()})
 		return c.awaitHangUp()
 	}
 	if c.reading.haltedBy(err) {
@@ -99,12 +99,20 @@
 		*validCommandRead = true
 	}
 	c.reading.endCommand(c.conn, *validCommandRead)
-	return c.postCommand(g, e, pipelined)
+	return c.postCommand(g, e, in, pipelined)
 }
 
 // postCommand posts a command once the pipeline has a free slot for it.
-func (c *client) postCommand(g *Gateway, e commandRead, pipelined bool) readResult {
-	if !c.waitForSlot() {
+func (c *client) postCommand(
+	g *Gateway, e commandRead, in *resp.Reader, pipelined bool,
+) readResult {
+	switch c.waitForSlot() {
+	case slotTaken:
+		e.hasSlot = true
+	case slotDetached:
+		g.post(readerDetached{client: c, last: &e, rest: in.Unread()})
+		return c.awaitHangUp()
+	case slotDisconnected:
 		g.clients.incomingBytes.Add(-int64(e.argBytes))
 		return readDisconnected
 	}
@@ -121,12 +129,21 @@
 	return readContinue
 }
 
-// waitForSlot waits for a free slot in the pipeline. It returns false if the client has
-// disconnected; it polls for that, because no read reports a close while the reader waits here.
-func (c *client) waitForSlot() bool {
+// slotResult is how a wait for a free slot in the pipeline ended.
+type slotResult int
+
+const (
+	slotTaken        slotResult = iota
+	slotDetached                // the reader is to end: the successor reads on
+	slotDisconnected            // the client has disconnected
+)
+
+// waitForSlot waits for a free slot in the pipeline. It polls for a disconnect, because no read
+// reports one while the reader waits here.
+func (c *client) waitForSlot() slotResult {
 	select {
 	case c.pipelineSlots <- struct{}{}:
-		return true
+		return slotTaken
 	default:
 	}
 	check := time.NewTicker(hangUpCheckInterval)
@@ -134,12 +151,14 @@
 	for {
 		select {
 		case c.pipelineSlots <- struct{}{}:
-			return true
+			return slotTaken
+		case <-c.reading.detachSignal:
+			return slotDetached
 		case <-c.done:
-			return false
+			return slotDisconnected
 		case <-check.C:
 			if c.out.hungUp() {
-				return false
+				return slotDisconnected
 			}
 		}
 	}
@@ -176,6 +195,7 @@
 type commandRead struct {
 	client  *client
 	arrived policy.Time
+	hasSlot bool     // it holds a slot of the client's pipeline
 	command command  // args are set only for a valid request
 	rawArgs [][]byte // as received; nil if the command could not be read
 
--- a/internal/dataplane/gateway/conn_settle.go
+++ b/internal/dataplane/gateway/conn_settle.go
@@ -86,8 +86,8 @@
 }
 
 // holdCommand holds a command while a successor may answer it, and reports whether it does. A
-// command that needs no decision by the balancer is held only behind others, or if the connection is
-// passed on.
+// command that needs no decision by the balancer is held only behind others, or while connections
+// are passed on.
 func (g *Gateway) holdCommand(e commandRead) bool {
 	if !g.lifecycle.HoldsCommands(g.now()) {
 		return false
@@ -141,19 +141,28 @@
 	return p
 }
 
-// readerDetached reports that a client's reader has ended. rest is the data it had read beyond the
-// last command.
+// readerDetached reports that a client's reader has ended. last is a command that it has read but
+// not posted, because the pipeline had no free slot; nil: there is none. rest is the data that it
+// had read beyond the last command.
 type readerDetached struct {
 	client *client
+	last   *commandRead
 	rest   []byte
 }
 
 func (e readerDetached) handle(g *Gateway) {
 	c := e.client
+	if e.last != nil {
+		g.clients.incomingBytes.Add(-int64(e.last.argBytes))
+	}
 	if c.closed {
 		return
 	}
 	c.reading.detached = true
 	c.reading.unread = e.rest
+	if e.last != nil {
+		c.reading.held = append(c.reading.held, *e.last)
+		c.reading.framingLost = c.reading.framingLost || e.last.framingLost
+	}
 	g.settleConn(c)
 }
--- a/internal/dataplane/gateway/handover_close_test.go
+++ b/internal/dataplane/gateway/handover_close_test.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 
+	"mothcleat/internal/dataplane/hotrestart"
 	"mothcleat/internal/dataplane/policy"
 	"mothcleat/internal/dataplane/resp"
 )
@@ -201,3 +204,40 @@
 	}
 	c.wantClosed()
 }
+
+// Guards against a client whose commands are never answered because it had sent more of them than
+// the pipeline has slots for: its reader waited for a slot, and did not end for the successor.
+func TestUpgradePassesFullPipeline(t *testing.T) {
+	const commands = maxPipelined + 10
+	b := newFakeBackend(t)
+	old, successor := startAndFindPredecessor(t, newFakeDiscovery(t, b.memberJSON("s-1", "Ready")))
+	c := old.dialClient(t)
+	c.send("PING")
+	c.wantLine("+PONG")
+	if _, err := successor.TakeState(); err != nil {
+		t.Fatal(err)
+	}
+	for i := range commands {
+		c.sendLookup(i+1, "60000")
+	}
+	old.awaitHeld(t, c, maxPipelined)
+	if err := successor.Confirm(); err != nil {
+		t.Fatal(err)
+	}
+	passed := make(chan hotrestart.ClientConn, 4)
+	go func() { _ = successor.ReceiveClients(func(c hotrestart.ClientConn) { passed <- c }) }()
+	for {
+		conn := wait(t, passed, "the connection")
+		if conn.Conn.RemoteAddr().String() != c.conn.LocalAddr().String() {
+			continue // that of the test gateway's first PING
+		}
+		in := resp.NewReader(io.MultiReader(bytes.NewReader(conn.Unread), conn.Conn))
+		for i := range commands {
+			args, err := in.ReadCommand()
+			if err != nil || string(args[2]) != fmt.Sprintf("%016x", i+1) {
+				t.Fatalf("command %d: %q, %v", i+1, args, err)
+			}
+		}
+		return
+	}
+}
--- a/internal/dataplane/gateway/read_control.go
+++ b/internal/dataplane/gateway/read_control.go
@@ -27,6 +27,7 @@
 	haltRequested   bool // the reader is to halt there, after posting all it has read
 	// firstDeadline is the read deadline of the first command; zero: the command has arrived.
 	firstDeadline time.Time
+	detachSignal  chan struct{} // closed by the first requestDetach
 
 	halted   bool          // the reader waits to be resumed
 	detached bool          // the reader has ended
@@ -112,7 +113,10 @@
 func (rc *readControl) requestDetach(conn net.Conn) {
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
-	rc.detachRequested = true
+	if !rc.detachRequested {
+		rc.detachRequested = true
+		close(rc.detachSignal)
+	}
 	if !rc.inCommand {
 		_ = conn.SetReadDeadline(expiredDeadline)
 	}
--- a/internal/dataplane/gateway/request.go
+++ b/internal/dataplane/gateway/request.go
@@ -20,6 +20,7 @@
 	id           uint64 // assigned by this gateway; 0: the request never entered the request table
 	clientID     uint64 // the id that the client sent
 	client       *client
+	hasSlot      bool // it holds a slot of the client's pipeline
 	args         [][]byte
 	timeoutField [2]int // start and end of the value of field d in args[3]
 	deadline     policy.Time
