Upgrade: the time of a command behind an open request counts from its arrival

Callers saw: servers told more time than was left, for commands that arrived behind an open request during an upgrade.

Cause: at the takeover each reader ended after the command it was in.

Change: a connection is read until its last open request is answered, and the commands are held with their times of arrival. The successor is told the age of each (ages_us; earlier builds go on to use that of the first for all). Held commands are counted, and from 1/16 of the memory limit on connections are no longer read ahead. The stored fixture is untouched: the test names the added key, and refuses others.

TestUpgradeLimitsHeldCommands is new.

--- a/internal/dataplane/gateway/client_close.go
+++ b/internal/dataplane/gateway/client_close.go
@@ -77,6 +77,7 @@
 		return
 	}
 	c.endReader()
+	g.releaseHeld(c)
 	_ = c.conn.Close()
 	g.clients.remove(c)
 	now := g.now()
--- a/internal/dataplane/gateway/conn_settle.go
+++ b/internal/dataplane/gateway/conn_settle.go
@@ -21,12 +21,13 @@
 		return
 	}
 	state := c.lifecycleState()
+	state.HeldFull = g.handover.heldBytes >= g.maxHeldBytes()
 	action := g.lifecycle.DecideConn(g.now(), state)
 	if action == lifecycle.KeepConn {
 		return
 	}
-	g.log.Debug("client connection", "action", action, "open", state.Open, "held", state.Held,
-		"unread", len(c.reading.unread), "closing", state.CloseRequested)
+	g.log.Debug("client connection",
+		"action", action, "open", state.Open, "held", state.Held, "closing", state.CloseRequested)
 	switch action {
 	case lifecycle.StopReader:
 		c.reading.requestDetach(c.conn)
@@ -43,6 +44,10 @@
 	}
 }
 
+// maxHeldBytes returns the size of the commands held for a successor at which connections with open
+// requests are no longer read.
+func (g *Gateway) maxHeldBytes() int { return g.cfg.MemoryMB << 20 / 16 }
+
 // lifecycleState returns the state on which the lifecycle's decision depends.
 func (c *client) lifecycleState() lifecycle.Conn {
 	return lifecycle.Conn{
@@ -70,6 +75,7 @@
 // passConn passes a connection to the successor.
 func (g *Gateway) passConn(c *client) {
 	passed := c.exportForSuccessor(g.now())
+	g.releaseHeld(c)
 	c.endReader()
 	g.clients.remove(c)
 	g.metrics.ConnsPassed.Add(1)
@@ -80,6 +86,7 @@
 // slot.
 func (g *Gateway) readAgain(c *client) {
 	kept := c.exportForSuccessor(g.now())
+	g.releaseHeld(c)
 	c.endReader()
 	delete(g.clients.conns, c)
 	g.restartReader(kept)
@@ -97,7 +104,7 @@
 	if len(c.reading.held) == 0 && !needsDecision && !g.lifecycle.PassesConns() {
 		return false
 	}
-	c.reading.held = append(c.reading.held, e)
+	g.hold(e)
 	c.reading.framingLost = c.reading.framingLost || e.framingLost
 	g.settleConn(c)
 	return true
@@ -109,16 +116,31 @@
 	for len(c.reading.held) > 0 && !c.closed {
 		e := c.reading.held[0]
 		c.reading.held = c.reading.held[1:]
+		g.handover.heldBytes -= e.argBytes
 		g.admit(e)
 	}
 }
 
+// hold adds a command to those that its connection holds.
+func (g *Gateway) hold(e commandRead) {
+	e.client.reading.held = append(e.client.reading.held, e)
+	g.handover.heldBytes += e.argBytes
+}
+
+// releaseHeld releases the held commands of a connection that this process no longer has.
+func (g *Gateway) releaseHeld(c *client) {
+	for _, e := range c.reading.held {
+		g.handover.heldBytes -= e.argBytes
+	}
+	c.reading.held = nil
+}
+
 // exportForSuccessor returns a connection with the state that a successor needs.
 func (c *client) exportForSuccessor(now policy.Time) hotrestart.ClientConn {
 	rc := &c.reading
 	p := hotrestart.ClientConn{
 		Conn:  c.conn,
-		State: hotrestart.ConnState{Commands: c.commands, HeldCommands: len(rc.held)},
+		State: hotrestart.ConnState{Commands: c.commands},
 	}
 	if k := c.credential; k != nil {
 		p.State.HasCredential = true
@@ -126,16 +148,16 @@
 		p.State.Secret = k.Secret
 		p.State.Named = k.Named
 	}
-	for i, e := range rc.held {
-		if i == 0 {
-			p.State.AgeUS = max(0, now-e.arrived)
-		}
+	for _, e := range rc.held {
+		p.State.HeldAgesUS = append(p.State.HeldAgesUS, max(0, now-e.arrived))
 		p.Unread = e.appendEncoded(p.Unread)
 	}
-	if rc.inheritedCommands > 0 && len(rc.held) == 0 {
-		// The commands came from the predecessor and were not read here.
-		p.State.HeldCommands = rc.inheritedCommands
-		p.State.AgeUS = rc.inheritedAge + now - rc.inheritedAt
+	for _, arrived := range rc.inheritedArrivals { // the reader has not read these
+		p.State.HeldAgesUS = append(p.State.HeldAgesUS, max(0, now-arrived))
+	}
+	p.State.HeldCommands = len(p.State.HeldAgesUS)
+	if p.State.HeldCommands > 0 {
+		p.State.AgeUS = p.State.HeldAgesUS[0]
 	}
 	p.Unread = append(p.Unread, rc.unread...)
 	return p
@@ -161,7 +183,7 @@
 	c.reading.detached = true
 	c.reading.unread = e.rest
 	if e.last != nil {
-		c.reading.held = append(c.reading.held, *e.last)
+		g.hold(*e.last)
 		c.reading.framingLost = c.reading.framingLost || e.last.framingLost
 	}
 	g.settleConn(c)
--- a/internal/dataplane/gateway/handover.go
+++ b/internal/dataplane/gateway/handover.go
@@ -16,6 +16,7 @@
 	predecessor *hotrestart.Predecessor // nil: no process served when this one started
 	listener    *hotrestart.Listener    // accepts a successor; nil: successors are not accepted
 	successor   *hotrestart.Successor   // has taken over or is about to; nil: none
+	heldBytes   int                     // size of the commands held for a successor
 	passer      *connPasser             // nil: connections are not being passed
 }
 
@@ -187,12 +188,21 @@
 		}
 	}
 	c.reading.unread = from.Unread
-	c.reading.inheritedCommands = head.HeldCommands
-	c.reading.inheritedAge = head.AgeUS
-	c.reading.inheritedAt = now
+	for i := range head.HeldCommands {
+		c.reading.inheritedArrivals = append(c.reading.inheritedArrivals, now-heldAge(head, i))
+	}
 	return c
 }
 
+// heldAge returns the age of a held command. A predecessor of an earlier build sends only that of
+// the first one, which no other exceeds.
+func heldAge(state *hotrestart.ConnState, command int) policy.Time {
+	if command < len(state.HeldAgesUS) {
+		return state.HeldAgesUS[command]
+	}
+	return state.AgeUS
+}
+
 // successorReady reports that a successor is ready to take over. The successor is sent this
 // process's state. Commands that arrive in the meantime are held until it is known which process
 // answers them.
--- a/internal/dataplane/gateway/handover_close_test.go
+++ b/internal/dataplane/gateway/handover_close_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -241,3 +242,123 @@
 		return
 	}
 }
+
+// awaitClock waits until some time has passed on a process's clock.
+func (r *testGateway) awaitClock(t testing.TB, elapsed policy.Time) {
+	t.Helper()
+	start := onEventLoop(t, r.gateway, func(g *Gateway) policy.Time { return g.now() })
+	waitUntil(t, r.gateway, "time to pass", func(g *Gateway) bool {
+		return g.now()-start >= elapsed
+	})
+}
+
+// toldTimeout returns the timeout in milliseconds that a command tells its backend.
+func (c *backendCall) toldTimeout(t testing.TB) int {
+	t.Helper()
+	for _, field := range strings.Split(string(c.args[3]), ",") {
+		if value, ok := strings.CutPrefix(field, "d="); ok {
+			timeout, err := strconv.Atoi(value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return timeout
+		}
+	}
+	t.Fatalf("no timeout in %q", c.args[3])
+	return 0
+}
+
+// Guards against a timeout that starts too late: commands that arrived behind an open request during
+// an upgrade waited in the socket, and their time counted from when the successor read them. Each
+// command's time counts from its own arrival.
+func TestUpgradeCountsTimeBehindOpenRequest(t *testing.T) {
+	const (
+		timeout   = 60_000 // milliseconds, as encodedLookup has it
+		firstWait = 40     // milliseconds between the commands
+		lastWait  = 60     // milliseconds from the last command to the answer
+	)
+	b := newFakeBackend(t)
+	h := newSharedListener(t)
+	d := newFakeDiscovery(t, b.memberJSON("s-1", "Ready"))
+	old := h.startProcess(t, d)
+	c := old.dialClient(t)
+	c.sendOnce(1)
+	open := b.nextCommand(t)
+	h.startProcess(t, d)
+	c.sendLookup(2, "60000")
+	old.awaitHeld(t, c, 1)
+	old.awaitClock(t, firstWait*1000)
+	c.sendLookup(3, "60000")
+	old.awaitHeld(t, c, 2)
+	old.awaitClock(t, lastWait*1000)
+	open.replyValue(t, "open")
+	c.wantValue("open")
+	calls := map[string]*backendCall{} // by request id: they may arrive in any order
+	for range 2 {
+		call := b.nextCommand(t)
+		calls[string(call.args[2])] = call
+	}
+	second, third := calls[fmt.Sprintf("%016x", 2)], calls[fmt.Sprintf("%016x", 3)]
+	if second == nil || third == nil {
+		t.Fatalf("the backend got %v, want the two commands", calls)
+	}
+	if told := second.toldTimeout(t); told > timeout-firstWait-lastWait {
+		t.Errorf("told %d ms for the first command, more than is left", told)
+	}
+	if told := third.toldTimeout(t); told > timeout-lastWait {
+		t.Errorf("told %d ms for the second command, more than is left", told)
+	}
+	second.replyValue(t, "second")
+	third.replyValue(t, "third")
+	c.wantValue("second")
+	c.wantValue("third")
+}
+
+// Guards against held commands that fill the memory: once their limit is reached, a connection with
+// an open request is no longer read, and what its client sends on stays in the socket until the
+// successor reads it.
+func TestUpgradeLimitsHeldCommands(t *testing.T) {
+	b := newFakeBackend(t)
+	old, successor := startAndFindPredecessor(t, newFakeDiscovery(t, b.memberJSON("s-1", "Ready")))
+	c := old.dialClient(t)
+	c.sendOnce(1)
+	open := b.nextCommand(t)
+	if _, err := successor.TakeState(); err != nil {
+		t.Fatal(err)
+	}
+	onEventLoop(t, old.gateway, func(g *Gateway) bool {
+		g.handover.heldBytes += g.maxHeldBytes()
+		return true
+	})
+	if err := successor.Confirm(); err != nil {
+		t.Fatal(err)
+	}
+	waitUntil(t, old.gateway, "the end of the reader", func(g *Gateway) bool {
+		conn := connOf(g, c)
+		return conn != nil && conn.reading.detached
+	})
+	c.sendLookup(2, "60000")
+	open.replyValue(t, "open")
+	c.wantValue("open")
+	passed := make(chan hotrestart.ClientConn, 4)
+	go func() { _ = successor.ReceiveClients(func(c hotrestart.ClientConn) { passed <- c }) }()
+	for {
+		conn := wait(t, passed, "the connection")
+		if conn.Conn.RemoteAddr().String() != c.conn.LocalAddr().String() {
+			continue
+		}
+		if conn.State.HeldCommands != 0 || len(conn.Unread) != 0 {
+			t.Errorf("%d commands were read, want none", conn.State.HeldCommands)
+		}
+		args, err := resp.NewReader(conn.Conn).ReadCommand()
+		if err != nil || string(args[2]) != fmt.Sprintf("%016x", 2) {
+			t.Errorf("the command in the socket: %q, %v", args, err)
+		}
+		break
+	}
+	if n := onEventLoop(t, old.gateway, func(g *Gateway) int {
+		return g.handover.heldBytes - g.maxHeldBytes()
+	}); n != 0 {
+		t.Errorf("%d bytes of held commands are counted after all were passed", n)
+	}
+}
--- a/internal/dataplane/gateway/read_control.go
+++ b/internal/dataplane/gateway/read_control.go
@@ -36,11 +36,9 @@
 	// framingLost is set once a command is held after which nothing can be parsed.
 	framingLost bool
 
-	// inheritedCommands is the number of complete commands in unread of a connection received from
-	// a predecessor. The first of them had the age inheritedAge at inheritedAt.
-	inheritedCommands int
-	inheritedAge      policy.Time
-	inheritedAt       policy.Time
+	// inheritedArrivals are the times at which the complete commands at the start of unread
+	// arrived. The reader that was before this one has read them.
+	inheritedArrivals []policy.Time
 }
 
 // beginCommand is called by the reader at the end of its wait for a command, with the error of the
@@ -122,14 +120,15 @@
 	}
 }
 
-// arrivalTime returns when the command that was just read arrived: now, unless the command came
-// with the connection from a predecessor. Only the reader calls it.
+// arrivalTime returns when the command that was just read arrived: now, unless an earlier reader of
+// the connection had read it. Only the reader calls it.
 func (rc *readControl) arrivalTime(now policy.Time) policy.Time {
-	if rc.inheritedCommands == 0 {
+	if len(rc.inheritedArrivals) == 0 {
 		return now
 	}
-	rc.inheritedCommands--
-	return rc.inheritedAt - rc.inheritedAge
+	arrived := rc.inheritedArrivals[0]
+	rc.inheritedArrivals = rc.inheritedArrivals[1:]
+	return arrived
 }
 
 // activityReader records the time at which data was last read from a client.
--- a/internal/dataplane/hotrestart/message.go
+++ b/internal/dataplane/hotrestart/message.go
@@ -111,6 +111,10 @@
 	Secret        string `json:"secret,omitempty"`
 	Named         bool   `json:"named,omitempty"` // the AUTH command named a user
 	HasCredential bool   `json:"known,omitempty"` // there was an AUTH command
+
+	// HeldAgesUS are the ages of the HeldCommands, in microseconds. Earlier builds send and read
+	// only AgeUS.
+	HeldAgesUS []int64 `json:"ages_us,omitempty"`
 }
 
 // messageLink is one side of the socket. It must be used by only one goroutine at a time.
--- a/internal/dataplane/hotrestart/stored_test.go
+++ b/internal/dataplane/hotrestart/stored_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"net"
 	"os"
+	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -89,10 +91,23 @@
 		Named:         true,
 		HasCredential: true,
 	}
-	if passed[0].State != want || !bytes.Equal(passed[0].Unread, []byte("PING\r\nabc")) {
+	if !reflect.DeepEqual(passed[0].State, want) || !bytes.Equal(passed[0].Unread, []byte("PING\r\nabc")) {
 		t.Errorf("state %+v, unread data %q", passed[0].State, passed[0].Unread)
 	}
-	fixture.Equal(t, "testdata/head-keys.txt", fixture.JSONKeys(want))
+	keys := string(fixture.JSONKeys(want))
+	for _, key := range addedKeys {
+		if !strings.Contains(keys, key) {
+			t.Errorf("key %q is missing", key)
+		}
+		keys = strings.Replace(keys, key, "", 1)
+	}
+	fixture.Equal(t, "testdata/head-keys.txt", []byte(keys))
+}
+
+// addedKeys are the keys of a connection's state that were added since the fixture was written.
+// Earlier builds ignore them and do not send them.
+var addedKeys = []string{
+	" ages_us,omitempty:[int64]",
 }
 
 // unixConn returns the connection for a descriptor of a socket pair, and closes the descriptor.
--- a/internal/dataplane/lifecycle/connection.go
+++ b/internal/dataplane/lifecycle/connection.go
@@ -24,6 +24,7 @@
 	Open   int // requests without a written answer
 	Held   int // commands that were read, but are not yet left to a process to answer
 
+	HeldFull       bool // there is no memory to hold more commands
 	CloseRequested bool // it closes once all commands that were read are answered
 	WriteEnded     bool // nothing more can be written
 	OutputPending  bool // answers are not written yet, and can't be passed on
@@ -89,9 +90,12 @@
 }
 
 // decidePassing decides on a connection while connections are passed to a successor. A requested
-// close gives way: the successor decides on that.
+// close gives way: the successor decides on that. The connection is read until its last open
+// request is answered, so that the successor knows when each command arrived.
 func decidePassing(c Conn) ConnAction {
 	switch {
+	case c.Open > 0 && !c.HeldFull:
+		return KeepConn
 	case c.Reader != ReaderStopped:
 		return StopReader
 	case c.Open > 0 || c.OutputPending:
--- a/internal/dataplane/lifecycle/connection_test.go
+++ b/internal/dataplane/lifecycle/connection_test.go
@@ -59,10 +59,12 @@
 			for held := range 2 {
 				for _, closes := range both {
 					for _, output := range both {
-						states = append(states, Conn{
-							Reader: reader, Open: open, Held: held,
-							CloseRequested: closes, OutputPending: output,
-						})
+						for _, full := range both {
+							states = append(states, Conn{
+								Reader: reader, Open: open, Held: held, HeldFull: full,
+								CloseRequested: closes, OutputPending: output,
+							})
+						}
 					}
 				}
 			}
