Upgrade: a command of which only a part was read is passed on with its connection

Callers saw: a reset in the middle of a command during an upgrade, if they had paused for over 0.8 s in it (the old process then did not wait for them), or if its end came after the open requests had been failed before SIGKILL.

Cause: a detach ended a reader only between two commands. What it had parsed of a command lived in the parser alone, so the connection could be passed only once the command was whole, and the old process's end cut it.

Change: resp.Reader gives back what it had consumed of a command when its stream is interrupted, and a detach interrupts it anywhere. A command that is being skipped for its size can't be given back: it is rejected, and the connection is closed.

--- a/internal/dataplane/gateway/client_reader.go
+++ b/internal/dataplane/gateway/client_reader.go
@@ -38,7 +38,7 @@
 	in := resp.NewReader(&activityReader{c.commandSource(), c, g.clock})
 	validCommandRead := c.commands > 0 // the connection came from the predecessor
 	if !validCommandRead {
-		c.reading.setFirstDeadline(c.conn, time.Now().Add(firstCommandTimeout))
+		c.reading.awaitFirstCommand(c.conn)
 	}
 	for {
 		next := c.readNext(g, in, &validCommandRead)
@@ -71,8 +71,7 @@
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			return readDisconnected
 		}
-		g.post(readerDetached{client: c, rest: in.Unread()})
-		return c.awaitHangUp()
+		return c.detach(g, in, nil)
 	}
 	if c.reading.haltedBy(err) {
 		g.post(readerHalted{c})
@@ -86,12 +85,12 @@
 	if err != nil {
 		return readDisconnected
 	}
-	if *validCommandRead {
-		_ = c.conn.SetReadDeadline(time.Now().Add(commandTimeout))
-	}
 	c.midCommand.Store(true)
 	e.readFrom(g, in)
 	c.midCommand.Store(false)
+	if e.interrupted {
+		return c.detach(g, in, nil)
+	}
 	if e.disconnected {
 		return readDisconnected
 	}
@@ -110,8 +109,7 @@
 	case slotTaken:
 		e.hasSlot = true
 	case slotDetached:
-		g.post(readerDetached{client: c, last: &e, rest: in.Unread()})
-		return c.awaitHangUp()
+		return c.detach(g, in, &e)
 	case slotDisconnected:
 		g.clients.incomingBytes.Add(-int64(e.argBytes))
 		return readDisconnected
@@ -129,6 +127,14 @@
 	return readContinue
 }
 
+// detach posts what the reader has read and not posted yet, and waits until the connection is
+// passed on or closed. last is a command that has no slot; nil: there is none.
+func (c *client) detach(g *Gateway, in *resp.Reader, last *commandRead) readResult {
+	rest, _ := in.Unread()
+	g.post(readerDetached{client: c, last: last, rest: rest})
+	return c.awaitHangUp()
+}
+
 // slotResult is how a wait for a free slot in the pipeline ended.
 type slotResult int
 
@@ -206,6 +212,7 @@
 	invalid      bool
 	framingLost  bool // later data on the connection can't be parsed
 	disconnected bool // the client has closed the connection
+	interrupted  bool // the reader was detached in the middle of the command
 	noMemory     bool // there is no memory for the command
 
 	credential *forwardauth.Credential // credential for the client's later requests; nil: unchanged
@@ -214,6 +221,10 @@
 // readFrom reads one command.
 func (e *commandRead) readFrom(g *Gateway, in *resp.Reader) {
 	args, err := in.ReadCommand()
+	if e.client.reading.interruptedBy(err) {
+		e.interrupt(in)
+		return
+	}
 	e.arrived = e.client.reading.arrivalTime(g.suspend.earliestArrival(g.clock.now()))
 	switch {
 	case errors.Is(err, resp.ErrTooLarge):
@@ -233,6 +244,17 @@
 	}
 }
 
+// interrupt handles a command in which the reader was detached: the successor reads the rest of it.
+// A command that was being skipped because of its size is rejected here.
+func (e *commandRead) interrupt(in *resp.Reader) {
+	if _, whole := in.Unread(); whole {
+		e.interrupted = true
+		return
+	}
+	e.reject(resp.ErrTooLarge)
+	e.framingLost = true
+}
+
 // reject marks a command as invalid and sets the error as its answer.
 func (e *commandRead) reject(err error) {
 	e.reply = errorReply(err)
--- a/internal/dataplane/gateway/conn_settle.go
+++ b/internal/dataplane/gateway/conn_settle.go
@@ -139,8 +139,11 @@
 func (c *client) exportForSuccessor(now policy.Time) hotrestart.ClientConn {
 	rc := &c.reading
 	p := hotrestart.ClientConn{
-		Conn:  c.conn,
-		State: hotrestart.ConnState{Commands: c.commands},
+		Conn: c.conn,
+		State: hotrestart.ConnState{
+			Commands: c.commands,
+			WaitedUS: rc.waited().Microseconds(),
+		},
 	}
 	if k := c.credential; k != nil {
 		p.State.HasCredential = true
@@ -165,7 +168,7 @@
 
 // readerDetached reports that a client's reader has ended. last is a command that it has read but
 // not posted, because the pipeline had no free slot; nil: there is none. rest is the data that it
-// had read beyond the last command.
+// had read beyond the last complete command.
 type readerDetached struct {
 	client *client
 	last   *commandRead
--- a/internal/dataplane/gateway/handover.go
+++ b/internal/dataplane/gateway/handover.go
@@ -188,6 +188,9 @@
 		}
 	}
 	c.reading.unread = from.Unread
+	if head.WaitedUS > 0 {
+		c.reading.waitingSince = time.Now().Add(-time.Duration(head.WaitedUS) * time.Microsecond)
+	}
 	for i := range head.HeldCommands {
 		c.reading.inheritedArrivals = append(c.reading.inheritedArrivals, now-heldAge(head, i))
 	}
--- a/internal/dataplane/gateway/handover_close_test.go
+++ b/internal/dataplane/gateway/handover_close_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"mothcleat/internal/dataplane/hotrestart"
 	"mothcleat/internal/dataplane/policy"
@@ -225,21 +226,13 @@
 	if err := successor.Confirm(); err != nil {
 		t.Fatal(err)
 	}
-	passed := make(chan hotrestart.ClientConn, 4)
-	go func() { _ = successor.ReceiveClients(func(c hotrestart.ClientConn) { passed <- c }) }()
-	for {
-		conn := wait(t, passed, "the connection")
-		if conn.Conn.RemoteAddr().String() != c.conn.LocalAddr().String() {
-			continue // that of the test gateway's first PING
-		}
-		in := resp.NewReader(io.MultiReader(bytes.NewReader(conn.Unread), conn.Conn))
-		for i := range commands {
-			args, err := in.ReadCommand()
-			if err != nil || string(args[2]) != fmt.Sprintf("%016x", i+1) {
-				t.Fatalf("command %d: %q, %v", i+1, args, err)
-			}
+	conn := receivePassed(t, successor, c)
+	in := resp.NewReader(io.MultiReader(bytes.NewReader(conn.Unread), conn.Conn))
+	for i := range commands {
+		args, err := in.ReadCommand()
+		if err != nil || string(args[2]) != fmt.Sprintf("%016x", i+1) {
+			t.Fatalf("command %d: %q, %v", i+1, args, err)
 		}
-		return
 	}
 }
 
@@ -340,25 +333,128 @@
 	c.sendLookup(2, "60000")
 	open.replyValue(t, "open")
 	c.wantValue("open")
+	conn := receivePassed(t, successor, c)
+	if conn.State.HeldCommands != 0 || len(conn.Unread) != 0 {
+		t.Errorf("%d commands were read, want none", conn.State.HeldCommands)
+	}
+	args, err := resp.NewReader(conn.Conn).ReadCommand()
+	if err != nil || string(args[2]) != fmt.Sprintf("%016x", 2) {
+		t.Errorf("the command in the socket: %q, %v", args, err)
+	}
+	if n := onEventLoop(t, old.gateway, func(g *Gateway) int {
+		return g.handover.heldBytes - g.maxHeldBytes()
+	}); n != 0 {
+		t.Errorf("%d bytes of held commands are counted after all were passed", n)
+	}
+}
+
+// Guards against the loss of a command of which only a part had arrived when the predecessor ended:
+// its client had paused, so the predecessor did not wait for it, and its end reset the connection.
+func TestUpgradePassesPartialCommand(t *testing.T) {
+	b := newFakeBackend(t)
+	h := newSharedListener(t)
+	d := newFakeDiscovery(t, b.memberJSON("s-1", "Ready"))
+	old := h.startProcess(t, d)
+	c := old.dialClient(t)
+	command := encodedLookup(1)
+	c.writeRaw(command[:commandPrefixLength])
+	old.awaitPartialCommand(t, c)
+	h.startProcess(t, d)
+	old.beginShutdown()
+	wait(t, old.exited, "the end of the predecessor")
+	c.writeRaw(command[commandPrefixLength:])
+	b.commandWithID(t, 1).replyValue(t, "whole")
+	c.wantValue("whole")
+}
+
+// Guards against the same loss behind an open request that is failed because SIGKILL is near.
+func TestUpgradePassesPartialCommandBehindFailedRequest(t *testing.T) {
+	b := newFakeBackend(t)
+	h := newSharedListener(t)
+	d := newFakeDiscovery(t, b.memberJSON("s-1", "Ready"))
+	old := h.startProcess(t, d)
+	c := old.dialClient(t)
+	c.sendOnce(1)
+	b.nextCommand(t)
+	command := encodedLookup(2)
+	c.writeRaw(command[:commandPrefixLength])
+	old.awaitPartialCommand(t, c)
+	h.startProcess(t, d)
+	old.stoppedSince(t, openRequestsAreLate)
+	c.wantLine("-ERR failed")
+	wait(t, old.exited, "the end of the predecessor")
+	c.writeRaw(command[commandPrefixLength:])
+	b.commandWithID(t, 2).replyValue(t, "second")
+	c.wantValue("second")
+}
+
+// receivePassed lets the test receive the connections that a process passes, as its successor, and
+// returns that of a client.
+func receivePassed(
+	t testing.TB, successor *hotrestart.Predecessor, c *testClient,
+) hotrestart.ClientConn {
+	t.Helper()
 	passed := make(chan hotrestart.ClientConn, 4)
 	go func() { _ = successor.ReceiveClients(func(c hotrestart.ClientConn) { passed <- c }) }()
 	for {
 		conn := wait(t, passed, "the connection")
-		if conn.Conn.RemoteAddr().String() != c.conn.LocalAddr().String() {
-			continue
-		}
-		if conn.State.HeldCommands != 0 || len(conn.Unread) != 0 {
-			t.Errorf("%d commands were read, want none", conn.State.HeldCommands)
-		}
-		args, err := resp.NewReader(conn.Conn).ReadCommand()
-		if err != nil || string(args[2]) != fmt.Sprintf("%016x", 2) {
-			t.Errorf("the command in the socket: %q, %v", args, err)
+		if conn.Conn.RemoteAddr().String() == c.conn.LocalAddr().String() {
+			return conn
 		}
-		break
+		// It is that of the test gateway's first PING.
 	}
-	if n := onEventLoop(t, old.gateway, func(g *Gateway) int {
-		return g.handover.heldBytes - g.maxHeldBytes()
-	}); n != 0 {
-		t.Errorf("%d bytes of held commands are counted after all were passed", n)
+}
+
+// A client that stalls in the middle of a command has the same time in all, however often its
+// connection is passed: the successor is told for how long the client has been sending.
+func TestUpgradePassesWaitOfPartialCommand(t *testing.T) {
+	const wait policy.Time = 50_000
+	b := newFakeBackend(t)
+	old, successor := startAndFindPredecessor(t, newFakeDiscovery(t, b.memberJSON("s-1", "Ready")))
+	c := old.dialClient(t)
+	c.send("PING")
+	c.wantLine("+PONG")
+	command := encodedLookup(1)
+	c.writeRaw(command[:commandPrefixLength])
+	old.awaitPartialCommand(t, c)
+	old.awaitClock(t, wait)
+	if _, err := successor.TakeState(); err != nil {
+		t.Fatal(err)
 	}
+	if err := successor.Confirm(); err != nil {
+		t.Fatal(err)
+	}
+	conn := receivePassed(t, successor, c)
+	if string(conn.Unread) != command[:commandPrefixLength] || conn.State.WaitedUS < wait {
+		t.Fatalf("passed %q after %d us of waiting", conn.Unread, conn.State.WaitedUS)
+	}
+	next := clientFrom(&conn, 0)
+	next.reading.beginCommand(conn.Conn, nil)
+	if left := time.Until(next.reading.waitingSince.Add(commandTimeout)); left > commandTimeout-
+		time.Duration(wait)*time.Microsecond {
+		t.Errorf("the client has %v for the rest of its command", left)
+	}
+}
+
+// A command that is skipped because of its size can't be passed in part: it is rejected, and its
+// connection closed.
+func TestUpgradeRejectsPartOfLargeCommand(t *testing.T) {
+	b := newFakeBackend(t)
+	old, successor := startAndFindPredecessor(t, newFakeDiscovery(t, b.memberJSON("s-1", "Ready")))
+	c := old.dialClient(t)
+	c.send("PING")
+	c.wantLine("+PONG")
+	c.writeRaw("*1\r\n$100000\r\n" + strings.Repeat("x", 70_000))
+	old.awaitPartialCommand(t, c)
+	waitUntil(t, old.gateway, "the reader to skip the command", func(g *Gateway) bool {
+		return connOf(g, c).out.nothingToRead()
+	})
+	if _, err := successor.TakeState(); err != nil {
+		t.Fatal(err)
+	}
+	if err := successor.Confirm(); err != nil {
+		t.Fatal(err)
+	}
+	c.wantLine("-ERR command too large")
+	c.wantClosed()
 }
--- a/internal/dataplane/gateway/read_control.go
+++ b/internal/dataplane/gateway/read_control.go
@@ -16,10 +16,10 @@
 // expiredDeadline is a deadline in the past. Setting it interrupts a blocked read or accept.
 var expiredDeadline = time.Unix(1, 0)
 
-// readControl lets the event loop stop a client's reader between two commands: to close the
-// connection (halt) or to pass it to a successor (detach). The event loop and the reader share the
-// fields that mu guards, up to firstDeadline. The others belong to the event loop, except in
-// arrivalTime.
+// readControl lets the event loop stop a client's reader: between two commands to close the
+// connection (halt), or anywhere to pass it to a successor (detach). The event loop and the reader
+// share the fields that mu guards, up to waitingSince. The others belong to the event loop, except
+// in arrivalTime.
 type readControl struct {
 	mu              sync.Mutex
 	inCommand       bool // the reader is reading a command
@@ -28,10 +28,13 @@
 	// firstDeadline is the read deadline of the first command; zero: the command has arrived.
 	firstDeadline time.Time
 	detachSignal  chan struct{} // closed by the first requestDetach
+	// waitingSince is since when the client has been sending its current command, or its first one;
+	// zero: it is between two commands.
+	waitingSince time.Time
 
 	halted   bool          // the reader waits to be resumed
 	detached bool          // the reader has ended
-	unread   []byte        // data read beyond the last command
+	unread   []byte        // data read beyond the last complete command
 	held     []commandRead // commands waiting until it is known which process answers them
 	// framingLost is set once a command is held after which nothing can be parsed.
 	framingLost bool
@@ -47,10 +50,26 @@
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
 	rc.inCommand = !rc.detachRequested && err == nil
-	if rc.inCommand && rc.haltRequested {
-		_ = conn.SetReadDeadline(rc.firstDeadline) // the command arrived before the halt
+	if !rc.inCommand {
+		return !rc.detachRequested
+	}
+	if rc.waitingSince.IsZero() {
+		rc.waitingSince = time.Now()
 	}
-	return !rc.detachRequested
+	deadline := rc.firstDeadline
+	if deadline.IsZero() {
+		deadline = rc.waitingSince.Add(commandTimeout)
+	}
+	_ = conn.SetReadDeadline(deadline)
+	return true
+}
+
+// interruptedBy reports whether a detach has interrupted the reading of a command. err is the error
+// of the read.
+func (rc *readControl) interruptedBy(err error) bool {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	return rc.detachRequested && errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // haltedBy reports whether a halt has ended the wait for a command. err is the error of the wait.
@@ -68,6 +87,7 @@
 	rc.inCommand = false
 	if validCommandRead {
 		rc.firstDeadline = time.Time{}
+		rc.waitingSince = time.Time{}
 	}
 	if rc.detachRequested || rc.haltRequested {
 		_ = conn.SetReadDeadline(expiredDeadline)
@@ -76,13 +96,16 @@
 	}
 }
 
-// setFirstDeadline sets the read deadline of the first command.
-func (rc *readControl) setFirstDeadline(conn net.Conn, deadline time.Time) {
+// awaitFirstCommand sets the read deadline of the first command.
+func (rc *readControl) awaitFirstCommand(conn net.Conn) {
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
-	rc.firstDeadline = deadline
+	if rc.waitingSince.IsZero() {
+		rc.waitingSince = time.Now()
+	}
+	rc.firstDeadline = rc.waitingSince.Add(firstCommandTimeout)
 	if !rc.detachRequested && !rc.haltRequested {
-		_ = conn.SetReadDeadline(deadline)
+		_ = conn.SetReadDeadline(rc.firstDeadline)
 	}
 }
 
@@ -106,8 +129,8 @@
 	}
 }
 
-// requestDetach ends the reader between two commands: immediately, or after the command that it is
-// reading. The reader then posts readerDetached. A detach can't be cancelled.
+// requestDetach ends the reader immediately, also in the middle of a command. The reader then posts
+// readerDetached with what it had read. A detach can't be cancelled.
 func (rc *readControl) requestDetach(conn net.Conn) {
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
@@ -115,9 +138,16 @@
 		rc.detachRequested = true
 		close(rc.detachSignal)
 	}
-	if !rc.inCommand {
-		_ = conn.SetReadDeadline(expiredDeadline)
+	_ = conn.SetReadDeadline(expiredDeadline)
+}
+
+// waited returns for how long the client has been sending its current command, or its first one; 0
+// if it is between two commands. It must not be called before the reader has ended.
+func (rc *readControl) waited() time.Duration {
+	if rc.waitingSince.IsZero() {
+		return 0
 	}
+	return time.Since(rc.waitingSince)
 }
 
 // arrivalTime returns when the command that was just read arrived: now, unless an earlier reader of
--- a/internal/dataplane/hotrestart/message.go
+++ b/internal/dataplane/hotrestart/message.go
@@ -115,6 +115,9 @@
 	// HeldAgesUS are the ages of the HeldCommands, in microseconds. Earlier builds send and read
 	// only AgeUS.
 	HeldAgesUS []int64 `json:"ages_us,omitempty"`
+	// WaitedUS is for how long the client has been sending the command that Unread ends in, or its
+	// first one, in microseconds; 0: it is between two commands.
+	WaitedUS int64 `json:"waited_us,omitempty"`
 }
 
 // messageLink is one side of the socket. It must be used by only one goroutine at a time.
--- a/internal/dataplane/hotrestart/stored_test.go
+++ b/internal/dataplane/hotrestart/stored_test.go
@@ -108,6 +108,7 @@
 // Earlier builds ignore them and do not send them.
 var addedKeys = []string{
 	" ages_us,omitempty:[int64]",
+	" waited_us,omitempty:int64",
 }
 
 // unixConn returns the connection for a descriptor of a socket pair, and closes the descriptor.
--- a/internal/dataplane/resp/reply.go
+++ b/internal/dataplane/resp/reply.go
@@ -55,7 +55,7 @@
 
 // SkipTail reads and drops the other values of the array after a long value.
 func (r *Reader) SkipTail(long LongValue) error {
-	if err := r.readCRLF(); err != nil {
+	if _, err := r.readCRLF(); err != nil {
 		return unexpectedEOF(err)
 	}
 	for range long.valuesAfter {
@@ -119,7 +119,7 @@
 		return nil
 	}
 	if reply.Text, err = r.readBytes(nil, size); err == nil {
-		err = r.readCRLF()
+		_, err = r.readCRLF()
 	}
 	return unexpectedEOF(err)
 }
--- a/internal/dataplane/resp/resp.go
+++ b/internal/dataplane/resp/resp.go
@@ -42,20 +42,24 @@
 
 // Reader reads commands or replies from a connection. It is not safe for concurrent use.
 type Reader struct {
-	in *bufio.Reader
+	in      *bufio.Reader
+	partial partialCommand // what ReadCommand had consumed when an error of the stream ended it
 }
 
 // NewReader returns a reader of the messages in a stream.
-func NewReader(in io.Reader) *Reader { return &Reader{bufio.NewReaderSize(in, readerBytes)} }
+func NewReader(in io.Reader) *Reader {
+	return &Reader{in: bufio.NewReaderSize(in, readerBytes)}
+}
 
-// readLine reads a line and returns it without its CRLF. The line is valid until the next read.
+// readLine reads a line and returns it without its CRLF. The line is valid until the next read. An
+// error of the stream comes with the part of the line that was consumed.
 func (r *Reader) readLine() ([]byte, error) {
 	b, err := r.in.ReadSlice('\n')
 	switch {
 	case errors.Is(err, bufio.ErrBufferFull):
 		return nil, malformed("line too long")
 	case err != nil:
-		return nil, err
+		return b, err
 	case len(b) < 2 || b[len(b)-2] != '\r':
 		return nil, malformed("line does not end in CRLF")
 	}
@@ -73,33 +77,32 @@
 
 // readBytes reads size bytes and appends them to buf. It allocates memory step by step as the bytes
 // arrive, so that a client that announces a large value but sends little does not occupy the
-// announced size.
+// announced size. After an error, buf ends with the bytes that have arrived.
 func (r *Reader) readBytes(buf []byte, size int) ([]byte, error) {
 	for size > 0 {
 		n := min(size, max(growBytes, len(buf)))
 		start := len(buf)
 		buf = slices.Grow(buf, n)[:start+n]
-		if _, err := io.ReadFull(r.in, buf[start:]); err != nil {
-			return buf, err
+		if arrived, err := io.ReadFull(r.in, buf[start:]); err != nil {
+			return buf[:start+arrived], err
 		}
 		size -= n
 	}
 	return buf, nil
 }
 
-func (r *Reader) readCRLF() error {
-	var end [2]byte
-	for i := range end {
+// readCRLF reads the end of a value. consumed is how many of its bytes were read.
+func (r *Reader) readCRLF() (consumed int, err error) {
+	for i, want := range []byte("\r\n") {
 		c, err := r.in.ReadByte()
 		if err != nil {
-			return err
+			return i, err
+		}
+		if c != want {
+			return i + 1, malformed("value does not end in CRLF")
 		}
-		end[i] = c
-	}
-	if end != [2]byte{'\r', '\n'} {
-		return malformed("value does not end in CRLF")
 	}
-	return nil
+	return len("\r\n"), nil
 }
 
 // unexpectedEOF replaces io.EOF by io.ErrUnexpectedEOF, for errors within a message.
@@ -119,8 +122,10 @@
 // Buffered returns the number of bytes that were received but are not part of a returned message.
 func (r *Reader) Buffered() int { return r.in.Buffered() }
 
-// Unread returns a copy of the bytes that were received but are not part of a returned message.
-func (r *Reader) Unread() []byte {
+// Unread returns a copy of the bytes that were received but are not part of a returned message,
+// including those of a command in which an error of the stream ended ReadCommand. It returns false
+// if part of such a command is lost, because it is too large and was being skipped.
+func (r *Reader) Unread() ([]byte, bool) {
 	b, _ := r.in.Peek(r.in.Buffered())
-	return bytes.Clone(b)
+	return append(bytes.Clone(r.partial.encoded), b...), !r.partial.lost
 }
