Upgrade: a connection is passed on with the answers that its client has not read yet

Callers saw: a reset, and no answer to their next command, if they were slow to read an answer during an upgrade.

Change: a sender can be stopped, and gives back what it has not written; that goes along (U, "unsent" in the connection's state), and the successor writes it first. The passer's goroutine waits for the sender, not the event loop. A successor says in the body of T that it reads U; earlier builds look only at the kind of T, and get no such connection.

TestMessagesOfEarlierBuilds now expects exactly "Tunsent" where it expected exactly "T"; the fixture is untouched, and the test names the two added keys.

--- a/internal/dataplane/gateway/conn_settle.go
+++ b/internal/dataplane/gateway/conn_settle.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"mothcleat/internal/dataplane/hotrestart"
 	"mothcleat/internal/dataplane/lifecycle"
 	"mothcleat/internal/dataplane/policy"
@@ -21,6 +23,9 @@
 		return
 	}
 	state := c.lifecycleState()
+	if s := g.handover.successor; s != nil && s.TakesUnsent() {
+		state.OutputPending = false
+	}
 	state.HeldFull = g.handover.heldBytes >= g.maxHeldBytes()
 	action := g.lifecycle.DecideConn(g.now(), state)
 	if action == lifecycle.KeepConn {
@@ -79,17 +84,20 @@
 	c.endReader()
 	g.clients.remove(c)
 	g.metrics.ConnsPassed.Add(1)
-	g.handover.passer.pass(passed)
+	g.handover.passer.pass(queuedConn{passed, c.out})
 }
 
 // readAgain starts a new reader for a connection whose reader has ended. The connection keeps its
-// slot.
+// slot and its sender, which may still write answers.
 func (g *Gateway) readAgain(c *client) {
 	kept := c.exportForSuccessor(g.now())
 	g.releaseHeld(c)
 	c.endReader()
 	delete(g.clients.conns, c)
-	g.restartReader(kept)
+	_ = c.conn.SetReadDeadline(time.Time{})
+	next := clientFrom(&kept, g.now())
+	next.out = c.out
+	g.startClient(next)
 }
 
 // holdCommand holds a command while a successor may answer it, and reports whether it does. A
--- a/internal/dataplane/gateway/connpasser.go
+++ b/internal/dataplane/gateway/connpasser.go
@@ -19,22 +19,28 @@
 type connPasser struct {
 	gateway     *Gateway
 	successor   *hotrestart.Successor
-	queue       chan hotrestart.ClientConn // sends never block
-	written     chan struct{}              // closed once all of queue is written or returned
-	receiptsEnd chan struct{}              // closed once no more receipts are read
+	queue       chan queuedConn // sends never block
+	written     chan struct{}   // closed once all of queue is written or returned
+	receiptsEnd chan struct{}   // closed once no more receipts are read
 
 	mu         sync.Mutex
 	unreceived []hotrestart.ClientConn // written or being written, in order
 	ended      bool                    // the successor accepts no more
 }
 
+// queuedConn is a connection to be passed, and the sender that may still write to it.
+type queuedConn struct {
+	hotrestart.ClientConn
+	out *sender
+}
+
 // newConnPasser returns a connPasser for a successor that has taken over, and starts its
 // goroutines.
 func newConnPasser(g *Gateway, successor *hotrestart.Successor) *connPasser {
 	p := &connPasser{
 		gateway:     g,
 		successor:   successor,
-		queue:       make(chan hotrestart.ClientConn, cap(g.clients.slots)+1),
+		queue:       make(chan queuedConn, cap(g.clients.slots)+1),
 		written:     make(chan struct{}),
 		receiptsEnd: make(chan struct{}),
 	}
@@ -44,7 +50,7 @@
 }
 
 // pass queues a connection to be passed.
-func (p *connPasser) pass(c hotrestart.ClientConn) { p.queue <- c }
+func (p *connPasser) pass(c queuedConn) { p.queue <- c }
 
 // finish waits until all connections have been received or the successor accepts no more. It waits
 // at most receiptTimeout for the writes, and as long for the receipts.
@@ -74,11 +80,12 @@
 func (p *connPasser) writeAll() {
 	defer close(p.written)
 	for c := range p.queue {
-		if !p.keep(c) {
-			p.gateway.returnConn(c)
+		c.Unsent = c.out.takeUnsent()
+		if !p.keep(c.ClientConn) {
+			p.gateway.returnConn(c.ClientConn)
 			continue
 		}
-		err := p.successor.PassClient(c)
+		err := p.successor.PassClient(c.ClientConn)
 		if err != nil {
 			p.writeFailed(err)
 		} else if !p.successor.SendsReceipts() {
@@ -165,13 +172,9 @@
 // connReturned is a client connection that no successor has received.
 type connReturned struct{ from hotrestart.ClientConn }
 
-func (e connReturned) handle(g *Gateway) { g.restartReader(e.from) }
-
-// restartReader starts a new reader for a connection whose reader has ended. The connection must
-// already have a slot.
-func (g *Gateway) restartReader(from hotrestart.ClientConn) {
-	_ = from.Conn.SetReadDeadline(time.Time{})
-	g.startClient(clientFrom(&from, g.now()))
+func (e connReturned) handle(g *Gateway) {
+	_ = e.from.Conn.SetReadDeadline(time.Time{})
+	g.startClient(clientFrom(&e.from, g.now()))
 }
 
 // passingEnded reports that the successor accepts no more connections, and whether it has exited.
--- a/internal/dataplane/gateway/handover.go
+++ b/internal/dataplane/gateway/handover.go
@@ -181,6 +181,9 @@
 func clientFrom(from *hotrestart.ClientConn, now policy.Time) *client {
 	head := &from.State
 	c := newClient(from.Conn, now)
+	if len(from.Unsent) > 0 {
+		c.out.send(from.Unsent, len(from.Unsent))
+	}
 	c.commands = head.Commands
 	if head.HasCredential {
 		c.credential = &forwardauth.Credential{
--- a/internal/dataplane/gateway/sender.go
+++ b/internal/dataplane/gateway/sender.go
@@ -5,6 +5,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -17,9 +18,11 @@
 
 	mu         sync.Mutex
 	pending    []byte
-	writing    bool   // writePending runs
-	streamNext func() // function that writes to the connection after pending; nil: none
-	closeAfter bool   // shut down the write side after pending
+	writing    bool          // writePending runs
+	streamNext func()        // function that writes to the connection after pending; nil: none
+	closeAfter bool          // shut down the write side after pending
+	stopped    bool          // nothing more is written; see takeUnsent
+	writerDone chan struct{} // closed when writePending returns; nil: it does not run
 
 	// fullyWritten counts the messages that send has written completely; nil: they are not counted.
 	// It may be set only while writePending is not running.
@@ -114,17 +117,44 @@
 	case err != nil:
 	case n < len(b):
 		s.pending = append(s.pending, b[n:]...)
-		s.writing = true
-		go s.writePending()
+		s.startWriter()
 	case s.fullyWritten != nil:
 		s.fullyWritten.Add(1)
 	}
 	return true
 }
 
-// writePending writes the pending bytes and runs the stream functions until none are left. It runs
-// on its own goroutine.
-func (s *sender) writePending() {
+// startWriter starts writePending. The caller holds mu.
+func (s *sender) startWriter() {
+	s.writing = true
+	s.writerDone = make(chan struct{})
+	go s.writePending(s.writerDone)
+}
+
+// takeUnsent stops the sender and returns what it has not written. It interrupts a write and waits
+// for its end, which does not depend on the peer. It must not be called while a stream function
+// runs or is pending, and nothing may be sent afterwards.
+func (s *sender) takeUnsent() []byte {
+	s.mu.Lock()
+	s.stopped = true
+	writing, done := s.writing, s.writerDone
+	s.mu.Unlock()
+	if writing {
+		_ = s.conn.SetWriteDeadline(expiredDeadline)
+		<-done
+		_ = s.conn.SetWriteDeadline(time.Time{})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	unsent := s.pending
+	s.pending = nil
+	return unsent
+}
+
+// writePending writes the pending bytes and runs the stream functions until none are left or the
+// sender is stopped. It runs on its own goroutine.
+func (s *sender) writePending(done chan struct{}) {
+	defer close(done)
 	for {
 		b, stream, more := s.takePending()
 		if !more {
@@ -134,9 +164,23 @@
 			stream()
 			continue
 		}
-		if _, err := s.conn.Write(b); err == nil && s.fullyWritten != nil {
+		n, err := s.conn.Write(b)
+		if err == nil && s.fullyWritten != nil {
 			s.fullyWritten.Add(1)
 		}
+		if n < len(b) {
+			s.putBack(b[n:])
+		}
+	}
+}
+
+// putBack puts the rest of an interrupted write before the pending bytes. Without takeUnsent, a
+// write ends early only because the connection is broken, and its rest is dropped.
+func (s *sender) putBack(rest []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		s.pending = append(rest[:len(rest):len(rest)], s.pending...)
 	}
 }
 
@@ -145,6 +189,10 @@
 func (s *sender) takePending() (b []byte, stream func(), more bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.stopped {
+		s.writing = false
+		return nil, nil, false
+	}
 	b = s.pending
 	s.pending = nil
 	if len(b) > 0 {
@@ -169,8 +217,7 @@
 	defer s.mu.Unlock()
 	s.streamNext = f
 	if !s.writing {
-		s.writing = true
-		go s.writePending()
+		s.startWriter()
 	}
 }
 
--- a/internal/dataplane/hotrestart/handover_test.go
+++ b/internal/dataplane/hotrestart/handover_test.go
@@ -64,6 +64,7 @@
 		r := rand.New(rand.NewPCG(seed, 3))
 		snapshot := make([]byte, r.IntN(5*maxChunkBytes))
 		unread := make([][]byte, 20)
+		unsent := make([][]byte, len(unread))
 		for i := range snapshot {
 			snapshot[i] = byte(r.Uint32())
 		}
@@ -76,6 +77,7 @@
 		var gatewaySides []*net.TCPConn
 		for i := range unread {
 			unread[i] = bytes.Repeat([]byte{byte(i + 1)}, r.IntN(3)*r.IntN(3*maxChunkBytes))
+			unsent[i] = bytes.Repeat([]byte{byte(i + 2)}, r.IntN(3)*r.IntN(3*maxChunkBytes))
 			here, there := newConnPair(t)
 			gatewaySides, clientSides = append(gatewaySides, here), append(clientSides, there)
 		}
@@ -90,6 +92,7 @@
 						Conn:   c,
 						State:  ConnState{Commands: i, User: "u", HasCredential: true},
 						Unread: unread[i],
+						Unsent: unsent[i],
 					},
 				); err != nil {
 					t.Error(err)
@@ -115,14 +118,17 @@
 		}
 		n := 0
 		if err := predecessor.ReceiveClients(func(c ClientConn) {
-			if c.State.Commands != n || !bytes.Equal(c.Unread, unread[n]) || c.State.User != "u" {
+			if c.State.Commands != n || !bytes.Equal(c.Unread, unread[n]) ||
+				!bytes.Equal(c.Unsent, unsent[n]) || c.State.User != "u" {
 				t.Errorf(
-					"seed %d: connection %d: state %+v, %d unread bytes, want %d",
+					"seed %d: connection %d: state %+v, %d unread bytes, want %d; %d unsent, want %d",
 					seed,
 					n,
 					c.State,
 					len(c.Unread),
 					len(unread[n]),
+					len(c.Unsent),
+					len(unsent[n]),
 				)
 			}
 			if _, err := c.Conn.Write([]byte{byte(n)}); err != nil {
--- a/internal/dataplane/hotrestart/message.go
+++ b/internal/dataplane/hotrestart/message.go
@@ -17,6 +17,7 @@
 	maxMessageBytes = 96 << 10 // a connection's state may hold a long credential, escaped as JSON
 	maxStateBytes   = 64 << 20
 	maxUnreadBytes  = 24 << 20 // of one connection
+	maxUnsentBytes  = 24 << 20 // of one connection
 	stepTimeout     = 2 * time.Second
 
 	// maxPassedFDs is how many descriptors of one message are received. All but the first are
@@ -33,6 +34,7 @@
 	messageConfirm    = 'K' // the successor has restored the state
 	messageClient     = 'C' // a client connection, with its ConnState as JSON
 	messageUnread     = 'M' // data that was read from this connection
+	messageUnsent     = 'U' // data that is to be written to it before anything else
 	messageReceived   = 'R' // the successor has received the next connection and its unread data
 	messageLeaving    = 'X' // the successor accepts no more connections, but keeps running
 )
@@ -42,6 +44,10 @@
 // send these messages without a body, and ignore a body.
 const receiptsSupported = "receipts"
 
+// unsentSupported is the body of messageTake if the successor reads messageUnsent. Earlier builds
+// send messageTake without a body, and ignore a body.
+const unsentSupported = "unsent"
+
 // Errors of both sides.
 var (
 	// ErrNoPredecessor means that no other process serves.
@@ -97,6 +103,7 @@
 	Conn   *net.TCPConn
 	State  ConnState
 	Unread []byte // data read from Conn that belongs to no admitted request
+	Unsent []byte // answers that are to be written to Conn before any other
 }
 
 // ConnState is what the successor needs to know about a connection.
@@ -117,7 +124,8 @@
 	HeldAgesUS []int64 `json:"ages_us,omitempty"`
 	// WaitedUS is for how long the client has been sending the command that Unread ends in, or its
 	// first one, in microseconds; 0: it is between two commands.
-	WaitedUS int64 `json:"waited_us,omitempty"`
+	WaitedUS     int64 `json:"waited_us,omitempty"`
+	UnsentLength int   `json:"unsent,omitempty"` // length of Unsent in bytes
 }
 
 // messageLink is one side of the socket. It must be used by only one goroutine at a time.
--- a/internal/dataplane/hotrestart/predecessor.go
+++ b/internal/dataplane/hotrestart/predecessor.go
@@ -44,7 +44,7 @@
 }
 
 func (p *Predecessor) takeState() (s State, err error) {
-	if err := p.write(messageTake, nil, nil); err != nil {
+	if err := p.write(messageTake, []byte(unsentSupported), nil); err != nil {
 		return s, err
 	}
 	_ = p.conn.SetReadDeadline(time.Now().Add(stepTimeout))
@@ -153,19 +153,14 @@
 	if err := json.Unmarshal(body, &c.State); err != nil {
 		return c, err
 	}
-	length := c.State.UnreadLength
-	if length < 0 || length > maxUnreadBytes || c.State.HeldCommands < 0 {
-		return c, fmt.Errorf("%w: %d bytes of unread data", ErrUnexpectedMessage, length)
+	if c.State.HeldCommands < 0 {
+		return c, fmt.Errorf("%w: %d held commands", ErrUnexpectedMessage, c.State.HeldCommands)
 	}
-	for len(c.Unread) < length {
-		kind, chunk, _, err := p.read()
-		if err != nil {
-			return c, err
-		}
-		if kind != messageUnread || len(c.Unread)+len(chunk) > length {
-			return c, unexpected(kind, "in the middle of unread data")
-		}
-		c.Unread = append(c.Unread, chunk...)
+	if c.Unread, err = p.readData(messageUnread, c.State.UnreadLength, maxUnreadBytes); err != nil {
+		return c, err
+	}
+	if c.Unsent, err = p.readData(messageUnsent, c.State.UnsentLength, maxUnsentBytes); err != nil {
+		return c, err
 	}
 	conn, err := net.FileConn(passed)
 	if err != nil {
@@ -180,5 +175,27 @@
 	return c, nil
 }
 
+// readData reads data of the given length in messages of the given kind.
+func (p *Predecessor) readData(kind byte, length, limit int) ([]byte, error) {
+	if length < 0 || length > limit {
+		return nil, fmt.Errorf("%w: %d bytes of kind %q", ErrUnexpectedMessage, length, kind)
+	}
+	var data []byte
+	for len(data) < length {
+		received, chunk, passed, err := p.read()
+		if passed != nil {
+			_ = passed.Close()
+		}
+		if err != nil {
+			return nil, err
+		}
+		if received != kind || len(data)+len(chunk) > length {
+			return nil, unexpected(received, "in the middle of a connection's data")
+		}
+		data = append(data, chunk...)
+	}
+	return data, nil
+}
+
 // Close closes the link. If Confirm was not called, the predecessor continues to serve.
 func (p *Predecessor) Close() { _ = p.conn.Close() }
--- a/internal/dataplane/hotrestart/stored_test.go
+++ b/internal/dataplane/hotrestart/stored_test.go
@@ -15,7 +15,7 @@
 )
 
 // A predecessor of an earlier build sends its state and a client connection in exactly these
-// messages, and expects exactly the messages T and K in reply.
+// messages, and expects exactly the messages T, whose body it ignores, and K in reply.
 func TestMessagesOfEarlierBuilds(t *testing.T) {
 	fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_SEQPACKET, 0)
 	if err != nil {
@@ -65,7 +65,7 @@
 	if err := predecessor.Confirm(); err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"T", "K"} {
+	for _, want := range []string{"Tunsent", "K"} {
 		got := make([]byte, 16)
 		n, err := older.Read(got)
 		if err != nil || string(got[:n]) != want {
@@ -109,6 +109,7 @@
 var addedKeys = []string{
 	" ages_us,omitempty:[int64]",
 	" waited_us,omitempty:int64",
+	" unsent,omitempty:int",
 }
 
 // unixConn returns the connection for a descriptor of a socket pair, and closes the descriptor.
--- a/internal/dataplane/hotrestart/successor.go
+++ b/internal/dataplane/hotrestart/successor.go
@@ -73,15 +73,17 @@
 	messageLink
 	once     sync.Once
 	receipts bool // the successor sends messageReceived and messageLeaving
+	unsent   bool // the successor reads messageUnsent
 }
 
 // awaitTake waits until the successor says that it is able to serve. It returns false if the
 // successor sends anything else or closes.
 func (s *Successor) awaitTake() bool {
-	kind, _, passed, err := s.read()
+	kind, body, passed, err := s.read()
 	if passed != nil {
 		_ = passed.Close()
 	}
+	s.unsent = string(body) == unsentSupported
 	return err == nil && kind == messageTake
 }
 
@@ -122,6 +124,10 @@
 // recognizes that the successor has exited. A successor of an earlier build sends no receipts.
 func (s *Successor) SendsReceipts() bool { return s.receipts }
 
+// TakesUnsent reports whether a connection may be passed with answers that are not yet written. A
+// successor of an earlier build does not know of them.
+func (s *Successor) TakesUnsent() bool { return s.unsent }
+
 // AwaitReceipt waits until the successor has received the next connection. The error wraps
 // ErrSuccessorExited or ErrSuccessorLeft if one of them is known to be the cause. The successor has
 // then received none of the remaining connections.
@@ -154,6 +160,7 @@
 
 func (s *Successor) passClient(c ClientConn) error {
 	c.State.UnreadLength = len(c.Unread)
+	c.State.UnsentLength = len(c.Unsent)
 	state, err := json.Marshal(c.State)
 	if err != nil {
 		return err
@@ -161,7 +168,10 @@
 	if err := s.write(messageClient, state, c.Conn); err != nil {
 		return err
 	}
-	return s.writeChunks(messageUnread, c.Unread)
+	if err := s.writeChunks(messageUnread, c.Unread); err != nil {
+		return err
+	}
+	return s.writeChunks(messageUnsent, c.Unsent)
 }
 
 // Close closes the link: no more connections are passed.
--- a/internal/dataplane/lifecycle/connection_test.go
+++ b/internal/dataplane/lifecycle/connection_test.go
@@ -115,7 +115,8 @@
 				t.Errorf("%s, %+v: the held command waits until the process is killed", s.name, c)
 			}
 			stopped := c.Reader == ReaderStopped && c.Open == 0 && c.Held == 0
-			if stopped && action == KeepConn && !c.OutputPending && !s.process.paused {
+			blocked := c.OutputPending && s.process.PassesConns() || s.process.paused
+			if stopped && action == KeepConn && !blocked {
 				t.Errorf("%s, %+v: nobody reads the connection", s.name, c)
 			}
 		}
