Upgrade: a connection that a hung successor has received only in part is not closed

Callers saw: a closed connection, and no answer to the commands on it, if the new process stopped reading while theirs was being written to it.

Cause: after a failed write, connPasser.end closed every connection without a receipt, since the successor may have received it. The one whose write failed it surely has not: it lacks the descriptor or the end of the data, and drops it.

Change: the connection being written is told apart from those that were written. If its write fails, or the successor exits or takes no more before the write has ended, it comes back and is answered here.

--- a/internal/dataplane/gateway/connpasser.go
+++ b/internal/dataplane/gateway/connpasser.go
@@ -25,7 +25,9 @@
 
 	mu         sync.Mutex
 	unreceived []hotrestart.ClientConn // written or being written, in order
+	writing    bool                    // the last of unreceived is being written
 	ended      bool                    // the successor accepts no more
+	noneTaken  bool                    // ended, and the successor uses none of unreceived
 }
 
 // queuedConn is a connection to be passed, and the sender that may still write to it.
@@ -86,15 +88,20 @@
 			continue
 		}
 		err := p.successor.PassClient(c.ClientConn)
-		if err != nil {
+		unused := p.endWrite(c.ClientConn, err)
+		switch {
+		case err != nil:
 			p.writeFailed(err)
-		} else if !p.successor.SendsReceipts() {
+		case !p.successor.SendsReceipts():
 			p.closeOldestUnreceived()
 		}
+		if unused {
+			p.gateway.returnConn(c.ClientConn)
+		}
 	}
 }
 
-// keep records a connection as not received yet. It returns false if the successor accepts no more.
+// keep records a connection as being written. It returns false if the successor accepts no more.
 func (p *connPasser) keep(c hotrestart.ClientConn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -102,9 +109,32 @@
 		return false
 	}
 	p.unreceived = append(p.unreceived, c)
+	p.writing = true
 	return true
 }
 
+// endWrite records that the write of a connection has ended, and reports whether the successor will
+// surely not use the connection. After an error it has received it incompletely or not at all.
+func (p *connPasser) endWrite(c hotrestart.ClientConn, err error) (unused bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.writing {
+		return false // its receipt has come
+	}
+	p.writing = false
+	switch {
+	case err != nil && !p.ended:
+		p.unreceived = p.unreceived[:len(p.unreceived)-1]
+		return true
+	case !p.ended:
+		return false
+	case err != nil || p.noneTaken:
+		return true
+	}
+	_ = c.Conn.Close() // the successor may have received it
+	return false
+}
+
 // closeOldestUnreceived closes this process's descriptor of the oldest unreceived connection, which
 // the successor has now received.
 func (p *connPasser) closeOldestUnreceived() {
@@ -115,6 +145,9 @@
 	}
 	_ = p.unreceived[0].Conn.Close()
 	p.unreceived = p.unreceived[1:]
+	if len(p.unreceived) == 0 {
+		p.writing = false
+	}
 }
 
 // readReceipts handles the successor's receipts until it accepts no more connections. It runs on
@@ -148,14 +181,18 @@
 		p.mu.Unlock()
 		return
 	}
+	successorExited := errors.Is(err, hotrestart.ErrSuccessorExited)
 	p.ended = true
+	p.noneTaken = successorExited || errors.Is(err, hotrestart.ErrSuccessorLeft)
 	unreceived := p.unreceived
+	if p.writing {
+		unreceived = unreceived[:len(unreceived)-1] // left to endWrite
+	}
 	p.unreceived = nil
 	p.mu.Unlock()
-	successorExited := errors.Is(err, hotrestart.ErrSuccessorExited)
 	p.gateway.postUrgent(passingEnded{p, successorExited, err})
 	for _, c := range unreceived {
-		if successorExited || errors.Is(err, hotrestart.ErrSuccessorLeft) {
+		if p.noneTaken {
 			p.gateway.returnConn(c)
 		} else {
 			_ = c.Conn.Close() // the successor may have received it
--- a/internal/dataplane/gateway/handover_close_test.go
+++ b/internal/dataplane/gateway/handover_close_test.go
@@ -569,3 +569,51 @@
 		return connOf(g, c) == nil
 	})
 }
+
+// Guards against the loss of a connection of which the successor has received only a part, or
+// nothing, because it no longer reads: the predecessor closed it like those that the successor may
+// have received. The predecessor answers its commands.
+func TestHungSuccessorLosesNoConnection(t *testing.T) {
+	const clients = 10
+	b := newFakeBackend(t)
+	old, successor := startAndFindPredecessor(t, newFakeDiscovery(t, b.memberJSON("s-1", "Ready")))
+	var waiting []*testClient
+	for range clients {
+		c := old.dialClient(t)
+		c.send("PING")
+		c.wantLine("+PONG")
+		waiting = append(waiting, c)
+	}
+	if _, err := successor.TakeState(); err != nil {
+		t.Fatal(err)
+	}
+	body := strings.Repeat("b", resp.MaxValue-1000)
+	for i, c := range waiting {
+		c.send("API.WRITE", "0000000000000007", fmt.Sprintf("%016x", i+1),
+			"c=once,t=team,d=60000,units=1,spread=1,first=0", body)
+		old.awaitHeld(t, c, 1)
+	}
+	if err := successor.Confirm(); err != nil {
+		t.Fatal(err)
+	}
+	waitUntil(t, old.gateway, "the end of the passing", func(g *Gateway) bool {
+		return g.lifecycle.HandedOver() && !g.lifecycle.PassesConns()
+	})
+	received := map[string]bool{}
+	_ = successor.ReceiveClients(func(c hotrestart.ClientConn) {
+		received[c.Conn.RemoteAddr().String()] = true
+	})
+	rejected := 0
+	for _, c := range waiting {
+		if received[c.conn.LocalAddr().String()] {
+			continue
+		}
+		rejected++
+		if line := c.readLine(); !strings.HasPrefix(line, "-BUSY") {
+			t.Errorf("reply %q, want -BUSY", line)
+		}
+	}
+	if rejected == 0 {
+		t.Error("the successor has received all connections, although it did not read")
+	}
+}
