TestSuccessorExitRightAfterTakeover waits for the connections that it counts

Cause, in the test: it read passed_in once the first client had its answer, when others might still be on their way; and the test gateways' own PING connections were counted where the predecessor had accepted them (the sockets are shared) or had not noticed their end.

Change: each of the four connections has to be served by the successor (PING) and be found there by its address, and the predecessor has to have no other before. passed_in may be one more for the successor's own PING. That is as strict: a connection that is not passed, or passed twice, still fails it.

--- a/internal/dataplane/gateway/handover_test.go
+++ b/internal/dataplane/gateway/handover_test.go
@@ -334,11 +334,25 @@
 		c.sendLookup(10+i, "60000")
 		c.wantValueOrBusy("kept")
 	}
+	clients := []*testClient{c, busy, half, other}
+	waitUntil(t, old.gateway, "the end of the test gateway's own connection", func(g *Gateway) bool {
+		return len(g.clients.conns) == len(clients)
+	})
 	next := h.startProcess(t, d) // a successor that keeps running takes over
 	other.sendLookup(20, "60000")
 	other.wantValueOrBusy("kept")
-	if n := readMetrics(t, next)["passed_in"]; n != 4 {
-		t.Errorf("%d connections were passed to the successor, want 4", n)
+	for i, c := range clients {
+		c.send("PING")
+		c.wantLine("+PONG") // the predecessor would say that it has handed over
+		if passed := onEventLoop(t, next.gateway, func(g *Gateway) bool {
+			return connOf(g, c) != nil
+		}); !passed {
+			t.Errorf("connection %d was not passed to the successor", i)
+		}
+	}
+	// The test gateway's PING at its start may have been accepted by the predecessor, and passed.
+	if n := readMetrics(t, next)["passed_in"]; n != len(clients) && n != len(clients)+1 {
+		t.Errorf("%d connections were passed to the successor, want %d", n, len(clients))
 	}
 }
 
