--- a/internal/dataplane/gateway/accept.go
+++ b/internal/dataplane/gateway/accept.go
@@ -212,8 +212,12 @@
 // without a command come first, then those with one, then those with more. requesting is the client
 // whose command needs the slot; for it, connections without a command are closed sooner and the
 // others without a minimum idle time. It is nil for a new connection that has not sent a command.
+// While a successor may take them over, no connection is closed.
 func (cs *clients) evict(g *Gateway, requesting *client) bool {
 	now := g.now()
+	if g.lifecycle.HoldsCommands(now) {
+		return false
+	}
 	// Minimum idle time by activity rank.
 	minIdle := [...]policy.Time{newConnectionAge, 2 * newConnectionAge, minIdleBeforeEviction}
 	if requesting != nil {
--- a/internal/dataplane/gateway/handover_close_test.go
+++ b/internal/dataplane/gateway/handover_close_test.go
@@ -617,3 +617,46 @@
 		t.Error("the successor has received all connections, although it did not read")
 	}
 }
+
+// Guards against a connection that this process closes, for its idle time or the connection limit,
+// while a successor is about to take it over: the next command of its client met a closed
+// connection.
+func TestUpgradePassesIdleConnections(t *testing.T) {
+	for name, sweep := range map[string]func(*Gateway, *client){
+		"idle": func(g *Gateway, c *client) {
+			c.lastCommand = 0
+			c.lastByte.Store(0)
+			g.clients.closeIdle(g)
+		},
+		"over the limit": func(g *Gateway, c *client) {
+			c.lastCommand = 0
+			c.lastByte.Store(0)
+			g.clients.maxServed = 0
+			g.clients.evict(g, nil)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newFakeBackend(t)
+			d := newFakeDiscovery(t, b.memberJSON("s-1", "Ready"))
+			old, successor := startAndFindPredecessor(t, d)
+			c := old.dialClient(t)
+			c.send("PING")
+			c.wantLine("+PONG")
+			if _, err := successor.TakeState(); err != nil {
+				t.Fatal(err)
+			}
+			onEventLoop(t, old.gateway, func(g *Gateway) bool {
+				sweep(g, connOf(g, c))
+				return true
+			})
+			if err := successor.Confirm(); err != nil {
+				t.Fatal(err)
+			}
+			conn := receivePassed(t, successor, c)
+			if _, err := conn.Conn.Write([]byte("+PONG\r\n")); err != nil {
+				t.Fatal(err)
+			}
+			c.wantLine("+PONG")
+		})
+	}
+}
