Upgrade: a process ends only once the successor has received what it was passed

Callers saw: a closed connection and no answer, if the new process exited just when the old one had passed its last connections and ended.

Cause: a connection that is passed was no pending work of the shutdown. The event loop ended, and the connections that the passer then took back from an exited successor were posted to a loop that ran no more. The wait for receipts after the loop's end could also last 2 s, beyond SIGKILL.

Change: connections in transit count as pending work, from the moment they are passed until a receipt comes or they are back in the loop. So the loop lives on, at the latest until the end of the shutdown; the wait after it is 50 ms at most.

--- a/internal/dataplane/gateway/conn_settle.go
+++ b/internal/dataplane/gateway/conn_settle.go
@@ -84,6 +84,7 @@
 	c.endReader()
 	g.clients.remove(c)
 	g.metrics.ConnsPassed.Add(1)
+	g.handover.inTransit.Add(1)
 	g.handover.passer.pass(queuedConn{passed, c.out})
 }
 
--- a/internal/dataplane/gateway/connpasser.go
+++ b/internal/dataplane/gateway/connpasser.go
@@ -8,9 +8,14 @@
 	"mothcleat/internal/dataplane/hotrestart"
 )
 
-// receiptTimeout is how long an exiting process waits for the successor to receive the last
-// connections.
-const receiptTimeout = time.Second
+const (
+	// receiptTimeout is how long the passing waits, after a failed write, for the successor's exit
+	// to show.
+	receiptTimeout = time.Second
+	// exitTimeout is how long an exiting process waits for the successor to receive the last
+	// connections. It is less than the time from the latest end of the event loop to SIGKILL.
+	exitTimeout = 50 * time.Millisecond
+)
 
 // connPasser passes client connections to a successor. It keeps each connection until the successor
 // has received it, so that none is lost if the successor exits: this process resumes reading from
@@ -54,25 +59,22 @@
 // pass queues a connection to be passed.
 func (p *connPasser) pass(c queuedConn) { p.queue <- c }
 
-// finish waits until all connections have been received or the successor accepts no more. It waits
-// at most receiptTimeout for the writes, and as long for the receipts.
+// finish ends the passing, and waits up to exitTimeout until the successor has received all
+// connections or accepts no more.
 func (p *connPasser) finish() {
 	close(p.queue)
+	timeout := time.After(exitTimeout)
 	select {
 	case <-p.written:
-	case <-time.After(receiptTimeout):
+	case <-timeout:
 		return
 	}
-	for end := time.Now().Add(receiptTimeout); time.Now().Before(end); {
-		p.mu.Lock()
-		done := len(p.unreceived) == 0
-		p.mu.Unlock()
-		if done {
-			return
-		}
+	for p.gateway.handover.inTransit.Load() > 0 {
 		select {
 		case <-p.receiptsEnd:
 			return
+		case <-timeout:
+			return
 		case <-time.After(time.Millisecond):
 		}
 	}
@@ -93,7 +95,7 @@
 		case err != nil:
 			p.writeFailed(err)
 		case !p.successor.SendsReceipts():
-			p.closeOldestUnreceived()
+			p.closeOldestUnreceived() // the sweep notices that all are passed
 		}
 		if unused {
 			p.gateway.returnConn(c.ClientConn)
@@ -131,10 +133,16 @@
 	case err != nil || p.noneTaken:
 		return true
 	}
-	_ = c.Conn.Close() // the successor may have received it
+	p.close(c) // the successor may have received it
 	return false
 }
 
+// close closes this process's descriptor of a connection that is the successor's.
+func (p *connPasser) close(c hotrestart.ClientConn) {
+	_ = c.Conn.Close()
+	p.gateway.handover.inTransit.Add(-1)
+}
+
 // closeOldestUnreceived closes this process's descriptor of the oldest unreceived connection, which
 // the successor has now received.
 func (p *connPasser) closeOldestUnreceived() {
@@ -143,7 +151,7 @@
 	if len(p.unreceived) == 0 {
 		return
 	}
-	_ = p.unreceived[0].Conn.Close()
+	p.close(p.unreceived[0])
 	p.unreceived = p.unreceived[1:]
 	if len(p.unreceived) == 0 {
 		p.writing = false
@@ -160,6 +168,18 @@
 			return
 		}
 		p.closeOldestUnreceived()
+		if p.gateway.handover.inTransit.Load() == 0 {
+			p.gateway.post(allPassed{})
+		}
+	}
+}
+
+// allPassed reports that the successor has received all connections that were passed so far.
+type allPassed struct{}
+
+func (allPassed) handle(g *Gateway) {
+	if g.lifecycle.Stopping() {
+		g.shutdown.endIfDone(g)
 	}
 }
 
@@ -195,7 +215,7 @@
 		if p.noneTaken {
 			p.gateway.returnConn(c)
 		} else {
-			_ = c.Conn.Close() // the successor may have received it
+			p.close(c) // the successor may have received it
 		}
 	}
 }
@@ -210,6 +230,7 @@
 type connReturned struct{ from hotrestart.ClientConn }
 
 func (e connReturned) handle(g *Gateway) {
+	g.handover.inTransit.Add(-1)
 	_ = e.from.Conn.SetReadDeadline(time.Time{})
 	g.startClient(clientFrom(&e.from, g.now()))
 }
--- a/internal/dataplane/gateway/handover.go
+++ b/internal/dataplane/gateway/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"time"
 
 	"mothcleat/internal/dataplane/forwardauth"
@@ -17,7 +18,10 @@
 	listener    *hotrestart.Listener    // accepts a successor; nil: successors are not accepted
 	successor   *hotrestart.Successor   // has taken over or is about to; nil: none
 	heldBytes   int                     // size of the commands held for a successor
-	passer      *connPasser             // nil: connections are not being passed
+	// inTransit is the number of connections that were passed and neither received by the successor
+	// nor taken back. It is safe for concurrent use.
+	inTransit atomic.Int64
+	passer    *connPasser // nil: connections are not being passed
 }
 
 const (
--- a/internal/dataplane/gateway/handover_close_test.go
+++ b/internal/dataplane/gateway/handover_close_test.go
@@ -660,3 +660,34 @@
 		})
 	}
 }
+
+// Guards against the loss of connections that were passed, but not received, when the successor
+// exits: a predecessor that had nothing else to do had ended its event loop, and could not take them
+// back.
+func TestSuccessorExitAtEndOfPredecessor(t *testing.T) {
+	b := newFakeBackend(t)
+	old, successor := startAndFindPredecessor(t, newFakeDiscovery(t, b.memberJSON("s-1", "Ready")))
+	c := old.dialClient(t)
+	c.send("PING")
+	c.wantLine("+PONG")
+	if _, err := successor.TakeState(); err != nil {
+		t.Fatal(err)
+	}
+	c.sendOnce(1)
+	old.awaitHeld(t, c, 1)
+	if err := successor.Confirm(); err != nil {
+		t.Fatal(err)
+	}
+	waitUntil(t, old.gateway, "all connections to be passed", func(g *Gateway) bool {
+		return len(g.clients.conns) == 0
+	})
+	old.stoppedSince(t, acceptingHasEnded)
+	successor.Close()
+	go func() {
+		for call := range b.commands {
+			call.replyValue(t, "back")
+		}
+	}()
+	c.wantValueOrBusy("back")
+	wait(t, old.exited, "the end of the process")
+}
--- a/internal/dataplane/gateway/shutdown.go
+++ b/internal/dataplane/gateway/shutdown.go
@@ -81,9 +81,10 @@
 }
 
 // pendingWork returns the amount of unfinished work: the open requests, an open listener, which may
-// still hold connections, and the clients that delay the shutdown.
+// still hold connections, the clients that delay the shutdown, and the connections that the
+// successor has not received.
 func (s *shutdown) pendingWork(g *Gateway, now policy.Time) int {
-	pending := g.requests.open
+	pending := g.requests.open + int(g.handover.inTransit.Load())
 	if !s.listenerClosed {
 		pending++
 	}
