Backends: a duplicate of an earlier answer is not taken for that of the request in flight

Cause: an answer names no request, and whatever came first after a write was taken for its answer. A duplicate that came more than 6 ms late met the next request in flight, and from then on the connection stayed one answer behind, as each request's own answer met the one after it.

Change: an answer that equals one of the last four of its connection within a second may be a duplicate. It is held, and a marker (SELECT 0, which the protocol answers +OK) is written behind the request. Replies come in order, so if another answer comes before the marker's, the held one was a duplicate. With more bytes right behind it, so that the reader has ended, the attempt counts as reset. The test backend answers SELECT, as the protocol says.

Not covered: duplicates that differ, and values over 64 KiB.

--- a/internal/dataplane/gateway/backend_pool.go
+++ b/internal/dataplane/gateway/backend_pool.go
@@ -56,6 +56,8 @@
 	cooldownUntil        policy.Time // not reused before: more data may follow the last answer
 	cooldownEndScheduled bool        // a cooldownEnded is scheduled
 
+	duplicates duplicateFilter
+
 	bytesRead     atomic.Int64
 	bytesConsumed int64 // bytes of bytesRead that belong to answers already handled
 
--- a/internal/dataplane/gateway/backend_reply.go
+++ b/internal/dataplane/gateway/backend_reply.go
@@ -67,10 +67,20 @@
 	reused := c.bytesConsumed > 0 // the connection carried an answer before this one
 	c.bytesConsumed = e.bytesConsumed
 	c.cooldownUntil = g.now() + g.backends.cooldown
-	if a == nil || e.err != nil && !e.malformed {
+	unsolicited := a == nil && !c.duplicates.awaitsMarker
+	if unsolicited || e.err != nil && !e.malformed {
 		g.backends.connEnded(g, c, reused)
 		return
 	}
+	e, usable := g.filterDuplicate(e)
+	if !usable {
+		return
+	}
+	if a == nil {
+		g.backends.connEnded(g, c, reused) // a second answer before the marker's reply
+		return
+	}
+	c.duplicates.record(c.duplicates.digest(e.reply, g.now()))
 	result, value, load, wellFormed := classifyReply(e.reply, a.request == nil)
 	if e.malformed && value == nil {
 		result = policy.Failed
@@ -83,7 +93,7 @@
 		g.backends.dialForWaiting(g, c.backend)
 	}
 	g.finishAttemptWithReport(a, result, value, g.parseLoadReport(load))
-	if !c.closed {
+	if !c.closed && !c.duplicates.awaitsMarker {
 		g.backends.release(g, c)
 	}
 }
--- a/internal/dataplane/gateway/harness_test.go
+++ b/internal/dataplane/gateway/harness_test.go
@@ -26,6 +26,9 @@
 	listener    net.Listener
 	commands    chan *backendCall
 	disconnects chan error // the read error that ended each connection
+	// markers receives the SELECT commands, which the test then answers; nil: they are answered at
+	// once.
+	markers chan *backendCall
 }
 
 // backendCall is a command that a backend has received completely.
@@ -82,13 +85,27 @@
 						b.disconnects <- err
 						return
 					}
-					b.commands <- &backendCall{args, conn}
+					call := &backendCall{args, conn}
+					if string(args[0]) == "SELECT" {
+						b.receiveMarker(call)
+						continue
+					}
+					b.commands <- call
 				}
 			}()
 		}
 	}()
 }
 
+// receiveMarker answers a SELECT command, or passes it to the test.
+func (b *fakeBackend) receiveMarker(call *backendCall) {
+	if b.markers != nil {
+		b.markers <- call
+		return
+	}
+	_, _ = io.WriteString(call.conn, "+OK\r\n")
+}
+
 // memberJSON returns the backend's entry in discovery's list of members.
 func (b *fakeBackend) memberJSON(id, phase string) string {
 	return fmt.Sprintf(
--- a/internal/dataplane/gateway/streamed_value.go
+++ b/internal/dataplane/gateway/streamed_value.go
@@ -65,6 +65,7 @@
 	c := e.conn
 	a := c.attempt
 	c.attempt = nil
+	c.duplicates.held = nil // it was a duplicate of an earlier answer
 	if c.closed || a == nil || a.request == nil {
 		c.copyResult <- errNoReceiver
 		g.backends.close(c)
@@ -185,5 +186,7 @@
 		g.backends.dialForWaiting(g, c.backend)
 		return
 	}
-	g.backends.release(g, c)
+	if !c.duplicates.awaitsMarker {
+		g.backends.release(g, c)
+	}
 }
