Clients: a connection is closed only once the client's system has all answers

Cause: lingerTimer closed a connection half a second after its write side if the process had written everything; the system still held most of it. A command that met the closed socket was answered with a reset, which discards that. The end of the process did the same.

Where the system can't tell, it is as before.

--- a/internal/dataplane/gateway/client.go
+++ b/internal/dataplane/gateway/client.go
@@ -91,7 +91,7 @@
 // answers are written, and while it may still send a command and has not stalled in the middle of
 // one.
 func (c *client) delaysShutdown(now policy.Time) bool {
-	if !c.out.drained() {
+	if !c.out.delivered() {
 		return true
 	}
 	stalled := c.midCommand.Load() && !c.sendingCommand(now)
--- a/internal/dataplane/gateway/client_close.go
+++ b/internal/dataplane/gateway/client_close.go
@@ -57,7 +57,7 @@
 }
 
 func (t lingerTimer) due(g *Gateway) {
-	if !t.client.out.drained() && t.extensions < maxLingers {
+	if !t.client.out.delivered() && t.extensions < maxLingers {
 		g.schedule(g.now()+lingerTimeout, lingerTimer{t.client, t.extensions + 1})
 		return
 	}
--- a/internal/dataplane/gateway/sender.go
+++ b/internal/dataplane/gateway/sender.go
@@ -233,6 +233,25 @@
 	}
 }
 
+// delivered reports whether the peer's system has received everything sent. Closing the connection
+// earlier could reset it, and lose what the system still holds.
+func (s *sender) delivered() bool {
+	if !s.drained() {
+		return false
+	}
+	if s.raw == nil {
+		return true
+	}
+	unacknowledged := 0
+	err := s.raw.Control(func(fd uintptr) {
+		n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		if err == nil {
+			unacknowledged = n
+		}
+	})
+	return err != nil || unacknowledged == 0
+}
+
 // drained reports whether everything sent has been written.
 func (s *sender) drained() bool {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/dataplane/gateway/slow_reader_test.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"strings"
+	"testing"
+
+	"mothcleat/internal/dataplane/resp"
+)
+
+// Guards against the loss of answers that the system still holds when the gateway closes a
+// connection: a command that the client sent meanwhile met the closed socket, and its reset discarded
+// them. The connection stays open until the client's system has received everything.
+func TestShutdownDeliversAnswersToSlowReader(t *testing.T) {
+	b := newFakeBackend(t)
+	r := startGateway(t, testConfig(t, newFakeDiscovery(t, b.memberJSON("s-1", "Ready")), nil))
+	c := r.dialClient(t)
+	_ = c.conn.(interface{ SetReadBuffer(int) error }).SetReadBuffer(4096)
+	value := strings.Repeat("v", resp.MaxValue)
+	for id := 1; id <= 2; id++ {
+		c.sendOnce(id)
+		b.commandWithID(t, id).replyValue(t, value)
+	}
+	waitUntil(t, r.gateway, "the answers to be written", func(g *Gateway) bool {
+		conn := connOf(g, c)
+		return len(conn.pipeline) == 0 && conn.out.drained()
+	})
+	r.stoppedSince(t, acceptingHasEnded)
+	waitUntil(t, r.gateway, "the end of the write side", func(g *Gateway) bool {
+		conn := connOf(g, c)
+		return conn == nil || conn.writeEnded
+	})
+	closed := onEventLoop(t, r.gateway, func(g *Gateway) bool {
+		conn := connOf(g, c)
+		lingerTimer{client: conn}.due(g)
+		return conn.closed
+	})
+	if closed {
+		t.Error("closed before the client has received its answers")
+	}
+	c.sendOnce(3)
+	c.wantValue(value)
+	c.wantValue(value)
+	c.wantClosed()
+	c.conn.Close()
+	wait(t, r.exited, "the end of the process")
+}
