--- a/internal/dataplane/gateway/duplicate_reply.go
+++ b/internal/dataplane/gateway/duplicate_reply.go
@@ -98,8 +98,8 @@
 	return e, false
 }
 
-// markerReplied handles the marker's reply: a held answer was that of the request in flight. Without
-// one, that answer came before, and the connection can be used again.
+// markerReplied handles the marker's reply: a held answer was that of the request in flight.
+// Without one, that answer came before, and the connection can be used again.
 func (g *Gateway) markerReplied(marker replyRead) (replyRead, bool) {
 	c := marker.conn
 	held := c.duplicates.held
