Drain: a connection on which commands follow each other is closed too

Cause: a connection closed only in a moment in which no command was open on it.

A halted reader is now resumed by decision, not in each case.

--- a/internal/dataplane/gateway/client_close.go
+++ b/internal/dataplane/gateway/client_close.go
@@ -30,6 +30,13 @@
 	}
 	c.reading.halted = true
 	g.settleConn(c)
+}
+
+// resumeReader resumes a halted reader. It has no effect on others.
+func (c *client) resumeReader() {
+	if !c.reading.halted {
+		return
+	}
 	c.reading.halted = false
 	c.reading.resume(c.conn)
 	c.resumeReading <- struct{}{}
@@ -43,6 +50,7 @@
 	}
 	c.writeEnded = true
 	c.out.closeWrite()
+	c.resumeReader() // what the client still sends is read, because a close with unread data resets
 	wait := lingerTimeout
 	if c.ignoreInput.Load() {
 		wait = lingerAfterError
--- a/internal/dataplane/gateway/conn_settle.go
+++ b/internal/dataplane/gateway/conn_settle.go
@@ -36,6 +36,7 @@
 	switch action {
 	case lifecycle.StopReader:
 		c.reading.requestDetach(c.conn)
+		c.resumeReader() // to end
 	case lifecycle.PassConn:
 		g.passConn(c)
 	case lifecycle.RestartReader:
@@ -44,6 +45,8 @@
 		g.admitHeld(c)
 	case lifecycle.HaltReader:
 		c.reading.requestHalt(c.conn)
+	case lifecycle.ResumeReader:
+		c.resumeReader()
 	case lifecycle.CloseConn:
 		c.finish(g)
 	}
--- a/internal/dataplane/gateway/shutdown.go
+++ b/internal/dataplane/gateway/shutdown.go
@@ -49,7 +49,8 @@
 		if c.activityRank() == 0 {
 			ends = g.lifecycle.ClosesUnused
 		}
-		if !c.awaitingAnswer() && ends(now, c.lastActivity()) {
+		idle := !c.awaitingAnswer()
+		if idle && ends(now, c.lastActivity()) || !idle && g.lifecycle.StopsReading(now) {
 			c.closeWhenIdle = true
 		}
 		g.settleConn(c) // also because answers may have been written since
--- a/internal/dataplane/gateway/slow_reader_test.go
+++ b/internal/dataplane/gateway/slow_reader_test.go
@@ -44,3 +44,28 @@
 	c.conn.Close()
 	wait(t, r.exited, "the end of the process")
 }
+
+// Guards against a drain that never closes a connection on which a command is always open: from
+// DrainIdleCloseAfter on it is no longer read, and closes after the answers to what was read.
+func TestDrainClosesBusyConnection(t *testing.T) {
+	b := newFakeBackend(t)
+	r := startGateway(t, testConfig(t, newFakeDiscovery(t, b.memberJSON("s-1", "Ready")), nil))
+	c := r.dialClient(t)
+	c.sendOnce(1)
+	first := b.nextCommand(t)
+	onEventLoop(t, r.gateway, func(g *Gateway) bool {
+		g.lifecycle.Drain(g.now() - 2_000_000)
+		g.shutdown.step(g)
+		return true
+	})
+	waitUntil(t, r.gateway, "the reader to halt", func(g *Gateway) bool {
+		return connOf(g, c).reading.halted
+	})
+	c.sendOnce(2) // it crosses the close
+	first.replyValue(t, "one")
+	c.wantValue("one")
+	c.wantClosed()
+	if len(b.commands) > 0 {
+		t.Error("a command was read although the drain closes the connection")
+	}
+}
--- a/internal/dataplane/lifecycle/connection.go
+++ b/internal/dataplane/lifecycle/connection.go
@@ -47,6 +47,8 @@
 	AdmitHeld
 	// HaltReader means to halt the reader before the connection is closed.
 	HaltReader
+	// ResumeReader means to resume a halted reader.
+	ResumeReader
 	// CloseConn means to shut down the write side.
 	CloseConn
 )
@@ -54,7 +56,8 @@
 // String returns the action's name for logs.
 func (a ConnAction) String() string {
 	names := [...]string{
-		"keep", "stop reader", "pass", "restart reader", "admit held", "halt reader", "close",
+		"keep", "stop reader", "pass", "restart reader", "admit held", "halt reader",
+		"resume reader", "close",
 	}
 	return names[a]
 }
@@ -68,13 +71,22 @@
 	case c.WriteEnded:
 		return KeepConn
 	case p.successorUndecided(now):
-		return KeepConn // whether to pass or to close is known soon
+		return decideUndecided(c)
 	case c.Reader == ReaderDone:
 		return decideDone(c)
 	case p.PassesConns():
 		return decidePassing(c)
 	}
-	return decideServing(c)
+	return decideServing(c, p.StopsReading(now))
+}
+
+// decideUndecided decides on a connection while it is not known whether a successor takes over, and
+// so whether to pass or to close it.
+func decideUndecided(c Conn) ConnAction {
+	if c.Reader == ReaderHalted {
+		return ResumeReader
+	}
+	return KeepConn
 }
 
 // decideDone decides on a connection of which no more commands can be read. A successor could not
@@ -104,19 +116,21 @@
 	return PassConn
 }
 
-// decideServing decides on a connection that stays with this process.
-func decideServing(c Conn) ConnAction {
+// decideServing decides on a connection that stays with this process. stopsReading says that a
+// connection which is to close is no longer read although requests are open.
+func decideServing(c Conn, stopsReading bool) ConnAction {
+	halts := c.CloseRequested && (c.Open == 0 || stopsReading)
 	switch {
 	case c.Held > 0:
 		return AdmitHeld
-	case c.Open > 0:
-		return KeepConn
-	case c.Reader == ReaderStopped:
+	case c.Reader == ReaderStopped && c.Open == 0:
 		return RestartReader
-	case !c.CloseRequested:
-		return KeepConn
-	case c.Reader == ReaderRunning:
+	case c.Reader == ReaderRunning && halts:
 		return HaltReader
+	case c.Reader == ReaderHalted && !halts:
+		return ResumeReader
+	case c.Reader == ReaderHalted && c.Open == 0:
+		return CloseConn
 	}
-	return CloseConn
+	return KeepConn
 }
--- a/internal/dataplane/lifecycle/connection_test.go
+++ b/internal/dataplane/lifecycle/connection_test.go
@@ -114,6 +114,9 @@
 			if waits && s.process.FailsOpenRequests(0) && c.Open == 0 && !c.OutputPending {
 				t.Errorf("%s, %+v: the held command waits until the process is killed", s.name, c)
 			}
+			if c.Reader == ReaderHalted && action == KeepConn && c.Open == 0 {
+				t.Errorf("%s, %+v: the reader is halted for ever", s.name, c)
+			}
 			stopped := c.Reader == ReaderStopped && c.Open == 0 && c.Held == 0
 			blocked := c.OutputPending && s.process.PassesConns() || s.process.paused
 			if stopped && action == KeepConn && !blocked {
@@ -122,3 +125,31 @@
 		}
 	}
 }
+
+// Guards against a drain that leaves a connection open because commands on it follow each other: it
+// is no longer read, closes after its answers, and is read again if the drain ends before.
+func TestDrainStopsReadingBusyConnection(t *testing.T) {
+	p := New(SettingsFor(3_000_000))
+	p.Ready()
+	p.Drain(0)
+	busy := Conn{Open: 1, CloseRequested: true}
+	early, late := p.settings.DrainIdleCloseAfter-1, p.settings.DrainIdleCloseAfter
+	if action := p.DecideConn(early, busy); action != KeepConn {
+		t.Error("before the drain closes all connections:", action)
+	}
+	if action := p.DecideConn(late, busy); action != HaltReader {
+		t.Error("a busy connection:", action)
+	}
+	busy.Reader = ReaderHalted
+	if action := p.DecideConn(late, busy); action != KeepConn {
+		t.Error("a busy connection that is not read:", action)
+	}
+	answered := Conn{Reader: ReaderHalted, CloseRequested: true}
+	if action := p.DecideConn(late, answered); action != CloseConn {
+		t.Error("after the last answer:", action)
+	}
+	p.Resume()
+	if action := p.DecideConn(late, busy); action != ResumeReader {
+		t.Error("after the end of the drain:", action)
+	}
+}
--- a/internal/dataplane/lifecycle/lifecycle.go
+++ b/internal/dataplane/lifecycle/lifecycle.go
@@ -228,6 +228,13 @@
 	return !p.closesConns(now) || now-opened >= p.settings.LateFirstCommandTime
 }
 
+// StopsReading reports whether a drain closes all connections, also those on which commands follow
+// each other without a pause: no more of them are read, and the connection closes after its
+// answers.
+func (p *Process) StopsReading(now Time) bool {
+	return p.draining && now-p.drainStart >= p.settings.DrainIdleCloseAfter
+}
+
 // FailsOpenRequests reports whether the time has come to fail all open requests.
 func (p *Process) FailsOpenRequests(now Time) bool {
 	return p.stoppedFor(now, p.settings.AnswerTime)
