Gateway: each answer is hashed once, and what a connection holds is recorded in one place

replyRead computes an answer's digest once, where filterDuplicate and record hashed up to 64 KiB each; the seed is the package's, not one of each connection. An answer that can't be told from a duplicate ends its connection by connEnded, which did the same steps already. hold also notes that the framing is lost, which two callers did. connState builds the whole state that the lifecycle decides on, where settleConn changed two of its fields afterwards.

--- a/internal/dataplane/gateway/backend_dial.go
+++ b/internal/dataplane/gateway/backend_dial.go
@@ -87,7 +87,6 @@
 		backend:    b,
 		conn:       e.conn,
 		out:        newSender(e.conn),
-		duplicates: newDuplicateFilter(),
 		copyResult: make(chan error, 1),
 	}
 	if e.address != b.address {
--- a/internal/dataplane/gateway/backend_reply.go
+++ b/internal/dataplane/gateway/backend_reply.go
@@ -52,6 +52,7 @@
 type replyRead struct {
 	conn          *backendConn
 	reply         resp.Reply
+	digest        uint64 // of reply; see replyDigest
 	err           error
 	malformed     bool  // an answer was received that can't be parsed
 	bytesConsumed int64 // total bytes of this answer and all earlier ones
@@ -72,6 +73,7 @@
 		g.backends.connEnded(g, c, reused)
 		return
 	}
+	e.digest = replyDigest(e.reply)
 	e, usable := g.filterDuplicate(e)
 	if !usable {
 		return
@@ -80,7 +82,7 @@
 		g.backends.connEnded(g, c, reused) // a second answer before the marker's reply
 		return
 	}
-	c.duplicates.record(c.duplicates.digest(e.reply, g.now()))
+	c.duplicates.record(e.digest, g.now())
 	result, value, load, wellFormed := classifyReply(e.reply, a.request == nil)
 	if e.malformed && value == nil {
 		result = policy.Failed
--- a/internal/dataplane/gateway/conn_settle.go
+++ b/internal/dataplane/gateway/conn_settle.go
@@ -17,16 +17,12 @@
 
 // settleConn carries out the lifecycle's decision on a connection: to pass it to the successor, to
 // keep it, or to answer its commands and close it. It is called whenever the state of the
-// connection or of the process may have changed, and is the only caller of what it calls.
+// connection or of the process may have changed.
 func (g *Gateway) settleConn(c *client) {
 	if c.closed {
 		return
 	}
-	state := c.lifecycleState()
-	if s := g.handover.successor; s != nil && s.TakesUnsent() {
-		state.OutputPending = false
-	}
-	state.HeldFull = g.handover.heldBytes >= g.maxHeldBytes()
+	state := g.connState(c)
 	action := g.lifecycle.DecideConn(g.now(), state)
 	if action == lifecycle.KeepConn {
 		return
@@ -56,15 +52,18 @@
 // requests are no longer read.
 func (g *Gateway) maxHeldBytes() int { return g.cfg.MemoryMB << 20 / 16 }
 
-// lifecycleState returns the state on which the lifecycle's decision depends.
-func (c *client) lifecycleState() lifecycle.Conn {
+// connState returns the state on which the lifecycle's decision depends.
+func (g *Gateway) connState(c *client) lifecycle.Conn {
+	successor := g.handover.successor
+	passesOutput := successor != nil && successor.TakesUnsent()
 	return lifecycle.Conn{
 		Reader:         c.readerState(),
 		Open:           len(c.pipeline),
 		Held:           len(c.reading.held),
+		HeldFull:       g.handover.heldBytes >= g.maxHeldBytes(),
 		CloseRequested: c.closeWhenIdle,
 		WriteEnded:     c.writeEnded,
-		OutputPending:  !c.out.drained(),
+		OutputPending:  !passesOutput && !c.out.drained(),
 	}
 }
 
@@ -117,7 +116,6 @@
 		return false
 	}
 	g.hold(e)
-	c.reading.framingLost = c.reading.framingLost || e.framingLost
 	g.settleConn(c)
 	return true
 }
@@ -135,7 +133,9 @@
 
 // hold adds a command to those that its connection holds.
 func (g *Gateway) hold(e commandRead) {
-	e.client.reading.held = append(e.client.reading.held, e)
+	rc := &e.client.reading
+	rc.held = append(rc.held, e)
+	rc.framingLost = rc.framingLost || e.framingLost
 	g.handover.heldBytes += e.argBytes
 }
 
@@ -199,7 +199,6 @@
 	c.reading.unread = e.rest
 	if e.last != nil {
 		g.hold(*e.last)
-		c.reading.framingLost = c.reading.framingLost || e.last.framingLost
 	}
 	g.settleConn(c)
 }
--- a/internal/dataplane/gateway/duplicate_reply.go
+++ b/internal/dataplane/gateway/duplicate_reply.go
@@ -26,36 +26,34 @@
 // that equals a recent answer is therefore held, and a marker is written behind the request: if
 // another answer comes before the marker's reply, the one that is held was a duplicate.
 type duplicateFilter struct {
-	seed   maphash.Seed
-	recent [recentReplies]replyDigest
+	recent [recentReplies]recentReply
 	next   int // index in recent that is overwritten next
 
 	awaitsMarker bool       // the marker's reply has not come yet
 	held         *replyRead // may be a duplicate; nil: no answer is held
 }
 
-// replyDigest identifies an answer by its content.
-type replyDigest struct {
-	hash uint64
-	at   policy.Time // 0: there is none
+// recentReply is an answer that the connection carried.
+type recentReply struct {
+	digest uint64
+	at     policy.Time // 0: there is none
 }
 
-func newDuplicateFilter() duplicateFilter { return duplicateFilter{seed: maphash.MakeSeed()} }
+var digestSeed = maphash.MakeSeed()
 
-// digest returns the digest of an answer: of its value without what follows it, or of its text.
-func (f *duplicateFilter) digest(reply resp.Reply, at policy.Time) replyDigest {
+// replyDigest identifies an answer by its value, without what follows it, or by its text.
+func replyDigest(reply resp.Reply) uint64 {
 	content := reply.Text
 	if holdsValue(reply) {
 		content = reply.Items[0].Text
 	}
-	hash := maphash.Bytes(f.seed, content) ^ uint64(reply.Kind)
-	return replyDigest{hash: hash, at: at}
+	return maphash.Bytes(digestSeed, content) ^ uint64(reply.Kind)
 }
 
 // mayBeDuplicate reports whether an answer equals a recent one.
-func (f *duplicateFilter) mayBeDuplicate(d replyDigest) bool {
+func (f *duplicateFilter) mayBeDuplicate(digest uint64, now policy.Time) bool {
 	for _, earlier := range f.recent {
-		if earlier.at != 0 && earlier.hash == d.hash && d.at-earlier.at < duplicateWindow {
+		if earlier.at != 0 && earlier.digest == digest && now-earlier.at < duplicateWindow {
 			return true
 		}
 	}
@@ -63,8 +61,8 @@
 }
 
 // record remembers the answer to a request.
-func (f *duplicateFilter) record(d replyDigest) {
-	f.recent[f.next] = d
+func (f *duplicateFilter) record(digest uint64, now policy.Time) {
+	f.recent[f.next] = recentReply{digest: digest, at: now}
 	f.next = (f.next + 1) % recentReplies
 }
 
@@ -81,16 +79,12 @@
 		f.awaitsMarker = false
 		return g.markerReplied(e)
 	}
-	if c.attempt == nil || e.malformed || !f.mayBeDuplicate(f.digest(e.reply, g.now())) {
+	if c.attempt == nil || e.malformed || !f.mayBeDuplicate(e.digest, g.now()) {
 		return e, true
 	}
 	if e.extraBytes || !c.writeMarker() {
 		// The reader has ended, or the connection has: it is not known whose answer this is.
-		a := c.attempt
-		c.attempt = nil
-		g.backends.close(c)
-		g.backends.dialForWaiting(g, c.backend)
-		g.finishAttempt(a, policy.Reset, nil)
+		g.backends.connEnded(g, c, false)
 		return e, false
 	}
 	f.awaitsMarker = true
