--- a/internal/dataplane/gateway/client_close_test.go
+++ b/internal/dataplane/gateway/client_close_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"strings"
 	"testing"
 
@@ -14,7 +15,7 @@
 	b := newFakeBackend(t)
 	r := startGateway(t, testConfig(t, newFakeDiscovery(t, b.memberJSON("s-1", "Ready")), nil))
 	c := r.dialClient(t)
-	_ = c.conn.(interface{ SetReadBuffer(int) error }).SetReadBuffer(4096)
+	_ = c.conn.(*net.TCPConn).SetReadBuffer(4096)
 	value := strings.Repeat("v", resp.MaxValue)
 	for id := 1; id <= 2; id++ {
 		c.sendOnce(id)
--- a/internal/dataplane/gateway/duplicate_reply_test.go
+++ b/internal/dataplane/gateway/duplicate_reply_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"testing"
 )
 
@@ -18,8 +19,8 @@
 	return r, b
 }
 
-// sendBehindAnswer has the backend answer a first request, and returns a second one of class once
-// that is in flight on the same connection. A request of this class is neither hedged nor retried.
+// sendBehindAnswer has the backend answer a first request, and returns it with a second one that is
+// in flight on the same connection. Neither is hedged or retried.
 func sendBehindAnswer(t testing.TB, c *testClient, b *fakeBackend) (first, second *backendCall) {
 	t.Helper()
 	c.sendOnce(1)
@@ -34,6 +35,18 @@
 	return first, second
 }
 
+// wantReuse sends a third request, which has to be served on the same connection to the backend.
+func wantReuse(t testing.TB, c *testClient, b *fakeBackend, conn net.Conn) {
+	t.Helper()
+	c.sendOnce(3)
+	third := b.nextCommand(t)
+	if third.conn != conn {
+		t.Error("the connection was not used again")
+	}
+	third.replyValue(t, "three")
+	c.wantValue("three")
+}
+
 // Guards against a client that gets the value of another request: a duplicate of the answer before
 // came when the next request was in flight, and was taken for its answer. The connection then stayed
 // one answer behind.
@@ -49,13 +62,7 @@
 	waitUntil(t, r.gateway, "the connection to be idle", func(g *Gateway) bool {
 		return len(g.backends.byNumber[1].idle) == 1
 	})
-	c.sendOnce(3)
-	third := b.nextCommand(t)
-	if third.conn != first.conn {
-		t.Error("the connection was not used again")
-	}
-	third.replyValue(t, "three")
-	c.wantValue("three")
+	wantReuse(t, c, b, first.conn)
 }
 
 // The duplicate and the request's own answer may arrive together with the marker's reply.
@@ -80,13 +87,7 @@
 	second.replyValue(t, "one")
 	wait(t, b.markers, "a marker behind the request").reply(t, "+OK\r\n")
 	c.wantValue("one")
-	c.sendOnce(3)
-	third := b.nextCommand(t)
-	if third.conn != second.conn {
-		t.Error("the connection was not used again")
-	}
-	third.replyValue(t, "three")
-	c.wantValue("three")
+	wantReuse(t, c, b, second.conn)
 }
 
 // Guards against a second run of a request that may not be repeated: the duplicate of a rejection
--- a/internal/dataplane/gateway/handover_close_test.go
+++ b/internal/dataplane/gateway/handover_close_test.go
@@ -9,19 +9,14 @@
 // that request was answered more than AcceptTime after SIGTERM, the connection was closed instead of
 // passed to the successor.
 func TestUpgradePassesCommandReadBehindOpenRequest(t *testing.T) {
-	b := newFakeBackend(t)
-	h := newSharedListener(t)
-	d := newFakeDiscovery(t, b.memberJSON("s-1", "Ready"))
-	old := h.startProcess(t, d)
+	b, h, d, old := startUpgradable(t)
 	c := old.dialClient(t)
 	c.sendOnce(1)
 	open := b.nextCommand(t)
-	second := encodedLookup(2)
-	c.writeRaw(second[:commandPrefixLength])
-	old.awaitPartialCommand(t, c)
+	rest := old.sendPartOfLookup(t, c, 2)
 	h.startProcess(t, d)
 	old.stoppedSince(t, acceptingHasEnded)
-	c.writeRaw(second[commandPrefixLength:])
+	c.writeRaw(rest)
 	old.awaitHeld(t, c, 1)
 	open.replyValue(t, "open")
 	c.wantValue("open")
@@ -36,16 +31,11 @@
 // Guards against the loss of held commands on a connection that is over the limit: it was closed
 // after its answer although commands had been read behind it.
 func TestUpgradePassesConnectionOverLimit(t *testing.T) {
-	b := newFakeBackend(t)
-	h := newSharedListener(t)
-	d := newFakeDiscovery(t, b.memberJSON("s-1", "Ready"))
-	old := h.startProcess(t, d)
+	b, h, d, old := startUpgradable(t)
 	c := old.dialClient(t)
 	c.sendOnce(1)
 	open := b.nextCommand(t)
-	second := encodedLookup(2)
-	c.writeRaw(second[:commandPrefixLength])
-	old.awaitPartialCommand(t, c)
+	rest := old.sendPartOfLookup(t, c, 2)
 	onEventLoop(t, old.gateway, func(g *Gateway) bool {
 		conn := connOf(g, c)
 		conn.overLimit = true
@@ -53,7 +43,7 @@
 		return true
 	})
 	h.startProcess(t, d)
-	c.writeRaw(second[commandPrefixLength:])
+	c.writeRaw(rest)
 	old.awaitHeld(t, c, 1)
 	open.replyValue(t, "open")
 	c.wantValue("open")
@@ -65,8 +55,7 @@
 // over: a drain closed the connection after its last open answer. The successor exits before it has
 // taken over, and the command is answered here.
 func TestDrainKeepsCommandHeldForSuccessor(t *testing.T) {
-	b := newFakeBackend(t)
-	old, successor := startAndFindPredecessor(t, newFakeDiscovery(t, b.memberJSON("s-1", "Ready")))
+	b, old, successor := startWithTestSuccessor(t)
 	c := old.dialClient(t)
 	c.sendOnce(1)
 	open := b.nextCommand(t)
@@ -74,9 +63,7 @@
 		g.lifecycle.Drain(g.now() - 1_000_000)
 		return true
 	})
-	if _, err := successor.TakeState(); err != nil {
-		t.Fatal(err)
-	}
+	takeState(t, successor)
 	c.sendOnce(2)
 	old.awaitHeld(t, c, 1)
 	open.replyValue(t, "open")
@@ -95,20 +82,13 @@
 // Guards against the loss of a command that is held until it is known whether a successor takes
 // over, when the time to fail open requests comes first: it is rejected.
 func TestHeldCommandIsRejectedBeforeKill(t *testing.T) {
-	b := newFakeBackend(t)
-	old, successor := startAndFindPredecessor(t, newFakeDiscovery(t, b.memberJSON("s-1", "Ready")))
-	c := old.dialClient(t)
-	c.send("PING")
-	c.wantLine("+PONG")
-	if _, err := successor.TakeState(); err != nil {
-		t.Fatal(err)
-	}
+	_, old, successor := startWithTestSuccessor(t)
+	c := old.dialServedClient(t)
+	takeState(t, successor)
 	c.sendOnce(1)
 	old.awaitHeld(t, c, 1)
 	old.stoppedSince(t, openRequestsAreLate)
-	if line := c.readLine(); !strings.HasPrefix(line, "-BUSY") {
-		t.Errorf("reply %q, want -BUSY", line)
-	}
+	c.wantBusy()
 	c.wantClosed()
 }
 
@@ -116,23 +96,14 @@
 // the connection with a placeholder command, and the client's remaining bytes were taken for new
 // commands. The predecessor answers what it had read and closes the connection.
 func TestUnparsableInputIsNotPassed(t *testing.T) {
-	b := newFakeBackend(t)
-	old, successor := startAndFindPredecessor(t, newFakeDiscovery(t, b.memberJSON("s-1", "Ready")))
-	c := old.dialClient(t)
-	c.send("PING")
-	c.wantLine("+PONG")
-	if _, err := successor.TakeState(); err != nil {
-		t.Fatal(err)
-	}
+	_, old, successor := startWithTestSuccessor(t)
+	c := old.dialServedClient(t)
+	takeState(t, successor)
 	c.sendOnce(1)
 	c.writeRaw("no array\r\n")
 	old.awaitHeld(t, c, 2)
-	if err := successor.Confirm(); err != nil {
-		t.Fatal(err)
-	}
-	if line := c.readLine(); !strings.HasPrefix(line, "-BUSY") {
-		t.Errorf("reply %q, want -BUSY", line)
-	}
+	confirm(t, successor)
+	c.wantBusy()
 	if line := c.readLine(); !strings.HasPrefix(line, "-ERR protocol error") {
 		t.Errorf("reply %q, want an error", line)
 	}
@@ -157,22 +128,14 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := newFakeBackend(t)
-			d := newFakeDiscovery(t, b.memberJSON("s-1", "Ready"))
-			old, successor := startAndFindPredecessor(t, d)
-			c := old.dialClient(t)
-			c.send("PING")
-			c.wantLine("+PONG")
-			if _, err := successor.TakeState(); err != nil {
-				t.Fatal(err)
-			}
+			_, old, successor := startWithTestSuccessor(t)
+			c := old.dialServedClient(t)
+			takeState(t, successor)
 			onEventLoop(t, old.gateway, func(g *Gateway) bool {
 				sweep(g, connOf(g, c))
 				return true
 			})
-			if err := successor.Confirm(); err != nil {
-				t.Fatal(err)
-			}
+			confirm(t, successor)
 			conn := receivePassed(t, successor, c)
 			if _, err := conn.Conn.Write([]byte("+PONG\r\n")); err != nil {
 				t.Fatal(err)
--- a/internal/dataplane/gateway/handover_input_test.go
+++ b/internal/dataplane/gateway/handover_input_test.go
@@ -16,21 +16,14 @@
 // the pipeline has slots for: its reader waited for a slot, and did not end for the successor.
 func TestUpgradePassesFullPipeline(t *testing.T) {
 	const commands = maxPipelined + 10
-	b := newFakeBackend(t)
-	old, successor := startAndFindPredecessor(t, newFakeDiscovery(t, b.memberJSON("s-1", "Ready")))
-	c := old.dialClient(t)
-	c.send("PING")
-	c.wantLine("+PONG")
-	if _, err := successor.TakeState(); err != nil {
-		t.Fatal(err)
-	}
+	_, old, successor := startWithTestSuccessor(t)
+	c := old.dialServedClient(t)
+	takeState(t, successor)
 	for i := range commands {
 		c.sendLookup(i+1, "60000")
 	}
 	old.awaitHeld(t, c, maxPipelined)
-	if err := successor.Confirm(); err != nil {
-		t.Fatal(err)
-	}
+	confirm(t, successor)
 	conn := receivePassed(t, successor, c)
 	in := resp.NewReader(io.MultiReader(bytes.NewReader(conn.Unread), conn.Conn))
 	for i := range commands {
@@ -50,10 +43,7 @@
 		firstWait = 40     // milliseconds between the commands
 		lastWait  = 60     // milliseconds from the last command to the answer
 	)
-	b := newFakeBackend(t)
-	h := newSharedListener(t)
-	d := newFakeDiscovery(t, b.memberJSON("s-1", "Ready"))
-	old := h.startProcess(t, d)
+	b, h, d, old := startUpgradable(t)
 	c := old.dialClient(t)
 	c.sendOnce(1)
 	open := b.nextCommand(t)
@@ -91,21 +81,16 @@
 // an open request is no longer read, and what its client sends on stays in the socket until the
 // successor reads it.
 func TestUpgradeLimitsHeldCommands(t *testing.T) {
-	b := newFakeBackend(t)
-	old, successor := startAndFindPredecessor(t, newFakeDiscovery(t, b.memberJSON("s-1", "Ready")))
+	b, old, successor := startWithTestSuccessor(t)
 	c := old.dialClient(t)
 	c.sendOnce(1)
 	open := b.nextCommand(t)
-	if _, err := successor.TakeState(); err != nil {
-		t.Fatal(err)
-	}
+	takeState(t, successor)
 	onEventLoop(t, old.gateway, func(g *Gateway) bool {
 		g.handover.heldBytes += g.maxHeldBytes()
 		return true
 	})
-	if err := successor.Confirm(); err != nil {
-		t.Fatal(err)
-	}
+	confirm(t, successor)
 	waitUntil(t, old.gateway, "the end of the reader", func(g *Gateway) bool {
 		conn := connOf(g, c)
 		return conn != nil && conn.reading.detached
@@ -131,39 +116,29 @@
 // Guards against the loss of a command of which only a part had arrived when the predecessor ended:
 // its client had paused, so the predecessor did not wait for it, and its end reset the connection.
 func TestUpgradePassesPartialCommand(t *testing.T) {
-	b := newFakeBackend(t)
-	h := newSharedListener(t)
-	d := newFakeDiscovery(t, b.memberJSON("s-1", "Ready"))
-	old := h.startProcess(t, d)
+	b, h, d, old := startUpgradable(t)
 	c := old.dialClient(t)
-	command := encodedLookup(1)
-	c.writeRaw(command[:commandPrefixLength])
-	old.awaitPartialCommand(t, c)
+	rest := old.sendPartOfLookup(t, c, 1)
 	h.startProcess(t, d)
 	old.beginShutdown()
 	wait(t, old.exited, "the end of the predecessor")
-	c.writeRaw(command[commandPrefixLength:])
+	c.writeRaw(rest)
 	b.commandWithID(t, 1).replyValue(t, "whole")
 	c.wantValue("whole")
 }
 
 // Guards against the same loss behind an open request that is failed because SIGKILL is near.
 func TestUpgradePassesPartialCommandBehindFailedRequest(t *testing.T) {
-	b := newFakeBackend(t)
-	h := newSharedListener(t)
-	d := newFakeDiscovery(t, b.memberJSON("s-1", "Ready"))
-	old := h.startProcess(t, d)
+	b, h, d, old := startUpgradable(t)
 	c := old.dialClient(t)
 	c.sendOnce(1)
 	b.nextCommand(t)
-	command := encodedLookup(2)
-	c.writeRaw(command[:commandPrefixLength])
-	old.awaitPartialCommand(t, c)
+	rest := old.sendPartOfLookup(t, c, 2)
 	h.startProcess(t, d)
 	old.stoppedSince(t, openRequestsAreLate)
 	c.wantLine("-ERR failed")
 	wait(t, old.exited, "the end of the predecessor")
-	c.writeRaw(command[commandPrefixLength:])
+	c.writeRaw(rest)
 	b.commandWithID(t, 2).replyValue(t, "second")
 	c.wantValue("second")
 }
@@ -172,23 +147,14 @@
 // connection is passed: the successor is told for how long the client has been sending.
 func TestUpgradePassesWaitOfPartialCommand(t *testing.T) {
 	const wait policy.Time = 50_000
-	b := newFakeBackend(t)
-	old, successor := startAndFindPredecessor(t, newFakeDiscovery(t, b.memberJSON("s-1", "Ready")))
-	c := old.dialClient(t)
-	c.send("PING")
-	c.wantLine("+PONG")
-	command := encodedLookup(1)
-	c.writeRaw(command[:commandPrefixLength])
-	old.awaitPartialCommand(t, c)
+	_, old, successor := startWithTestSuccessor(t)
+	c := old.dialServedClient(t)
+	rest := old.sendPartOfLookup(t, c, 1)
 	old.awaitClock(t, wait)
-	if _, err := successor.TakeState(); err != nil {
-		t.Fatal(err)
-	}
-	if err := successor.Confirm(); err != nil {
-		t.Fatal(err)
-	}
+	takeState(t, successor)
+	confirm(t, successor)
 	conn := receivePassed(t, successor, c)
-	if string(conn.Unread) != command[:commandPrefixLength] || conn.State.WaitedUS < wait {
+	if string(conn.Unread)+rest != encodedLookup(1) || conn.State.WaitedUS < wait {
 		t.Fatalf("passed %q after %d us of waiting", conn.Unread, conn.State.WaitedUS)
 	}
 	next := clientFrom(&conn, 0)
@@ -202,22 +168,15 @@
 // A command that is skipped because of its size can't be passed in part: it is rejected, and its
 // connection closed.
 func TestUpgradeRejectsPartOfLargeCommand(t *testing.T) {
-	b := newFakeBackend(t)
-	old, successor := startAndFindPredecessor(t, newFakeDiscovery(t, b.memberJSON("s-1", "Ready")))
-	c := old.dialClient(t)
-	c.send("PING")
-	c.wantLine("+PONG")
+	_, old, successor := startWithTestSuccessor(t)
+	c := old.dialServedClient(t)
 	c.writeRaw("*1\r\n$100000\r\n" + strings.Repeat("x", 70_000))
 	old.awaitPartialCommand(t, c)
 	waitUntil(t, old.gateway, "the reader to skip the command", func(g *Gateway) bool {
 		return connOf(g, c).out.nothingToRead()
 	})
-	if _, err := successor.TakeState(); err != nil {
-		t.Fatal(err)
-	}
-	if err := successor.Confirm(); err != nil {
-		t.Fatal(err)
-	}
+	takeState(t, successor)
+	confirm(t, successor)
 	c.wantLine("-ERR command too large")
 	c.wantClosed()
 }
--- a/internal/dataplane/gateway/handover_support_test.go
+++ b/internal/dataplane/gateway/handover_support_test.go
@@ -32,6 +32,79 @@
 	return string(b)
 }
 
+// startUpgradable starts a process that a successor on the same listener can replace.
+func startUpgradable(
+	t testing.TB,
+) (b *fakeBackend, h *sharedListener, d *fakeDiscovery, old *testGateway) {
+	t.Helper()
+	b = newFakeBackend(t)
+	h = newSharedListener(t)
+	d = newFakeDiscovery(t, b.memberJSON("s-1", "Ready"))
+	return b, h, d, h.startProcess(t, d)
+}
+
+// startWithTestSuccessor starts a process whose successor the test plays.
+func startWithTestSuccessor(
+	t testing.TB,
+) (b *fakeBackend, old *testGateway, successor *hotrestart.Predecessor) {
+	t.Helper()
+	b = newFakeBackend(t)
+	old, successor = startAndFindPredecessor(t, newFakeDiscovery(t, b.memberJSON("s-1", "Ready")))
+	return b, old, successor
+}
+
+// takeState requests the state of a process as its successor. The process then holds commands.
+func takeState(t testing.TB, successor *hotrestart.Predecessor) {
+	t.Helper()
+	if _, err := successor.TakeState(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// confirm takes over from a process as its successor.
+func confirm(t testing.TB, successor *hotrestart.Predecessor) {
+	t.Helper()
+	if err := successor.Confirm(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// dialServedClient connects a new client and waits until the process serves its connection.
+func (r *testGateway) dialServedClient(t testing.TB) *testClient {
+	t.Helper()
+	c := r.dialClient(t)
+	c.send("PING")
+	c.wantLine("+PONG")
+	return c
+}
+
+// sendPartOfLookup sends the first bytes of a command, waits until the process has read them, and
+// returns the rest.
+func (r *testGateway) sendPartOfLookup(t testing.TB, c *testClient, id int) (rest string) {
+	t.Helper()
+	command := encodedLookup(id)
+	c.writeRaw(command[:commandPrefixLength])
+	r.awaitPartialCommand(t, c)
+	return command[commandPrefixLength:]
+}
+
+// wantBusy reads a rejection.
+func (c *testClient) wantBusy() {
+	c.t.Helper()
+	if line := c.readLine(); !strings.HasPrefix(line, "-BUSY") {
+		c.t.Errorf("reply %q, want -BUSY", line)
+	}
+}
+
+// replyToAll replies to all further commands with the same value, in the background.
+func (b *fakeBackend) replyToAll(t testing.TB, value string) {
+	go func() {
+		for call := range b.commands {
+			call.replyValue(t, value)
+		}
+	}()
+}
+
 // stoppedSince starts the shutdown of a process as if it had been requested some time ago.
 func (r *testGateway) stoppedSince(t testing.TB, elapsed policy.Time) {
 	t.Helper()
--- a/internal/dataplane/gateway/handover_test.go
+++ b/internal/dataplane/gateway/handover_test.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"mothcleat/internal/dataplane/hotrestart"
-	"mothcleat/internal/dataplane/resp"
 )
 
 // sharedListener is a listening socket that the processes of one gateway share, as a platform
@@ -107,15 +106,8 @@
 	open := b.nextCommand(t)
 	busy.sendOnce(2) // behind the first one
 	behind := b.nextCommand(t)
-	command := string(
-		resp.AppendBulk(resp.AppendBulk(resp.AppendBulk(
-			resp.AppendBulk(resp.AppendArray(nil, 4), []byte("API.READ")),
-			[]byte(
-				"0000000000000007",
-			),
-		), []byte("0000000000000011")), []byte("c=lookup,t=team,d=60000,units=1,spread=1,first=0")),
-	)
-	half.writeRaw(command[:40])
+	command := encodedLookup(0x11)
+	half.writeRaw(command[:commandPrefixLength])
 
 	next := h.startProcess(t, d)
 	if got := callAdmin(t, old, "check"); got != "fail handed over\n" {
@@ -123,7 +115,7 @@
 	}
 	idle.send("PING")
 	idle.wantLine("+PONG")
-	half.writeRaw(command[40:])
+	half.writeRaw(command[commandPrefixLength:])
 	b.commandWithID(t, 0x11).replyValue(t, "half")
 	half.wantValue("half")
 	empty.send("API.READ", "0000000000000009", "0000000000000012", tinyFields)
@@ -256,9 +248,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := predecessor.TakeState(); err != nil {
-			t.Fatal(err)
-		}
+		takeState(t, predecessor)
 		c.sendLookup(round+1, "60000") // while it is undecided which process answers it
 		predecessor.Close()
 		b.nextCommand(t).replyValue(t, "kept")
@@ -304,23 +294,15 @@
 	half.writeRaw("*1\r\n$4\r\nPI")
 	busy.sendOnce(1)
 	open := b.nextCommand(t)
-	go func() {
-		for call := range b.commands {
-			call.replyValue(t, "kept")
-		}
-	}()
+	b.replyToAll(t, "kept")
 	successor, err := hotrestart.FindPredecessor(h.rendezvousPath)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := successor.TakeState(); err != nil {
-		t.Fatal(err)
-	}
+	takeState(t, successor)
 	c.sendLookup(2, "60000") // while it is undecided which process answers it
 	busy.sendLookup(3, "60000")
-	if err := successor.Confirm(); err != nil {
-		t.Fatal(err)
-	}
+	confirm(t, successor)
 	successor.Close()
 	c.wantValueOrBusy("kept")
 	open.replyValue(t, "open")
@@ -361,11 +343,7 @@
 func TestSuccessorExitWithConnectionsInTransit(t *testing.T) {
 	b := newFakeBackend(t)
 	d := newFakeDiscovery(t, b.memberJSON("s-1", "Ready"))
-	go func() {
-		for call := range b.commands {
-			call.replyValue(t, "kept")
-		}
-	}()
+	b.replyToAll(t, "kept")
 	old, successor := startAndFindPredecessor(t, d)
 	var clients []*testClient
 	for range 20 {
@@ -374,15 +352,11 @@
 		c.wantLine("+PONG")
 		clients = append(clients, c)
 	}
-	if _, err := successor.TakeState(); err != nil {
-		t.Fatal(err)
-	}
+	takeState(t, successor)
 	for i, c := range clients {
 		c.sendLookup(2+i, "60000")
 	}
-	if err := successor.Confirm(); err != nil {
-		t.Fatal(err)
-	}
+	confirm(t, successor)
 	for deadline := time.Now().Add(waitTimeout); readMetrics(t, old)["passed_on"] < len(clients); time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("timed out waiting for the connections to be passed")
@@ -404,19 +378,13 @@
 	c.wantLine("+PONG")
 	c.sendOnce(1)
 	open := b.nextCommand(t)
-	if _, err := successor.TakeState(); err != nil {
-		t.Fatal(err)
-	}
+	takeState(t, successor)
 	c.sendOnce(2)
-	if err := successor.Confirm(); err != nil {
-		t.Fatal(err)
-	}
+	confirm(t, successor)
 	successor.Leave()
 	open.replyValue(t, "open")
 	c.wantValue("open")
-	if line := c.readLine(); !strings.HasPrefix(line, "-BUSY") {
-		t.Errorf("reply %q, want -BUSY", line)
-	}
+	c.wantBusy()
 	if got := callAdmin(t, old, "check"); got != "fail handed over\n" {
 		t.Errorf("check of the predecessor: %q", got)
 	}
@@ -425,7 +393,7 @@
 // startAndFindPredecessor starts a process and connects to it as its successor. The test plays the
 // successor.
 func startAndFindPredecessor(
-	t *testing.T,
+	t testing.TB,
 	d *fakeDiscovery,
 ) (*testGateway, *hotrestart.Predecessor) {
 	t.Helper()
--- a/internal/dataplane/gateway/handover_transit_test.go
+++ b/internal/dataplane/gateway/handover_transit_test.go
@@ -33,10 +33,7 @@
 // Guards against the loss of a command behind an answer that the client reads slowly: the
 // predecessor kept the connection until the answer was written, and closed it when it ended.
 func TestUpgradePassesUnsentAnswer(t *testing.T) {
-	b := newFakeBackend(t)
-	h := newSharedListener(t)
-	d := newFakeDiscovery(t, b.memberJSON("s-1", "Ready"))
-	old := h.startProcess(t, d)
+	b, h, d, old := startUpgradable(t)
 	c, value := slowReader(t, old, b)
 	next := h.startProcess(t, d)
 	c.sendLookup(2, "60000")
@@ -58,24 +55,14 @@
 		"the successor takes no more": (*hotrestart.Predecessor).Leave,
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := newFakeBackend(t)
-			d := newFakeDiscovery(t, b.memberJSON("s-1", "Ready"))
-			old, successor := startAndFindPredecessor(t, d)
+			b, old, successor := startWithTestSuccessor(t)
 			c, value := slowReader(t, old, b)
-			if _, err := successor.TakeState(); err != nil {
-				t.Fatal(err)
-			}
+			takeState(t, successor)
 			c.sendOnce(2)
 			old.awaitHeld(t, c, 1)
-			if err := successor.Confirm(); err != nil {
-				t.Fatal(err)
-			}
+			confirm(t, successor)
 			end(successor)
-			go func() {
-				for call := range b.commands {
-					call.replyValue(t, "second")
-				}
-			}()
+			b.replyToAll(t, "second")
 			c.wantValue(value)
 			c.wantValueOrBusy("second")
 			c.send("PING")
@@ -89,10 +76,7 @@
 // A successor of an earlier build does not take over answers: the predecessor writes them, and then
 // passes the connection.
 func TestEarlierSuccessorGetsNoUnsentAnswer(t *testing.T) {
-	b := newFakeBackend(t)
-	h := newSharedListener(t)
-	d := newFakeDiscovery(t, b.memberJSON("s-1", "Ready"))
-	old := h.startProcess(t, d)
+	b, h, _, old := startUpgradable(t)
 	c, value := slowReader(t, old, b)
 	link, err := net.Dial("unixpacket", h.rendezvousPath)
 	if err != nil {
@@ -125,27 +109,20 @@
 // have received. The predecessor answers its commands.
 func TestHungSuccessorLosesNoConnection(t *testing.T) {
 	const clients = 10
-	b := newFakeBackend(t)
-	old, successor := startAndFindPredecessor(t, newFakeDiscovery(t, b.memberJSON("s-1", "Ready")))
+	_, old, successor := startWithTestSuccessor(t)
 	var waiting []*testClient
 	for range clients {
-		c := old.dialClient(t)
-		c.send("PING")
-		c.wantLine("+PONG")
+		c := old.dialServedClient(t)
 		waiting = append(waiting, c)
 	}
-	if _, err := successor.TakeState(); err != nil {
-		t.Fatal(err)
-	}
+	takeState(t, successor)
 	body := strings.Repeat("b", resp.MaxValue-1000)
 	for i, c := range waiting {
 		c.send("API.WRITE", "0000000000000007", fmt.Sprintf("%016x", i+1),
 			"c=once,t=team,d=60000,units=1,spread=1,first=0", body)
 		old.awaitHeld(t, c, 1)
 	}
-	if err := successor.Confirm(); err != nil {
-		t.Fatal(err)
-	}
+	confirm(t, successor)
 	waitUntil(t, old.gateway, "the end of the passing", func(g *Gateway) bool {
 		return g.lifecycle.HandedOver() && !g.lifecycle.PassesConns()
 	})
@@ -159,9 +136,7 @@
 			continue
 		}
 		rejected++
-		if line := c.readLine(); !strings.HasPrefix(line, "-BUSY") {
-			t.Errorf("reply %q, want -BUSY", line)
-		}
+		c.wantBusy()
 	}
 	if rejected == 0 {
 		t.Error("the successor has received all connections, although it did not read")
@@ -172,29 +147,18 @@
 // exits: a predecessor that had nothing else to do had ended its event loop, and could not take them
 // back.
 func TestSuccessorExitAtEndOfPredecessor(t *testing.T) {
-	b := newFakeBackend(t)
-	old, successor := startAndFindPredecessor(t, newFakeDiscovery(t, b.memberJSON("s-1", "Ready")))
-	c := old.dialClient(t)
-	c.send("PING")
-	c.wantLine("+PONG")
-	if _, err := successor.TakeState(); err != nil {
-		t.Fatal(err)
-	}
+	b, old, successor := startWithTestSuccessor(t)
+	c := old.dialServedClient(t)
+	takeState(t, successor)
 	c.sendOnce(1)
 	old.awaitHeld(t, c, 1)
-	if err := successor.Confirm(); err != nil {
-		t.Fatal(err)
-	}
+	confirm(t, successor)
 	waitUntil(t, old.gateway, "all connections to be passed", func(g *Gateway) bool {
 		return len(g.clients.conns) == 0
 	})
 	old.stoppedSince(t, acceptingHasEnded)
 	successor.Close()
-	go func() {
-		for call := range b.commands {
-			call.replyValue(t, "back")
-		}
-	}()
+	b.replyToAll(t, "back")
 	c.wantValueOrBusy("back")
 	wait(t, old.exited, "the end of the process")
 }
