Review, cases 7 and 8: errors with late values take the place of the crowd

What: the crowd (review/8) is dropped; case 7 is the second answer that differs from the first, an error and then the value; the client that reads late is case 8 now.

--- a/review/second/cases.go
+++ b/review/second/cases.go
@@ -8,8 +8,8 @@
 // cases are the cases by name.
 var cases = map[string]play{
 	"foreign":  playForeign,
+	"error":    playAfterError,
 	"unread":   playUnread,
-	"crowd":    playCrowd,
 	"restarts": playRestarts,
 	"crowded":  playCrowded,
 }
--- a/review/second/foreign.go
+++ b/review/second/foreign.go
@@ -31,6 +31,22 @@
 	})
 }
 
+// playAfterError has one request in eight fail; the value comes as a second answer some
+// milliseconds late. No client may get a value that was made for another request.
+func playAfterError(w *world) ([]string, error) {
+	return w.playSeconds(func(b *backend, args []string) ([]byte, []byte, time.Duration) {
+		reply := valueReply(valueOf(args[2], b, 0))
+		if rand.IntN(8) > 0 {
+			return reply, nil, 0
+		}
+		failed := []byte("-ERR failed\r\n")
+		if w.trouble {
+			return failed, reply, secondAfter
+		}
+		return failed, nil, 0
+	})
+}
+
 // playSeconds plays clients against backends that answer with reply, and returns the values that
 // were made for other requests.
 func (w *world) playSeconds(
