Review, case 7: unsafe requests run twice after late answers that differ

What: one request in eight fails and its value comes 12 ms later; connections to backends stay one answer behind, and a request that runs is taken for turned away and sent again.

--- a/review/second/cases.go
+++ b/review/second/cases.go
@@ -8,7 +8,7 @@
 // cases are the cases by name.
 var cases = map[string]play{
 	"foreign":  playForeign,
-	"error":    playAfterError,
+	"twice":    playTwice,
 	"unread":   playUnread,
 	"restarts": playRestarts,
 	"crowded":  playCrowded,
--- a/review/second/client.go
+++ b/review/second/client.go
@@ -21,6 +21,7 @@
 	units    int
 	spread   int
 	first    int
+	write    bool // by API.WRITE
 
 	id   string
 	sent time.Time
@@ -31,7 +32,11 @@
 	r.id = newID()
 	list := fmt.Sprintf("c=cotacao,t=%s,d=%d,units=%d,spread=%d,first=%d",
 		r.plan, r.wait.Milliseconds(), r.units, r.spread, r.first)
-	return command("API.READ", fmt.Sprintf("%016x", r.customer), r.id, list)
+	name := "API.READ"
+	if r.write {
+		name = "API.WRITE"
+	}
+	return command(name, fmt.Sprintf("%016x", r.customer), r.id, list)
 }
 
 // connection is a client's connection to a gateway.
--- a/review/second/foreign.go
+++ b/review/second/foreign.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,7 +20,10 @@
 // playForeign has some values run long, and half of the long answers come a second time some
 // milliseconds late. No client may get a value that was made for another request.
 func playForeign(w *world) ([]string, error) {
-	return w.playSeconds(func(b *backend, args []string) ([]byte, []byte, time.Duration) {
+	var mu sync.Mutex
+	var broken []string
+	settings := wireSettings(2, basico, profissional, corporativo)
+	reply := func(b *backend, args []string) ([]byte, []byte, time.Duration) {
 		if rand.IntN(4) > 0 {
 			return valueReply(valueOf(args[2], b, 0)), nil, 0
 		}
@@ -28,38 +32,31 @@
 			return reply, reply, secondAfter
 		}
 		return reply, nil, 0
-	})
-}
-
-// playAfterError has one request in eight fail; the value comes as a second answer some
-// milliseconds late. No client may get a value that was made for another request.
-func playAfterError(w *world) ([]string, error) {
-	return w.playSeconds(func(b *backend, args []string) ([]byte, []byte, time.Duration) {
-		reply := valueReply(valueOf(args[2], b, 0))
-		if rand.IntN(8) > 0 {
-			return reply, nil, 0
-		}
-		failed := []byte("-ERR failed\r\n")
-		if w.trouble {
-			return failed, reply, secondAfter
+	}
+	err := w.playTraffic(settings, reply, false, func(r *request, a answer) {
+		mu.Lock()
+		defer mu.Unlock()
+		if !strings.HasPrefix(a.value, r.id+" ") {
+			broken = append(broken, fmt.Sprintf(
+				"%s was answered with a value of %d bytes made for %.16s",
+				r.id, len(a.value), a.value))
 		}
-		return failed, nil, 0
 	})
+	return broken, err
 }
 
-// playSeconds plays clients against backends that answer with reply, and returns the values that
-// were made for other requests.
-func (w *world) playSeconds(
+// playTraffic plays clients against backends that answer with reply, and calls served for each
+// answer that is a value.
+func (w *world) playTraffic(
+	settings map[string]any,
 	reply func(b *backend, args []string) ([]byte, []byte, time.Duration),
-) ([]string, error) {
-	settings := wireSettings(2, basico, profissional, corporativo)
+	write bool, served func(r *request, a answer),
+) error {
 	err := w.small(2, foreignWork, 1024, settings, func(b *backend) { b.reply = reply })
 	if err != nil {
-		return nil, err
+		return err
 	}
-	var mu sync.Mutex
-	var broken []string
-	served := 0
+	var count atomic.Int64
 	clients := sync.WaitGroup{}
 	end := time.Now().Add(foreignTime)
 	for i := range foreignClients {
@@ -68,31 +65,23 @@
 			for time.Now().Before(end) {
 				time.Sleep(time.Duration(rand.IntN(200)) * time.Millisecond)
 				if c == nil {
+					var err error
 					if c, err = dial(w.gateways[i%2]); err != nil {
 						return
 					}
 				}
 				r := &request{
 					customer: uint64(0x1000 + rand.IntN(200)), plan: "profissional",
-					wait: 3 * time.Second, units: 1, spread: 2,
+					wait: 3 * time.Second, units: 1, spread: 2, write: write,
 				}
 				a, err := c.do(w, r)
 				if err != nil {
 					c.Close()
 					c = nil
-					continue
-				}
-				if !a.served() {
-					continue
-				}
-				mu.Lock()
-				served++
-				if !strings.HasPrefix(a.value, r.id+" ") {
-					broken = append(broken, fmt.Sprintf(
-						"%s was answered with a value of %d bytes made for %.16s",
-						r.id, len(a.value), a.value))
+				} else if a.served() {
+					count.Add(1)
+					served(r, a)
 				}
-				mu.Unlock()
 			}
 			if c != nil {
 				c.Close()
@@ -100,9 +89,9 @@
 		})
 	}
 	clients.Wait()
-	w.note("served %d, run %d", served, requestsRun.Load())
-	if served < 500 {
-		return nil, fmt.Errorf("only %d requests were served", served)
+	w.note("served %d, run %d", count.Load(), requestsRun.Load())
+	if count.Load() < 500 {
+		return fmt.Errorf("only %d requests were served", count.Load())
 	}
-	return broken, nil
+	return nil
 }
