--- a/review/second/restarts.go
+++ b/review/second/restarts.go
@@ -65,7 +65,10 @@
 // of the four gateways are killed in turn, in four rolls. All gateways together may not send on
 // more than the ceiling holds.
 func playRestarts(w *world) ([]string, error) {
-	store := &ceiling{level: capped.ceilingHold, at: time.Now(), seen: map[string]bool{}}
+	store := &ceiling{
+		level: capped.ceilingHold, lowest: capped.ceilingHold, at: time.Now(),
+		seen: map[string]bool{},
+	}
 	presser := fmt.Sprintf("%016x", restartsPresser)
 	settings := wireSettings(4, basico, profissional, capped)
 	err := w.small(restartsGateways, restartsWork, 1024, settings, func(b *backend) {
