--- a/review/second/world.go
+++ b/review/second/world.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -100,22 +102,22 @@
 	exited  chan struct{}
 }
 
-// freeAddress returns a loopback address that nobody uses.
-func freeAddress(network string) (string, error) {
-	if network == "udp" {
-		c, err := net.ListenPacket("udp", "127.0.0.1:0")
-		if err != nil {
-			return "", err
+// freeAddress returns a loopback address that nobody uses, below the ports that the system gives to
+// outgoing connections.
+func freeAddress(network string) (address string, err error) {
+	for range 100 {
+		address = fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000))
+		var c io.Closer
+		if network == "udp" {
+			c, err = net.ListenPacket("udp", address)
+		} else {
+			c, err = net.Listen("tcp", address)
+		}
+		if err == nil {
+			return address, c.Close()
 		}
-		defer c.Close()
-		return c.LocalAddr().String(), nil
-	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", err
 }
 
 // site is what the configurations of all gateways have in common.
