Clients: commands of a client that reads late are left unread, not cut off

Callers saw: a client that sent many commands and read nothing for 2 to 3 s lost its connection, with the answers of requests that had run at backends.

Cause: client.flushAnswers disconnected a client with more than 128 KiB of queued answers. Only the number of unanswered commands bounded what a connection could come to owe, and it was freed as soon as an answer was handed to the sender.

A connection with queued answers is neither evicted nor closed as idle, and what came in a pause is read before a close. The sender keeps its queue as messages, not as one growing buffer.

--- a/internal/dataplane/gateway/accept.go
+++ b/internal/dataplane/gateway/accept.go
@@ -44,14 +44,19 @@
 	resumeAccept  chan struct{} // a value resumes accept after a pause; closing it ends accept
 	drainBacklog  atomic.Bool   // accept ends once no connection has arrived for backlogQuietTime
 	incomingBytes atomic.Int64  // size of the commands read but not yet handled by the event loop
+	queuedBytes   atomic.Int64  // size of the answers that the clients' sockets have not accepted
+
+	owedBytesLimit int         // see owesTooMuch
+	readsAll       atomic.Bool // commands are read however much their connections owe
 }
 
-func newClients(served, accepted int) *clients {
+func newClients(served, accepted, memoryMB int) *clients {
 	return &clients{
-		maxServed:    served,
-		slots:        make(chan struct{}, accepted),
-		conns:        map[*client]bool{},
-		resumeAccept: make(chan struct{}, 1),
+		maxServed:      served,
+		slots:          make(chan struct{}, accepted),
+		conns:          map[*client]bool{},
+		resumeAccept:   make(chan struct{}, 1),
+		owedBytesLimit: owedBytesLimit(memoryMB, served),
 	}
 }
 
@@ -193,6 +198,8 @@
 // passed to a successor, it passes the connection on instead and returns false.
 func (g *Gateway) startClient(c *client) bool {
 	g.clients.conns[c] = true
+	disconnect := func() { g.post(clientDisconnected{c}) }
+	c.out.watch(&g.clients.queuedBytes, clientReadTimeout, disconnect)
 	if g.lifecycle.PassesConns() {
 		c.reading.detached = true // no reader was started
 		g.settleConn(c)
@@ -225,7 +232,7 @@
 	}
 	var candidate *client
 	for c := range cs.conns {
-		inUse := c == requesting || c.closeWhenIdle || c.awaitingAnswer() || c.sendingCommand(now)
+		inUse := c == requesting || c.closeWhenIdle || c.inUse() || c.sendingCommand(now)
 		if inUse || now-c.lastActivity() < minIdle[c.activityRank()] {
 			continue
 		}
@@ -257,7 +264,7 @@
 	// connection pool.
 	timeouts := [...]policy.Time{clientIdleTimeout, singleCommandIdleTimeout, clientIdleTimeout}
 	for c := range cs.conns {
-		if now-c.lastActivity() > timeouts[c.activityRank()] && !c.awaitingAnswer() {
+		if now-c.lastActivity() > timeouts[c.activityRank()] && !c.inUse() {
 			c.closeAfterAnswers(g)
 		}
 	}
--- a/internal/dataplane/gateway/backend_pool.go
+++ b/internal/dataplane/gateway/backend_pool.go
@@ -308,7 +308,7 @@
 	if a.request != nil {
 		c.out.fullyWritten = &g.metrics.Sends
 	}
-	c.out.send(command[n:], len(command))
+	c.out.send(command[n:])
 	return true
 }
 
--- a/internal/dataplane/gateway/client.go
+++ b/internal/dataplane/gateway/client.go
@@ -8,12 +8,10 @@
 
 	"mothcleat/internal/dataplane/forwardauth"
 	"mothcleat/internal/dataplane/policy"
-	"mothcleat/internal/dataplane/resp"
 )
 
 const (
-	maxPipelined   = 256               // unanswered commands of a connection
-	maxUnreadBytes = 2 * resp.MaxValue // answers queued for a client that has not read them
+	maxPipelined = 256 // unanswered commands of a connection
 
 	// overloadRetryAfter is the retry advice when the gateway itself has no capacity.
 	overloadRetryAfter policy.Time = 500_000
@@ -39,7 +37,10 @@
 	pipeline []*request
 	// pipelineSlots holds a slot for each unanswered command that the reader has posted. The reader
 	// waits for a free slot.
-	pipelineSlots chan struct{}
+	pipelineSlots  chan struct{}
+	heldReplyBytes atomic.Int64 // size of the answers in pipeline
+	arrivals       arrivalLog   // belongs to the reader
+	catchingUp     bool         // belongs to the reader; see catchUpWindow
 
 	done          chan struct{} // closed when the connection ends; ends the reader
 	resumeReading chan struct{} // a value resumes a halted reader
@@ -87,6 +88,10 @@
 // was read but not handled yet.
 func (c *client) awaitingAnswer() bool { return len(c.pipeline) > 0 || len(c.pipelineSlots) > 0 }
 
+// inUse reports whether the client waits for an answer, or has not read those that it was sent. To
+// close its connection would lose them.
+func (c *client) inUse() bool { return c.awaitingAnswer() || !c.out.drained() }
+
 // delaysShutdown reports whether a process that is shutting down waits for this client: until its
 // answers are written, and while it may still send a command and has not stalled in the middle of
 // one.
@@ -181,7 +186,7 @@
 		c.overLimit = !cs.evict(g, c)
 	}
 	tooManyOpen := g.cfg.Host.MaxOpenRequests > 0 && g.requests.open > g.cfg.Host.MaxOpenRequests
-	overloaded := noMemory || tooManyOpen || g.requests.heldBytes >= g.cfg.MemoryMB<<20/4
+	overloaded := noMemory || tooManyOpen || g.outgoingBytes() >= g.memoryForAnswers()
 	if !overloaded && !c.overLimit && g.lifecycle.AdmitsRequests(g.now()) {
 		return nil
 	}
@@ -201,6 +206,7 @@
 			out = append(out[:len(out):len(out)], r.reply...)
 		}
 		g.requests.heldBytes -= len(r.reply)
+		c.heldReplyBytes.Add(-int64(len(r.reply)))
 		r.reply = nil
 		n++
 		if r.hasSlot {
@@ -209,9 +215,10 @@
 	}
 	if n > 0 {
 		c.pipeline = slices.Delete(c.pipeline, 0, n)
-		if len(out) > 0 && !c.closed && !c.out.send(out, maxUnreadBytes) {
-			g.enqueue(clientDisconnected{c})
+		if len(out) > 0 && !c.closed {
+			c.out.send(out)
 		}
+		c.out.signalProgress() // slots are free
 	}
 	if len(c.pipeline) > 0 && c.pipeline[0].streamed != nil {
 		c.pipeline[0].streamed.start(c)
--- a/internal/dataplane/gateway/client_close.go
+++ b/internal/dataplane/gateway/client_close.go
@@ -7,7 +7,7 @@
 const (
 	lingerTimeout    policy.Time = 500_000 // for the client to close first after its last answer
 	lingerAfterError policy.Time = 200_000 // the same, after an error that ends the connection
-	maxLingers                   = 10      // number of extensions for a client that reads slowly
+	maxLingers                   = 30      // number of extensions for a client that reads slowly
 )
 
 // closeAfterAnswers closes a connection once all commands that were read from it are answered.
@@ -107,6 +107,7 @@
 // abandonRequest ends a request whose client has disconnected.
 func (c *client) abandonRequest(g *Gateway, r *request, now policy.Time) {
 	g.requests.heldBytes -= len(r.reply)
+	c.heldReplyBytes.Add(-int64(len(r.reply)))
 	if r.streamed != nil {
 		r.streamed.abandon(g)
 		r.streamed = nil
--- a/internal/dataplane/gateway/client_reader.go
+++ b/internal/dataplane/gateway/client_reader.go
@@ -31,9 +31,9 @@
 )
 
 // readCommands posts the client's commands until the connection ends. It runs on the client's
-// reader goroutine. It waits for answers only while the pipeline is full, so it detects a close
-// while requests are open. It disconnects a client that sends no first command or does not finish a
-// command in time.
+// reader goroutine. It waits for answers only while the connection owes as much as it may (see
+// waitForSlot), so it detects a close while requests are open. It disconnects a client that sends
+// no first command or does not finish a command in time.
 func (c *client) readCommands(g *Gateway) {
 	in := resp.NewReader(&activityReader{c.commandSource(), c, g.clock})
 	validCommandRead := c.commands > 0 // the connection came from the predecessor
@@ -74,6 +74,10 @@
 		return c.detach(g, in, nil)
 	}
 	if c.reading.haltedBy(err) {
+		if c.arrivals.behind() {
+			c.reading.readOn(c.conn)
+			return readContinue
+		}
 		g.post(readerHalted{c})
 		select {
 		case <-c.resumeReading:
@@ -97,15 +101,15 @@
 	if !e.invalid {
 		*validCommandRead = true
 	}
-	c.reading.endCommand(c.conn, *validCommandRead)
+	c.reading.endCommand(c.conn, *validCommandRead, c.arrivals.behind())
 	return c.postCommand(g, e, in, pipelined)
 }
 
-// postCommand posts a command once the pipeline has a free slot for it.
+// postCommand posts a command once the connection may owe its answer.
 func (c *client) postCommand(
 	g *Gateway, e commandRead, in *resp.Reader, pipelined bool,
 ) readResult {
-	switch c.waitForSlot() {
+	switch c.waitForSlot(g) {
 	case slotTaken:
 		e.hasSlot = true
 	case slotDetached:
@@ -135,41 +139,6 @@
 	return c.awaitHangUp()
 }
 
-// slotResult is how a wait for a free slot in the pipeline ended.
-type slotResult int
-
-const (
-	slotTaken        slotResult = iota
-	slotDetached                // the reader is to end: the successor reads on
-	slotDisconnected            // the client has disconnected
-)
-
-// waitForSlot waits for a free slot in the pipeline. It polls for a disconnect, because no read
-// reports one while the reader waits here.
-func (c *client) waitForSlot() slotResult {
-	select {
-	case c.pipelineSlots <- struct{}{}:
-		return slotTaken
-	default:
-	}
-	check := time.NewTicker(hangUpCheckInterval)
-	defer check.Stop()
-	for {
-		select {
-		case c.pipelineSlots <- struct{}{}:
-			return slotTaken
-		case <-c.reading.detachSignal:
-			return slotDetached
-		case <-c.done:
-			return slotDisconnected
-		case <-check.C:
-			if c.out.hungUp() {
-				return slotDisconnected
-			}
-		}
-	}
-}
-
 // awaitHangUp waits for the end of a connection that is no longer read.
 func (c *client) awaitHangUp() readResult {
 	check := time.NewTicker(hangUpCheckInterval)
@@ -225,7 +194,11 @@
 		e.interrupt(in)
 		return
 	}
-	e.arrived = e.client.reading.arrivalTime(g.suspend.earliestArrival(g.clock.now()))
+	now := g.clock.now()
+	e.arrived = min(
+		e.client.reading.arrivalTime(g.suspend.earliestArrival(now)),
+		e.client.arrivals.arrivedBy(in.Buffered(), now),
+	)
 	switch {
 	case errors.Is(err, resp.ErrTooLarge):
 		e.reject(err)
--- a/internal/dataplane/gateway/gateway.go
+++ b/internal/dataplane/gateway/gateway.go
@@ -114,7 +114,7 @@
 	}
 	served, accepted := connectionLimits(cfg.Sockets)
 	g.backends = newBackendPool(&cfg, served)
-	g.clients = newClients(served, accepted)
+	g.clients = newClients(served, accepted, cfg.MemoryMB)
 	if err := g.prepareBalancer(); err != nil {
 		return nil, err
 	}
--- a/internal/dataplane/gateway/handover.go
+++ b/internal/dataplane/gateway/handover.go
@@ -186,7 +186,7 @@
 	head := &from.State
 	c := newClient(from.Conn, now)
 	if len(from.Unsent) > 0 {
-		c.out.send(from.Unsent, len(from.Unsent))
+		c.out.send(from.Unsent)
 	}
 	c.commands = head.Commands
 	if head.HasCredential {
--- a/internal/dataplane/gateway/read_control.go
+++ b/internal/dataplane/gateway/read_control.go
@@ -79,9 +79,26 @@
 	return rc.haltRequested && errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// halting reports whether a halt was requested.
+func (rc *readControl) halting() bool {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	return rc.haltRequested
+}
+
+// readOn is called by a reader that is to halt, but has not read all that came while it paused.
+func (rc *readControl) readOn(conn net.Conn) {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	if !rc.detachRequested {
+		_ = conn.SetReadDeadline(rc.firstDeadline)
+	}
+}
+
 // endCommand is called by the reader after it has read a command. validCommandRead: a valid command
-// was read on this connection, so the wait for the next one has no deadline.
-func (rc *readControl) endCommand(conn net.Conn, validCommandRead bool) {
+// was read on this connection, so the wait for the next one has no deadline. behind: a halt waits
+// until more is read.
+func (rc *readControl) endCommand(conn net.Conn, validCommandRead, behind bool) {
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
 	rc.inCommand = false
@@ -89,7 +106,7 @@
 		rc.firstDeadline = time.Time{}
 		rc.waitingSince = time.Time{}
 	}
-	if rc.detachRequested || rc.haltRequested {
+	if rc.detachRequested || rc.haltRequested && !behind {
 		_ = conn.SetReadDeadline(expiredDeadline)
 	} else if validCommandRead {
 		_ = conn.SetReadDeadline(time.Time{})
@@ -161,7 +178,7 @@
 	return arrived
 }
 
-// activityReader records the time at which data was last read from a client.
+// activityReader records the time at which data was last read from a client, and how much was.
 type activityReader struct {
 	from   io.Reader
 	client *client
@@ -170,6 +187,7 @@
 
 func (r *activityReader) Read(b []byte) (int, error) {
 	n, err := r.from.Read(b)
+	r.client.arrivals.received += int64(n)
 	if n > 0 {
 		r.client.lastByte.Store(r.clock.now())
 	}
--- a/internal/dataplane/gateway/request.go
+++ b/internal/dataplane/gateway/request.go
@@ -131,11 +131,22 @@
 	r.reply = reply
 	r.countOutcome(g.metrics, reply)
 	g.requests.heldBytes += len(reply)
+	r.client.heldReplyBytes.Add(int64(len(reply)))
 	g.closeRequest(r)
 	r.client.flushAnswers(g)
 	g.requests.removeFinished(r)
 }
 
+// answerValue answers a request with a backend's value, or with an error if there is no memory to
+// keep the value until the client reads it.
+func (g *Gateway) answerValue(r *request, value []byte) {
+	if !g.answerFits(r, len(value)) {
+		g.answer(r, failedReply)
+		return
+	}
+	g.answer(r, resp.AppendBulk(make([]byte, 0, len(value)+16), value))
+}
+
 // closeRequest marks a request as answered and withdraws the attempts that are not completely
 // written to a backend.
 func (g *Gateway) closeRequest(r *request) {
@@ -228,7 +239,7 @@
 		return a == o.attempt
 	})
 	if o.result == policy.OK && !r.answered {
-		g.answer(r, resp.AppendBulk(make([]byte, 0, len(o.value)+16), o.value))
+		g.answerValue(r, o.value)
 	}
 	g.balancer.Outcome(g.now(), policy.Outcome{
 		ID:          r.id,
--- a/internal/dataplane/gateway/sender.go
+++ b/internal/dataplane/gateway/sender.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"errors"
 	"net"
+	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -17,12 +20,23 @@
 	raw  syscall.RawConn // nil: the connection was closed before newSender
 
 	mu         sync.Mutex
-	pending    []byte
+	pending    [][]byte      // messages that are queued behind the one being written
 	writing    bool          // writePending runs
 	streamNext func()        // function that writes to the connection after pending; nil: none
 	closeAfter bool          // shut down the write side after pending
 	stopped    bool          // nothing more is written; see takeUnsent
 	writerDone chan struct{} // closed when writePending returns; nil: it does not run
+	queued     int           // bytes that were sent and that the socket has not accepted yet
+
+	// progress has a value after the socket has accepted queued bytes or the queue has ended. Only
+	// one goroutine may receive from it.
+	progress chan struct{}
+	// onStall is called when the peer has read nothing for stallTimeout while bytes are queued;
+	// nil: the sender waits without a limit.
+	onStall      func()
+	stallTimeout time.Duration
+	// queuedTotal is the size of the queues of several senders together; nil: it is not counted.
+	queuedTotal *atomic.Int64
 
 	// fullyWritten counts the messages that send has written completely; nil: they are not counted.
 	// It may be set only while writePending is not running.
@@ -31,7 +45,7 @@
 
 func newSender(conn *net.TCPConn) *sender {
 	raw, _ := conn.SyscallConn() // fails only for a closed connection, and then writeNow fails too
-	return &sender{conn: conn, raw: raw}
+	return &sender{conn: conn, raw: raw, progress: make(chan struct{}, 1)}
 }
 
 // writeNow writes as much as the socket accepts without blocking. A full socket buffer is not an
@@ -102,26 +116,54 @@
 	return max(n, 0), err
 }
 
-// send writes b and takes ownership of it. It returns false if more than maxPending bytes are
-// queued because the peer reads too slowly. It does not report a broken connection: the
-// connection's reader detects that.
-func (s *sender) send(b []byte, maxPending int) bool {
+// send writes b and takes ownership of it. What the socket does not accept now is queued. It does
+// not report a broken connection: the connection's reader detects that.
+func (s *sender) send(b []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.writing {
-		s.pending = append(s.pending, b...)
-		return len(s.pending) <= maxPending
+		s.pending = append(s.pending, b)
+		s.addQueued(len(b))
+		return
 	}
 	n, err := s.writeNow(b)
 	switch {
 	case err != nil:
 	case n < len(b):
-		s.pending = append(s.pending, b[n:]...)
+		s.pending = append(s.pending, b[n:])
+		s.addQueued(len(b) - n)
 		s.startWriter()
 	case s.fullyWritten != nil:
 		s.fullyWritten.Add(1)
 	}
-	return true
+}
+
+// addQueued changes the number of queued bytes. The caller holds mu.
+func (s *sender) addQueued(n int) {
+	s.queued += n
+	if s.queuedTotal != nil {
+		s.queuedTotal.Add(int64(n))
+	}
+}
+
+// watch has the sender count its queue in total, and call onStall once the peer has read nothing
+// for stallTimeout.
+func (s *sender) watch(total *atomic.Int64, stallTimeout time.Duration, onStall func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stallTimeout = stallTimeout
+	s.onStall = onStall
+	if s.queuedTotal == nil {
+		s.queuedTotal = total
+		total.Add(int64(s.queued))
+	}
+}
+
+// queuedBytes returns the number of bytes that were sent and that the socket has not accepted yet.
+func (s *sender) queuedBytes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queued
 }
 
 // startWriter starts writePending. The caller holds mu.
@@ -146,8 +188,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	unsent := s.pending
+	unsent := slices.Concat(s.pending...)
 	s.pending = nil
+	s.addQueued(-s.queued)
 	return unsent
 }
 
@@ -164,7 +207,7 @@
 			stream()
 			continue
 		}
-		n, err := s.conn.Write(b)
+		n, err := s.writeBlocking(b)
 		if err == nil && s.fullyWritten != nil {
 			s.fullyWritten.Add(1)
 		}
@@ -174,14 +217,74 @@
 	}
 }
 
+// writeChunkBytes is the size of the pieces in which queued bytes are written, so that progress
+// shows before all are written.
+const writeChunkBytes = 16 << 10
+
+// writeBlocking writes b and waits until the socket has accepted all of it, the connection breaks,
+// the peer stalls, or takeUnsent interrupts it.
+func (s *sender) writeBlocking(b []byte) (written int, err error) {
+	for written < len(b) {
+		chunk := b[written:min(len(b), written+writeChunkBytes)]
+		onStall := s.extendWriteDeadline()
+		n, err := s.conn.Write(chunk)
+		written += n
+		s.accepted(n)
+		timedOut := errors.Is(err, os.ErrDeadlineExceeded)
+		switch {
+		case err == nil || timedOut && n > 0 && !s.isStopped():
+		case timedOut && onStall != nil && !s.isStopped():
+			onStall()
+			return written, err
+		default:
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// extendWriteDeadline gives the peer the whole stallTimeout for the next write, unless the
+// sender was stopped. It returns the function to call when that time has passed.
+func (s *sender) extendWriteDeadline() (onStall func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.onStall != nil && !s.stopped {
+		_ = s.conn.SetWriteDeadline(time.Now().Add(s.stallTimeout))
+	}
+	return s.onStall
+}
+
+func (s *sender) isStopped() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopped
+}
+
+// accepted records that the socket has accepted n queued bytes.
+func (s *sender) accepted(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addQueued(-n)
+	s.signalProgress()
+}
+
+func (s *sender) signalProgress() {
+	select {
+	case s.progress <- struct{}{}:
+	default:
+	}
+}
+
 // putBack puts the rest of an interrupted write before the pending bytes. Without takeUnsent, a
 // write ends early only because the connection is broken, and its rest is dropped.
 func (s *sender) putBack(rest []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stopped {
-		s.pending = append(rest[:len(rest):len(rest)], s.pending...)
+		s.pending = slices.Insert(s.pending, 0, rest)
+		return
 	}
+	s.addQueued(-len(rest))
 }
 
 // takePending returns what to write next: bytes or a stream function. more is false if there is
@@ -193,17 +296,23 @@
 		s.writing = false
 		return nil, nil, false
 	}
-	b = s.pending
-	s.pending = nil
-	if len(b) > 0 {
+	if len(s.pending) > 0 {
+		b = s.pending[0]
+		s.pending[0] = nil
+		s.pending = s.pending[1:]
 		return b, nil, true
 	}
+	s.pending = nil
 	if s.streamNext != nil {
 		stream = s.streamNext
 		s.streamNext = nil
 		return nil, stream, true
 	}
 	s.writing = false
+	if s.onStall != nil {
+		_ = s.conn.SetWriteDeadline(time.Time{})
+	}
+	s.signalProgress()
 	if s.closeAfter {
 		_ = s.conn.CloseWrite()
 	}
@@ -233,6 +342,22 @@
 	}
 }
 
+// unreadBytes returns the number of bytes that the connection's system has received and that were
+// not read yet.
+func (s *sender) unreadBytes() int {
+	if s.raw == nil {
+		return 0
+	}
+	unread := 0
+	_ = s.raw.Control(func(fd uintptr) {
+		n, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ)
+		if err == nil {
+			unread = n
+		}
+	})
+	return unread
+}
+
 // delivered reports whether the peer's system has received everything sent. Closing the connection
 // earlier could reset it, and lose what the system still holds.
 func (s *sender) delivered() bool {
--- a/internal/dataplane/gateway/shutdown.go
+++ b/internal/dataplane/gateway/shutdown.go
@@ -41,6 +41,7 @@
 	if g.lifecycle.FailsOpenRequests(now) && !s.requestsFailed {
 		// Requests that are unanswered at SIGKILL would be lost.
 		s.requestsFailed = true
+		g.clients.readsAll.Store(true) // what is read from now on is rejected in short answers
 		s.closeListener(g)
 		g.failOpenRequests()
 	}
