Lab: bad clients and servers beside sound clients, at the smallest limits

Operators of other deployments report pictures that our rigs do not play: crowds that write slowly or stop half way, floods, requests sent again after a close, answers written slowly.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -66,6 +66,7 @@
 	root.SetArgs(args)
 	root.AddCommand(
 		b.try(),
+		b.clients(),
 		b.fleet(),
 		b.upgrade(),
 		b.soak(),
--- a/cmd/lab/real.go
+++ b/cmd/lab/real.go
@@ -4,12 +4,15 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"mothcleat/internal/testing/allocationtest"
 	"mothcleat/internal/testing/audittest"
+	"mothcleat/internal/testing/clientlab"
 	"mothcleat/internal/testing/electiontest"
 	"mothcleat/internal/testing/harness"
 	"mothcleat/internal/testing/lab"
@@ -37,6 +40,29 @@
 	)
 }
 
+func (b *builder) clients() *cobra.Command {
+	return b.newCommand(
+		"clients",
+		"one gateway at the smallest limits, with clients or servers that behave badly beside "+
+			"sound clients",
+		10*time.Second,
+		func(c *cobra.Command) (func() error, runFunc) {
+			name := c.Flags().String("case", clientlab.Names()[0],
+				"one of "+strings.Join(clientlab.Names(), ", "))
+			check := func() error {
+				if !slices.Contains(clientlab.Names(), *name) {
+					return fmt.Errorf("--case %s: no such case", *name)
+				}
+				return nil
+			}
+			return check, func(ctx context.Context, _ uint64,
+				length time.Duration) (*harness.Summary, error) {
+				return clientlab.Run(ctx, *name, length)
+			}
+		},
+	)
+}
+
 func (b *builder) fleet() *cobra.Command {
 	return b.newCommand(
 		"fleet",
--- /dev/null
+++ b/internal/testing/clientlab/backend.go
@@ -0,0 +1,92 @@
+package clientlab
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+
+	"mothcleat/internal/dataplane/resp"
+)
+
+// serveFunc answers a command that has come whole, by writing to a connection.
+type serveFunc func(args []string, out io.Writer)
+
+// backend is a quote server that answers the commands of each connection in order.
+type backend struct {
+	id       string
+	listener net.Listener
+	serve    serveFunc
+}
+
+func newBackend(number int, serve serveFunc) (*backend, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	b := &backend{id: fmt.Sprintf("s-%08x", 1+number), listener: l, serve: serve}
+	go b.accept()
+	return b, nil
+}
+
+func (b *backend) accept() {
+	for {
+		c, err := b.listener.Accept()
+		if err != nil {
+			return
+		}
+		go b.serveConn(c)
+	}
+}
+
+func (b *backend) serveConn(c net.Conn) {
+	defer c.Close()
+	in := resp.NewReader(c)
+	for {
+		raw, err := in.ReadCommand()
+		if err != nil {
+			return
+		}
+		args := make([]string, len(raw))
+		for i, a := range raw {
+			args[i] = string(a)
+		}
+		if args[0] == "SELECT" {
+			_, _ = io.WriteString(c, "+OK\r\n")
+			continue
+		}
+		b.serve(args, c)
+	}
+}
+
+// writeValue answers a command with a value.
+func writeValue(out io.Writer, value string) {
+	w := bufio.NewWriter(out)
+	fmt.Fprintf(w, "*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(value), value)
+	_ = w.Flush()
+}
+
+// runCounter counts how often each request has come to a backend.
+type runCounter struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// add counts a run of a request and returns how many there were.
+func (r *runCounter) add(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.runs == nil {
+		r.runs = map[string]int{}
+	}
+	r.runs[id]++
+	return r.runs[id]
+}
+
+// most returns how often a request has come.
+func (r *runCounter) of(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs[id]
+}
