Clients: those that write a command for long give way to connections that wait

Callers saw: with some hundred clients in the middle of a command, requests on new connections were answered after their time or not at all; servers were told more time than was left.

Cause: accept waits for a slot without a limit, and a client in the middle of a command could not be evicted. A command's time began when it was read.

Change: while accept waits for a slot, or a whole command has no place, a client that has stalled or has been sending its command for 1 s is evicted. What had arrived when a reader starts counts from the age that TCP_INFO tells.

--- a/internal/dataplane/gateway/accept.go
+++ b/internal/dataplane/gateway/accept.go
@@ -41,6 +41,7 @@
 	conns     map[*client]bool
 
 	accepting     bool          // accept has been started
+	slotWanted    atomic.Bool   // accept waits for a slot
 	resumeAccept  chan struct{} // a value resumes accept after a pause; closing it ends accept
 	drainBacklog  atomic.Bool   // accept ends once no connection has arrived for backlogQuietTime
 	incomingBytes atomic.Int64  // size of the commands read but not yet handled by the event loop
@@ -69,7 +70,7 @@
 		return
 	}
 	for {
-		cs.slots <- struct{}{}
+		cs.takeSlot(g)
 		// Passing the socket to another process makes it blocking for all processes that share it,
 		// and a blocking accept can't be interrupted.
 		_ = raw.Control(func(fd uintptr) { _ = syscall.SetNonblock(int(fd), true) })
@@ -95,6 +96,28 @@
 	}
 }
 
+// takeSlot waits for a free slot. If there is none, connections that delay others are evicted.
+func (cs *clients) takeSlot(g *Gateway) {
+	select {
+	case cs.slots <- struct{}{}:
+		return
+	default:
+	}
+	cs.slotWanted.Store(true)
+	g.post(slotWanted{})
+	cs.slots <- struct{}{}
+	cs.slotWanted.Store(false)
+}
+
+// slotWanted reports that a new connection may be waiting for a slot.
+type slotWanted struct{}
+
+func (slotWanted) handle(g *Gateway) {
+	if g.clients.slotWanted.Load() {
+		g.clients.evict(g, nil)
+	}
+}
+
 // pauseOrEnd is called when the listener's deadline has passed, either to pause accepting or
 // because the backlog is drained. It reports whether accepting continues.
 func (cs *clients) pauseOrEnd(g *Gateway, raw syscall.RawConn) bool {
@@ -219,7 +242,8 @@
 // without a command come first, then those with one, then those with more. requesting is the client
 // whose command needs the slot; for it, connections without a command are closed sooner and the
 // others without a minimum idle time. It is nil for a new connection that has not sent a command.
-// While a successor may take them over, no connection is closed.
+// While a successor may take them over, no connection is closed. For a whole command, or
+// while accept waits for a slot, clients that have been sending a command for long give way, too.
 func (cs *clients) evict(g *Gateway, requesting *client) bool {
 	now := g.now()
 	if g.lifecycle.HoldsCommands(now) {
@@ -230,10 +254,14 @@
 	if requesting != nil {
 		minIdle = [...]policy.Time{newConnectionAge / 5, 0, 0}
 	}
+	pressed := requesting != nil || cs.slotWanted.Load()
 	var candidate *client
 	for c := range cs.conns {
-		inUse := c == requesting || c.closeWhenIdle || c.inUse() || c.sendingCommand(now)
-		if inUse || now-c.lastActivity() < minIdle[c.activityRank()] {
+		if c == requesting || c.closeWhenIdle || c.inUse() {
+			continue
+		}
+		idle := now-c.lastActivity() >= minIdle[c.activityRank()] && !c.sendingCommand(now)
+		if !idle && !(pressed && c.delaysOthers(now)) {
 			continue
 		}
 		if candidate == nil || c.evictedBefore(candidate) {
@@ -259,6 +287,7 @@
 func (cs *clients) closeIdle(g *Gateway) {
 	for len(cs.conns) > cs.maxServed && cs.evict(g, nil) {
 	}
+	slotWanted{}.handle(g)
 	now := g.now()
 	// By activity rank. A connection that has sent only a single command does not belong to a
 	// connection pool.
--- a/internal/dataplane/gateway/arrival_log.go
+++ b/internal/dataplane/gateway/arrival_log.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "mothcleat/internal/dataplane/policy"
+import (
+	"time"
+
+	"mothcleat/internal/dataplane/policy"
+)
 
 // arrivalLog records when the data arrived that a client's reader has left in the socket while it
 // paused. A command's time runs from its arrival, not from when it is read. Only the reader uses
@@ -34,6 +38,14 @@
 	l.checkedAt = now
 }
 
+// begin records the data that had come when the reader started: unread bytes, the latest of them
+// for the given time.
+func (l *arrivalLog) begin(unread int, age time.Duration, now policy.Time) {
+	if unread > 0 {
+		l.marks = append(l.marks, arrivalMark{int64(unread), now - age.Microseconds()})
+	}
+}
+
 // arrivedBy returns the earliest time at which the data read so far, without the last buffered
 // bytes, can have arrived: now, unless it came in a pause.
 func (l *arrivalLog) arrivedBy(buffered int, now policy.Time) policy.Time {
--- a/internal/dataplane/gateway/client.go
+++ b/internal/dataplane/gateway/client.go
@@ -23,6 +23,10 @@
 	// A client that has sent nothing for this time in the middle of a command counts as stalled.
 	stalledCommandTimeout policy.Time = 800_000
 
+	// While new connections wait for a slot, a connection may be evicted whose client has been
+	// sending a command for this time.
+	slowCommandTimeout policy.Time = 1_000_000
+
 	// A client counts as connected for this time after its connection was last checked.
 	hangUpCheckMaxAge policy.Time = 20_000
 )
@@ -59,6 +63,7 @@
 	lastSeenOpen policy.Time             // when the client was last known to be connected
 	lastByte     atomic.Int64            // when the reader last received data
 	midCommand   atomic.Bool             // the reader is in the middle of a command
+	commandSince atomic.Int64            // when the reader began to read its current command
 	reading      readControl
 }
 
@@ -84,6 +89,15 @@
 	return c.midCommand.Load() && now-c.lastByte.Load() < stalledCommandTimeout
 }
 
+// delaysOthers reports whether a client that is in the middle of a command has stalled, or has been
+// sending it for so long that a connection which waits for a slot goes first.
+func (c *client) delaysOthers(now policy.Time) bool {
+	if !c.midCommand.Load() {
+		return false
+	}
+	return !c.sendingCommand(now) || now-c.commandSince.Load() >= slowCommandTimeout
+}
+
 // awaitingAnswer reports whether the client waits for an answer, including one to a command that
 // was read but not handled yet.
 func (c *client) awaitingAnswer() bool { return len(c.pipeline) > 0 || len(c.pipelineSlots) > 0 }
--- a/internal/dataplane/gateway/client_backpressure.go
+++ b/internal/dataplane/gateway/client_backpressure.go
@@ -11,7 +11,8 @@
 	minOwedBytes = resp.MaxValue
 	maxOwedBytes = 4 * resp.MaxValue
 
-	// clientReadTimeout ends the connection of a client that reads nothing while answers are queued.
+	// clientReadTimeout ends the connection of a client that reads nothing while answers are
+	// queued.
 	clientReadTimeout = 15 * time.Second
 )
 
--- a/internal/dataplane/gateway/client_reader.go
+++ b/internal/dataplane/gateway/client_reader.go
@@ -35,6 +35,8 @@
 // waitForSlot), so it detects a close while requests are open. It disconnects a client that sends
 // no first command or does not finish a command in time.
 func (c *client) readCommands(g *Gateway) {
+	unread := len(c.reading.unread) + c.out.unreadBytes()
+	c.arrivals.begin(unread, c.out.sinceLastData(), g.clock.now())
 	in := resp.NewReader(&activityReader{c.commandSource(), c, g.clock})
 	validCommandRead := c.commands > 0 // the connection came from the predecessor
 	if !validCommandRead {
@@ -89,6 +91,7 @@
 	if err != nil {
 		return readDisconnected
 	}
+	c.commandSince.Store(g.clock.now())
 	c.midCommand.Store(true)
 	e.readFrom(g, in)
 	c.midCommand.Store(false)
--- a/internal/dataplane/gateway/sender.go
+++ b/internal/dataplane/gateway/sender.go
@@ -358,6 +358,22 @@
 	return unread
 }
 
+// sinceLastData returns how long ago the system has received the connection's latest data, or 0 if
+// that is not known.
+func (s *sender) sinceLastData() time.Duration {
+	if s.raw == nil {
+		return 0
+	}
+	age := time.Duration(0)
+	_ = s.raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			age = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	return age
+}
+
 // delivered reports whether the peer's system has received everything sent. Closing the connection
 // earlier could reset it, and lose what the system still holds.
 func (s *sender) delivered() bool {
