Requests unsafe to repeat do not run again when sent again after a close

Callers saw: a client that closed its connection while an unsafe request ran, and sent the same id again, had it run twice.

Cause: an id was refused only while its request was open. abandonRequest released it although the attempt went on. The new process of an upgrade knew none of the old one's ids.

A process that hands over tells its successor those ids and the ones of its open requests; earlier builds ignore the field.

--- a/internal/dataplane/gateway/client.go
+++ b/internal/dataplane/gateway/client.go
@@ -159,8 +159,9 @@
 		r.customer = e.command.request.Customer
 		r.units = e.command.request.Units
 	}
-	if e.reply == nil && g.requests.byClientID[r.clientID] != nil {
-		// Backends could not distinguish two open requests with the same id.
+	if e.reply == nil && g.idTaken(r.clientID) {
+		// Backends could not distinguish two open requests with the same id, and one that is not
+		// idempotent must not run twice.
 		e.reply = errorReply(errDuplicateID)
 		e.invalid = true
 	}
@@ -175,7 +176,7 @@
 	g.submit(r, e.command.request, e.arrived)
 }
 
-var errDuplicateID = errors.New("id: that request is open")
+var errDuplicateID = errors.New("id: that request is open or may have been executed")
 
 // countCommand counts a valid or invalid command. After too many invalid commands in a row, or if
 // the framing is lost, further input is ignored and the connection closes after its answers.
--- a/internal/dataplane/gateway/client_close.go
+++ b/internal/dataplane/gateway/client_close.go
@@ -108,6 +108,9 @@
 func (c *client) abandonRequest(g *Gateway, r *request, now policy.Time) {
 	g.requests.heldBytes -= len(r.reply)
 	c.heldReplyBytes.Add(-int64(len(r.reply)))
+	if r.sent && !g.repeatable(r) {
+		g.requests.executed.add(r.clientID, now)
+	}
 	if r.streamed != nil {
 		r.streamed.abandon(g)
 		r.streamed = nil
--- a/internal/dataplane/gateway/handover.go
+++ b/internal/dataplane/gateway/handover.go
@@ -76,7 +76,7 @@
 	received, err := g.handover.predecessor.TakeState()
 	e := predecessorState{received: received, err: err}
 	if err == nil {
-		e.state, e.err = snapshot.Decode(received.Snapshot)
+		e.state, e.err = snapshot.DecodeHandover(received.Snapshot)
 	}
 	g.postUrgent(e)
 }
@@ -84,7 +84,7 @@
 // predecessorState is the state received from the predecessor, or the error that prevented it.
 type predecessorState struct {
 	received hotrestart.State
-	state    policy.Snapshot
+	state    snapshot.HandoverState
 	err      error
 }
 
@@ -112,9 +112,12 @@
 	if ahead := e.state.At - g.now(); ahead > 0 && ahead < maxClockSkew {
 		e.state.At = g.now()
 	}
-	if err := g.balancer.Restore(g.now(), maxHandoverStateAge, &e.state); err != nil {
+	if err := g.balancer.Restore(g.now(), maxHandoverStateAge, &e.state.Snapshot); err != nil {
 		return err
 	}
+	for _, id := range e.state.ExecutedIDs {
+		g.requests.executed.add(id, g.now())
+	}
 	return g.handover.predecessor.Confirm()
 }
 
@@ -231,7 +234,10 @@
 		_ = state.PeerSocket.SetReadDeadline(expiredDeadline)
 	}
 	var err error
-	state.Snapshot, err = snapshot.Encode(g.balancer.TakeSnapshot(g.now(), true))
+	state.Snapshot, err = snapshot.EncodeHandover(snapshot.HandoverState{
+		Snapshot:    g.balancer.TakeSnapshot(g.now(), true),
+		ExecutedIDs: g.idsForSuccessor(),
+	})
 	if err != nil {
 		e.successor.Close()
 		handoverDone{err}.handle(g)
--- a/internal/dataplane/gateway/request.go
+++ b/internal/dataplane/gateway/request.go
@@ -56,13 +56,18 @@
 type requestTable struct {
 	byID       map[uint64]*request
 	byClientID map[uint64]*request // requests without a final answer, by the client's id
+	executed   executedIDs
 	lastID     uint64
 	open       int // commands without a final answer, including those that never reach the balancer
 	heldBytes  int // size of the requests in the table and of the unwritten answers
 }
 
 func newRequestTable() requestTable {
-	return requestTable{byID: map[uint64]*request{}, byClientID: map[uint64]*request{}}
+	return requestTable{
+		byID:       map[uint64]*request{},
+		byClientID: map[uint64]*request{},
+		executed:   newExecutedIDs(),
+	}
 }
 
 // add assigns a request its id and adds it to the table.
--- a/internal/dataplane/snapshot/text.go
+++ b/internal/dataplane/snapshot/text.go
@@ -28,14 +28,41 @@
 	ErrChecksum = errors.New("checksum differs: damaged")
 )
 
+// HandoverState is what a process tells its successor. Earlier builds neither send nor read
+// ExecutedIDs.
+type HandoverState struct {
+	policy.Snapshot
+
+	// ExecutedIDs are the ids of requests that the successor must not execute.
+	ExecutedIDs []uint64 `json:"ExecutedIDs,omitempty"`
+}
+
+// EncodeHandover returns the state as a text, in the format of Encode.
+func EncodeHandover(s HandoverState) ([]byte, error) { return encode(s) }
+
+// DecodeHandover parses a text that EncodeHandover or Encode returned. Its errors are those of
+// Decode.
+func DecodeHandover(raw []byte) (s HandoverState, err error) {
+	text, err := verify(raw)
+	if err != nil {
+		return s, err
+	}
+	if err := json.Unmarshal(text, &s); err != nil {
+		return HandoverState{}, err
+	}
+	return s, nil
+}
+
 // Encode returns a snapshot as a text for a successor. The text is the line
 //
 //	mothcleat-state 1 LENGTH CHECKSUM
 //
 // followed by a policy.Snapshot as JSON. LENGTH is the length of the JSON in bytes, and CHECKSUM
 // its CRC-32C as eight hex digits.
-func Encode(s policy.Snapshot) ([]byte, error) {
-	text, err := json.Marshal(s)
+func Encode(s policy.Snapshot) ([]byte, error) { return encode(s) }
+
+func encode(state any) ([]byte, error) {
+	text, err := json.Marshal(state)
 	if err != nil {
 		return nil, err
 	}
@@ -46,32 +73,35 @@
 
 // Decode parses a text that Encode returned. For other texts it returns an error that wraps
 // ErrForeign, ErrFormat, ErrHead, ErrLength or ErrChecksum, or an error of the JSON decoder.
-func Decode(raw []byte) (s policy.Snapshot, err error) {
+func Decode(raw []byte) (policy.Snapshot, error) {
+	s, err := DecodeHandover(raw)
+	return s.Snapshot, err
+}
+
+// verify returns the JSON of a text after its line, length and checksum were checked.
+func verify(raw []byte) (text []byte, err error) {
 	line, text, ok := bytes.Cut(raw[:min(len(raw), maxStateBytes)], []byte("\n"))
 	if !ok || !bytes.HasPrefix(line, []byte(magic+" ")) {
-		return s, ErrForeign
+		return nil, ErrForeign
 	}
 	var format, length int
 	var sum uint32
 	n, err := fmt.Sscanf(string(line), magic+" %d %d %08x", &format, &length, &sum)
 	if n < 1 || format != formatVersion {
-		return s, fmt.Errorf("%w: format %d, must be %d", ErrFormat, format, formatVersion)
+		return nil, fmt.Errorf("%w: format %d, must be %d", ErrFormat, format, formatVersion)
 	}
 	if err != nil {
-		return s, ErrHead
+		return nil, ErrHead
 	}
 	switch {
 	case len(text) < length:
-		return s, fmt.Errorf("%w: truncated after %d of %d bytes", ErrLength, len(text), length)
+		return nil, fmt.Errorf("%w: truncated after %d of %d bytes", ErrLength, len(text), length)
 	case len(text) > length:
-		return s, fmt.Errorf("%w: %d bytes too many", ErrLength, len(text)-length)
+		return nil, fmt.Errorf("%w: %d bytes too many", ErrLength, len(text)-length)
 	case crc32.Checksum(text, castagnoli) != sum:
-		return s, ErrChecksum
+		return nil, ErrChecksum
 	}
-	if err := json.Unmarshal(text, &s); err != nil {
-		return policy.Snapshot{}, err
-	}
-	return s, nil
+	return text, nil
 }
 
 // loadLegacyFile reads the single file that versions before the store wrote, in Encode's format.
--- a/internal/testing/clientlab/cases.go
+++ b/internal/testing/clientlab/cases.go
@@ -238,7 +238,9 @@
 		tries := 0
 		var answers []string
 		for ctx.Err() == nil {
-			r := request{id: w.ids.next(), customer: 1000 + tries, class: orderClass, wait: 2 * work}
+			r := request{
+				id: w.ids.next(), customer: 1000 + tries, class: orderClass, wait: 2 * work,
+			}
 			if c, err := w.dial(); err == nil {
 				_, _ = c.Write(encode(r.args()))
 				time.Sleep(work / 10)
@@ -288,7 +290,10 @@
 			}
 			var all []byte
 			for range commands {
-				r := request{id: w.ids.next(), customer: 0xf0000 + tries, class: lookupClass, wait: soundWait}
+				r := request{
+					id: w.ids.next(), customer: 0xf0000 + tries, class: lookupClass,
+					wait: soundWait,
+				}
 				all = append(all, encode(r.args())...)
 			}
 			_ = c.SetDeadline(time.Now().Add(time.Second))
@@ -348,7 +353,8 @@
 						continue
 					}
 					r := request{
-						id: w.ids.next(), customer: 1000 + i, class: alertClass, wait: wait, body: body,
+						id: w.ids.next(), customer: 1000 + i, class: alertClass,
+						wait: wait, body: body,
 					}
 					began := time.Now()
 					answer, err := c.do(r.args(), wait+lateAnswer)
--- a/internal/testing/clientlab/client.go
+++ b/internal/testing/clientlab/client.go
@@ -53,7 +53,8 @@
 // args returns the words of the request's command.
 func (r *request) args() []string {
 	name := "API.WRITE"
-	fields := fmt.Sprintf("c=%s,t=team,d=%d,units=1,spread=1,first=0", r.class, r.wait.Milliseconds())
+	fields := fmt.Sprintf("c=%s,t=team,d=%d,units=1,spread=1,first=0",
+		r.class, r.wait.Milliseconds())
 	switch r.class {
 	case lookupClass:
 		name = "API.READ"
@@ -145,8 +146,8 @@
 	}
 }
 
-// soundClients sends lookups at a steady rate until end is closed, and waits for their answers. Half
-// of the clients keep their connections, the others open one for each request.
+// soundClients sends lookups at a steady rate until end is closed, and waits for their answers.
+// Half of the clients keep their connections, the others open one for each request.
 func (w *world) soundClients(end <-chan struct{}, wait time.Duration) *outcomes {
 	const (
 		clients = 20
