Backends: an answer that comes slowly is not cut off while its client waits

Callers saw: an alerta of 3.9 s whose answer is written over 2.2 s was never served.

Cause: replyTimeout, meant against wrong lengths, limited the whole answer to 1 s after its first byte; and attemptTimeout gave up an attempt for another one although its answer was coming.

Change: replyTimeout limits the silence between two bytes. An attempt whose answer has begun lasts until the deadline of its request. The lab has servers that read slowly (slow-server).

--- a/internal/dataplane/gateway/backend_pool.go
+++ b/internal/dataplane/gateway/backend_pool.go
@@ -62,13 +62,17 @@
 	bytesConsumed int64 // bytes of bytesRead that belong to answers already handled
 
 	reader     *resp.Reader
+	inReply    bool           // the reader reads an answer whose first byte has come
 	streamed   *streamedValue // being copied from the connection; nil: none
 	copyResult chan error     // result of copying a streamed value
 }
 
-// Read reads from the connection and counts the bytes in bytesRead. Only the connection's reader
-// calls it.
+// Read reads from the connection and counts the bytes in bytesRead. In the middle of an answer it
+// waits no longer than replyTimeout. Only the connection's reader calls it.
 func (c *backendConn) Read(b []byte) (int, error) {
+	if c.inReply {
+		_ = c.conn.SetReadDeadline(time.Now().Add(replyTimeout))
+	}
 	n, err := c.conn.Read(b)
 	c.bytesRead.Add(int64(n))
 	return n, err
@@ -396,9 +400,20 @@
 		g.backends.cancelWaiting(g, a)
 		return
 	}
+	if a.answerBegun() && a.deadline < a.request.deadline {
+		a.deadline = a.request.deadline
+		a.timeout = g.schedule(a.deadline, attemptTimeout{a})
+		return
+	}
 	g.backends.abort(g, a, policy.TimedOut)
 }
 
+// answerBegun reports whether a part of the answer to a request has come. Another attempt would
+// hardly be answered sooner.
+func (a *attempt) answerBegun() bool {
+	return a.request != nil && a.conn.bytesRead.Load() > a.conn.bytesConsumed
+}
+
 // withdraw ends an attempt whose request no longer needs an answer, unless the attempt is
 // completely written. An attempt that waits for a connection is not sent, and a partly written one
 // is aborted before its last byte. A completely written one continues until it is answered or times
--- a/internal/dataplane/gateway/backend_reply.go
+++ b/internal/dataplane/gateway/backend_reply.go
@@ -13,8 +13,9 @@
 	"mothcleat/internal/dataplane/resp"
 )
 
-// replyTimeout is the limit from the first byte of an answer to its end. It ends the wait for an
-// answer whose corrupt length announces more data than the backend sends.
+// replyTimeout is how long no byte may come in the middle of an answer. It ends the wait for an
+// answer whose corrupt length announces more data than the backend sends. For an answer that comes
+// slowly, the attempt's deadline is the limit.
 const replyTimeout = time.Second
 
 // readReplies posts a backend's answers until the connection ends or its framing is lost. It runs
@@ -27,8 +28,9 @@
 		var long resp.LongValue
 		e.err = in.Await()
 		if e.err == nil {
-			_ = c.conn.SetReadDeadline(time.Now().Add(replyTimeout))
+			c.inReply = true
 			e.reply, long, e.err = in.ReadReplyHead()
+			c.inReply = false
 			_ = c.conn.SetReadDeadline(time.Time{})
 			if e.err == nil && long.Size > 0 {
 				if !c.receiveStreamed(g, long) {
--- a/internal/dataplane/gateway/executed_ids.go
+++ b/internal/dataplane/gateway/executed_ids.go
@@ -45,11 +45,12 @@
 
 // idTaken reports whether a request with the client's id is open or may have been executed.
 func (g *Gateway) idTaken(clientID uint64) bool {
-	return g.requests.byClientID[clientID] != nil || g.requests.executed.contains(clientID, g.now())
+	open := g.requests.byClientID[clientID] != nil
+	return open || g.requests.executed.contains(clientID, g.now())
 }
 
-// idsForSuccessor returns the ids that a successor must not execute once more: those remembered, and
-// those of the open requests that are not idempotent.
+// idsForSuccessor returns the ids that a successor must not execute once more: those remembered,
+// and those of the open requests that are not idempotent.
 func (g *Gateway) idsForSuccessor() []uint64 {
 	g.requests.executed.expire(g.now())
 	ids := append([]uint64(nil), g.requests.executed.order...)
--- a/internal/testing/clientlab/client.go
+++ b/internal/testing/clientlab/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -47,14 +48,16 @@
 	customer int
 	class    string
 	wait     time.Duration
+	plan     string // "": the large one
 	body     string // "": none
 }
 
 // args returns the words of the request's command.
 func (r *request) args() []string {
 	name := "API.WRITE"
-	fields := fmt.Sprintf("c=%s,t=team,d=%d,units=1,spread=1,first=0",
-		r.class, r.wait.Milliseconds())
+	plan := cmp.Or(r.plan, "team")
+	fields := fmt.Sprintf("c=%s,t=%s,d=%d,units=1,spread=1,first=0",
+		r.class, plan, r.wait.Milliseconds())
 	switch r.class {
 	case lookupClass:
 		name = "API.READ"
--- a/internal/testing/clientlab/world.go
+++ b/internal/testing/clientlab/world.go
@@ -59,15 +59,15 @@
 	remove   func()
 }
 
-// newWorld starts the stand-ins and the gateway. serve says how the backends answer.
-func newWorld(ctx context.Context, serve serveFunc) (*world, error) {
+// newWorld starts the stand-ins and the gateway. The backends answer as the disturbance says.
+func newWorld(ctx context.Context, d disturbance) (*world, error) {
 	bin, remove, err := lab.BuildInTempDir(ctx)
 	if err != nil {
 		return nil, err
 	}
 	w := &world{remove: remove, dir: filepath.Dir(bin)}
 	for i := range backendCount {
-		b, err := newBackend(i, serve)
+		b, err := newBackend(i, d.serve, d.slowBackends)
 		if err != nil {
 			return nil, errors.Join(err, w.close())
 		}
@@ -231,7 +231,8 @@
 	return l.Addr().String(), l.Close()
 }
 
-// settings returns the platform's settings: three classes and a plan that no run exhausts.
+// settings returns the platform's settings: three classes, a plan that no run exhausts, and a
+// small one.
 func settings() map[string]any {
 	site := harness.Site{
 		Gateways: 1, MaxAttempts: 3, SlowStartMinFraction: 1, SlowStartDuration: time.Second,
@@ -247,7 +248,10 @@
 				Unsafe: true,
 			},
 		},
-		Plans: []harness.Plan{{Name: "team", Rate: 1e5, Burst: 1e5, Price: 1}},
+		Plans: []harness.Plan{
+			{Name: "team", Rate: 1e5, Burst: 1e5, Price: 1},
+			{Name: "small", Rate: 1, Burst: 10, Price: 1},
+		},
 	}
 	return site.Settings(0)
 }
