Quotas: the number of customers that the balancer knows is limited

Callers saw: while one client sent requests under ever new names, memory grew without end.

Cause: customerTable keeps a record until the customer's bucket is full; nothing limited the number.

Change: Balancer.LimitCustomers; the gateway allows an eighth of its memory. At the limit the quarter goes whose buckets lack the fewest units, with what waits to be announced of them. Unlimited by default, so the emulator and the simulator's adapter decide as before.

TestFloodOfNewCustomersIsBounded would not compile before; without the call of dropLeastConsumed it fails at the 201st name by construction. policy, sim and layering pass under race.

--- a/internal/dataplane/gateway/gateway.go
+++ b/internal/dataplane/gateway/gateway.go
@@ -60,6 +60,12 @@
 // backend connections.
 const reservedDescriptors = 48
 
+// The balancer's records of customers take a fraction of the memory limit.
+const (
+	customerMemoryFraction = 8
+	customerBytes          = 1 << 10 // of a record, with what refers to it
+)
+
 // Run serves until a shutdown is requested and every accepted request has been answered. It returns
 // an error if the configuration is not usable or a socket can't be opened.
 func Run(cfg Config, log *slog.Logger, control Control) error {
@@ -147,6 +153,7 @@
 	if g.balancer, err = policy.New(g.cfg.Settings, g.cfg.Seed, actions{g}); err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
+	g.balancer.LimitCustomers(g.cfg.MemoryMB << 20 / customerMemoryFraction / customerBytes)
 	g.useAllocations()
 	if g.cfg.PlanTerms != nil {
 		g.cfg.PlanTerms.attach(g.postUrgent)
--- a/internal/dataplane/policy/customer.go
+++ b/internal/dataplane/policy/customer.go
@@ -1,6 +1,10 @@
 package policy
 
-import "math"
+import (
+	"cmp"
+	"math"
+	"slices"
+)
 
 const (
 	// demandWindowFraction is the demand window as a fraction of the time that fills an empty
@@ -46,13 +50,22 @@
 	customers     map[uint64]*customer
 	customerOrder []*customer // oldest first
 	lastSweep     Time
+	maxCustomers  int // 0: no limit
 }
 
+// LimitCustomers limits how many customers the balancer keeps records of; 0: there is no limit.
+// Beyond the limit it forgets those that have consumed least: each of them may consume that once
+// more.
+func (lb *Balancer) LimitCustomers(n int) { lb.maxCustomers = n }
+
 // findOrAddCustomer returns a customer's record, refilled up to now.
 func (lb *Balancer) findOrAddCustomer(id uint64, plan, first, spread int) *customer {
 	c := lb.customers[id]
 	if c == nil {
 		c = lb.newCustomer(id, plan, first, spread)
+		if lb.maxCustomers > 0 && len(lb.customers) >= lb.maxCustomers {
+			lb.dropLeastConsumed()
+		}
 		p := &lb.settings.Plans[plan]
 		lb.idleRefill[plan] = math.Max(0, lb.idleRefill[plan]-p.Rate/float64(c.spread))
 		lb.customerTable.add(c)
@@ -157,8 +170,7 @@
 			kept = append(kept, c)
 			continue
 		}
-		lb.idleRefill[c.plan] += lb.settings.Plans[c.plan].Rate / float64(c.spread)
-		delete(lb.customers, c.id)
+		lb.forget(c)
 	}
 	clear(lb.customerOrder[len(kept):])
 	lb.customerOrder = kept
@@ -166,15 +178,59 @@
 	lb.sharedBucket.rate = sumOf(lb.idleRefill)
 }
 
+// droppedFraction is the fraction of the records that are dropped at once at the limit.
+const droppedFraction = 0.25
+
+// dropLeastConsumed drops the records whose buckets lack the fewest units, so that a flood of new
+// customers takes the place of neither the memory nor those that are about to exceed their quotas.
+func (lb *Balancer) dropLeastConsumed() {
+	var candidates []*customer
+	for _, c := range lb.customerOrder {
+		if c.replaceable() {
+			lb.refill(c)
+			candidates = append(candidates, c)
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b *customer) int {
+		return cmp.Compare(a.consumedUnits(), b.consumedUnits())
+	})
+	most := max(1, int(droppedFraction*float64(lb.maxCustomers)))
+	for _, c := range candidates[:min(most, len(candidates))] {
+		lb.forget(c)
+	}
+	forgotten := func(c *customer) bool { return lb.customers[c.id] != c }
+	lb.customerOrder = slices.DeleteFunc(lb.customerOrder, forgotten)
+	lb.pendingGossip = slices.DeleteFunc(lb.pendingGossip, forgotten)
+	lb.sharedBucket.rate = sumOf(lb.idleRefill)
+}
+
+// forget removes a customer's record from the table, but not from customerOrder.
+func (lb *Balancer) forget(c *customer) {
+	lb.idleRefill[c.plan] += lb.settings.Plans[c.plan].Rate / float64(c.spread)
+	delete(lb.customers, c.id)
+}
+
+// consumedUnits returns how many units the customer's buckets lack.
+func (c *customer) consumedUnits() float64 {
+	ceiling := c.ceilingBucket.capacity - c.ceilingBucket.level
+	return math.Max(c.bucket.capacity-c.bucket.level, ceiling)
+}
+
+// replaceable reports whether a customer's record may be dropped: no attempt, call or grant refers
+// to it.
+func (c *customer) replaceable() bool {
+	return c.inFlight == 0 &&
+		len(c.counterCalls) == 0 &&
+		c.grantFraction == 1 &&
+		c.announcedGrant == 1
+}
+
 // idle reports whether a customer's record can be dropped without loss of information.
 func (c *customer) idle(now Time) bool {
 	return c.localDemand.get(now, c.demandWindow) < negligibleUnits &&
 		c.peerUsage.get(now, c.demandWindow) < negligibleUnits &&
-		c.inFlight == 0 &&
+		c.replaceable() &&
 		c.pendingAnnouncements == 0 &&
-		len(c.counterCalls) == 0 &&
-		c.grantFraction == 1 &&
-		c.announcedGrant == 1 &&
 		c.bucket.level >= c.bucket.capacity &&
 		c.ceilingBucket.level >= c.ceilingBucket.capacity
 }
--- a/internal/dataplane/policy/customer_test.go
+++ b/internal/dataplane/policy/customer_test.go
@@ -44,3 +44,32 @@
 		}
 	}
 }
+
+// A flood of requests under ever new names takes no more memory than the limit allows, and does not
+// make the gateway forget a customer that has used up its quota.
+func TestFloodOfNewCustomersIsBounded(t *testing.T) {
+	const limit = 200
+	for _, peers := range []bool{false, true} {
+		set := testSettings()
+		set.Peers = peers
+		r := newTestBalancer(t, set)
+		r.LimitCustomers(limit)
+		const heavy = 1
+		for r.serve(0, 0, heavy, 1) {
+		}
+		for name := range uint64(50 * limit) {
+			r.serve(0, 0, 100+name, 1)
+			r.recorded = nil
+			if name%100 == 0 {
+				r.time += second / 1000
+				r.Timer(r.time, 0)
+			}
+			if n := max(len(r.customers), len(r.customerOrder), len(r.pendingGossip)); n > limit {
+				t.Fatalf("peers %t: %d records after %d names, the limit is %d", peers, n, name, limit)
+			}
+		}
+		if r.customers[heavy] == nil || r.serve(0, 0, heavy, 1) {
+			t.Errorf("peers %t: the customer that has used up its quota was forgotten", peers)
+		}
+	}
+}
