Retries: an attempt keeps the zone and cell that its backend had

Callers could see: a request with an idempotency key run twice, where its backend's name came back in another cell while the first attempt was out.

Cause: sameScope compared with the record of the first attempt's backend, which an update of the list had overwritten.

Change: attempt holds the zone and cell at the time of its send.

--- a/internal/dataplane/policy/attempt.go
+++ b/internal/dataplane/policy/attempt.go
@@ -5,6 +5,8 @@
 // attempt is one send of a request to a backend.
 type attempt struct {
 	backend         *backend
+	zone            int // of the backend when the attempt was sent
+	cell            int
 	sentAt          Time
 	pending         bool
 	overdue         bool // pending past the latency objective
@@ -64,7 +66,9 @@
 
 // sendAttempt sends a request to a backend.
 func (lb *Balancer) sendAttempt(r *request, b *backend) {
-	a := &attempt{backend: b, sentAt: lb.now, pending: true, mayHaveRun: true}
+	a := &attempt{
+		backend: b, zone: b.Zone, cell: b.Cell, sentAt: lb.now, pending: true, mayHaveRun: true,
+	}
 	r.attempts = append(r.attempts, a)
 	lb.withinObjective[r.Class] = append(lb.withinObjective[r.Class], a)
 	if b.inFlight == 0 {
--- a/internal/dataplane/policy/picker.go
+++ b/internal/dataplane/policy/picker.go
@@ -56,7 +56,7 @@
 	if b.awaitsTrial(lb.now) || lb.now < b.backoffUntil {
 		return false
 	}
-	if within != nil && !lb.settings.Classes[r.Class].sameScope(within.backend, b) {
+	if within != nil && !lb.settings.Classes[r.Class].sameScope(within, b) {
 		return false
 	}
 	return panicMode || !lb.ejected(b) && !r.tried(b)
--- a/internal/dataplane/policy/retry.go
+++ b/internal/dataplane/policy/retry.go
@@ -116,14 +116,15 @@
 	return d
 }
 
-// sameScope reports whether two backends are in one deduplication scope: they drop each other's
-// repetitions.
-func (c *Class) sameScope(a, b *backend) bool {
+// sameScope reports whether a backend drops repetitions of an attempt that was made at another one:
+// both are in one deduplication scope. The other one's zone and cell are those at the time of the
+// attempt: its name may have passed to another process since.
+func (c *Class) sameScope(a *attempt, b *backend) bool {
 	switch c.DeduplicationScope {
 	case ScopeZone:
-		return a.Zone == b.Zone
+		return a.zone == b.Zone
 	case ScopeCell:
-		return a.Cell == b.Cell
+		return a.cell == b.Cell
 	}
 	return true
 }
--- a/internal/dataplane/policy/retry_test.go
+++ b/internal/dataplane/policy/retry_test.go
@@ -90,3 +90,28 @@
 		}
 	}
 }
+
+// A request with an idempotency key stays in the cell of its first attempt when the backend's name
+// has passed to a process in another cell meanwhile: that cell does not know the first attempt.
+func TestRetryStaysInCellOfFormerProcess(t *testing.T) {
+	r := newTestBalancer(t, testSettings())
+	const keyedInCell = 2
+	id, sent := r.request(keyedInCell, 0, 1, 1)
+	if !sent {
+		t.Fatal("the request was not sent")
+	}
+	first := r.requests[id].attempts[0]
+	cell := first.cell
+	moved := first.backend.Endpoint
+	moved.Cell = 1 - cell
+	moved.StartedAt = r.time
+	r.UpdateEndpoints(r.time, Delta, []Endpoint{moved})
+	r.endAttempt(id, Reset, false)
+	q := r.requests[id]
+	if q == nil || len(q.attempts) != 2 {
+		t.Fatalf("no retry: %v", r.recorded)
+	}
+	if q.attempts[1].cell != cell {
+		t.Errorf("the retry was sent to cell %d, the first attempt to %d", q.attempts[1].cell, cell)
+	}
+}
