Backends: a new one at the address of another ends the use of that one

Callers saw: a new process came up at the address of one that had gone, and work for the old one went to it until discovery told that the old one had gone.

Cause: the pool held both names at one address and connected to whoever listens there.

Change: backendPool.supersede, for a change that gives a backend the address of another. A complete list is used as it stands, and backends that exchange their addresses both stay.

TestNewBackendAtFormerAddress failed on the code before.

--- a/internal/dataplane/gateway/endpoints.go
+++ b/internal/dataplane/gateway/endpoints.go
@@ -80,6 +80,9 @@
 		}
 	}
 	for i := range list {
+		if kind == policy.Delta {
+			update = append(update, p.supersede(g, &list[i])...)
+		}
 		update = append(update, p.updateEndpoint(g, &list[i]))
 	}
 	g.balancer.UpdateEndpoints(g.now(), kind, update)
@@ -97,6 +100,24 @@
 	}
 }
 
+// supersede removes the backends whose address a new one has taken, before discovery tells that
+// they are gone: what is sent there would reach the new one's process.
+func (p *backendPool) supersede(g *Gateway, m *member) (removed []policy.Endpoint) {
+	known := p.byID[m.ID]
+	if endpointState(m) != policy.Ready || known != nil && known.address == m.HostPort {
+		return nil
+	}
+	for id, b := range p.byID {
+		if b.address != m.HostPort || b.state == policy.Removed {
+			continue
+		}
+		g.log.Info("backend's address belongs to a new one", "backend", id, "new", m.ID)
+		b.state = policy.Removed
+		removed = append(removed, policy.Endpoint{Backend: b.number, State: policy.Removed})
+	}
+	return removed
+}
+
 // updateEndpoint applies one member of a list.
 func (p *backendPool) updateEndpoint(g *Gateway, m *member) policy.Endpoint {
 	b := p.findOrAdd(m.ID)
--- a/internal/dataplane/gateway/endpoints_test.go
+++ b/internal/dataplane/gateway/endpoints_test.go
@@ -88,3 +88,28 @@
 		t.Error("no error for an endpoint source that can't be created")
 	}
 }
+
+// A new backend comes up at the address of one that discovery has not reported as gone yet. Nothing
+// is sent to the old one any more: it would reach the new one's process. Two backends that exchange
+// their addresses both stay.
+func TestNewBackendAtFormerAddress(t *testing.T) {
+	g, list := gatewayWithEndpoints(t, 3)
+	next := list[0]
+	next.ID = "node/q-00000009"
+	g.handle(endpointEvent{Kind: registry.Delta, Members: []member{next}})
+	if g.backends.byID[list[0].ID] != nil {
+		t.Error("the backend whose address was taken is still used")
+	}
+	if b := g.backends.byID[next.ID]; b == nil || b.state != policy.Ready {
+		t.Error("the new backend is not used")
+	}
+	first, second := list[1], list[2]
+	first.HostPort, second.HostPort = second.HostPort, first.HostPort
+	g.handle(endpointEvent{Kind: registry.Delta, Members: []member{first, second}})
+	for _, m := range []member{first, second} {
+		b := g.backends.byID[m.ID]
+		if b == nil || b.state != policy.Ready || b.address != m.HostPort {
+			t.Errorf("%s is not used at its new address", m.ID)
+		}
+	}
+}
--- a/internal/testing/clientlab/backend.go
+++ b/internal/testing/clientlab/backend.go
@@ -20,6 +20,9 @@
 	listener net.Listener
 	serve    serveFunc
 	slow     bool // it reads commands slowly
+
+	mu    sync.Mutex
+	conns []net.Conn
 }
 
 const (
@@ -38,8 +41,8 @@
 	return n, err
 }
 
-func newBackend(number int, serve serveFunc, slow bool) (*backend, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func newBackend(number int, address string, serve serveFunc, slow bool) (*backend, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -54,10 +57,24 @@
 		if err != nil {
 			return
 		}
+		b.mu.Lock()
+		b.conns = append(b.conns, c)
+		b.mu.Unlock()
 		go b.serveConn(c)
 	}
 }
 
+// end ends the backend as a process does: it no longer listens, and its connections are reset.
+func (b *backend) end() {
+	_ = b.listener.Close()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range b.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+}
+
 func (b *backend) serveConn(c net.Conn) {
 	defer c.Close()
 	if b.slow {
--- a/internal/testing/clientlab/cases.go
+++ b/internal/testing/clientlab/cases.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mothcleat/internal/testing/harness"
@@ -46,6 +47,7 @@
 	"unread":      unreadCase,
 	"slow-answer": slowAnswerCase,
 	"slow-server": slowServerCase,
+	"new-process": newProcessCase,
 }
 
 // Names returns the names of the cases.
@@ -378,3 +380,55 @@
 		return o.figures()
 	}
 }
+
+// newProcessCase has new backends come up at the addresses of others that have gone. Discovery
+// tells of the new one at once, and some time later that the old one has gone. A new one's fair
+// share of the requests until then is a fourth.
+func newProcessCase() disturbance {
+	play := func(ctx context.Context, w *world) map[string]any {
+		var atNew atomic.Int64
+		asked := uint64(0)
+		replaced := 0
+		for number := backendCount; ctx.Err() == nil; number++ {
+			first := w.ids.last.Load()
+			if err := w.replaceBackend(number, &atNew); err != nil {
+				return map[string]any{"error": err.Error()}
+			}
+			asked += w.ids.last.Load() - first
+			replaced++
+		}
+		share := float64(atNew.Load()) / float64(max(1, asked))
+		return map[string]any{"replaced": replaced, "share_of_new": share}
+	}
+	return disturbance{serve: quickAnswer, play: play}
+}
+
+// replaceBackend replaces a backend by one with another id at its address, and counts the requests
+// that come to the new one before discovery tells that the old one has gone.
+func (w *world) replaceBackend(number int, atNew *atomic.Int64) error {
+	const (
+		goneAfter = time.Second
+		pause     = 200 * time.Millisecond
+	)
+	old := w.backends[number%backendCount]
+	gone := old.member("Gone")
+	old.end()
+	var told atomic.Bool
+	serve := func(args []string, out io.Writer) {
+		if !told.Load() {
+			atNew.Add(1)
+		}
+		quickAnswer(args, out)
+	}
+	next, err := newBackend(number, gone.HostPort, serve, false)
+	if err != nil {
+		return err
+	}
+	w.backends[number%backendCount] = next
+	w.announce(next.member("Ready"))
+	time.Sleep(goneAfter)
+	told.Store(true)
+	w.announce(gone)
+	time.Sleep(pause)
+	return nil
+}
--- a/internal/testing/clientlab/world.go
+++ b/internal/testing/clientlab/world.go
@@ -55,6 +55,7 @@
 	exited   chan struct{}
 	backends []*backend
 	register *http.Server
+	changes  chan member // for the gateway's watch
 	ids      idSource
 	remove   func()
 }
@@ -65,9 +66,9 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{remove: remove, dir: filepath.Dir(bin)}
+	w := &world{remove: remove, dir: filepath.Dir(bin), changes: make(chan member, 16)}
 	for i := range backendCount {
-		b, err := newBackend(i, d.serve, d.slowBackends)
+		b, err := newBackend(i, "127.0.0.1:0", d.serve, d.slowBackends)
 		if err != nil {
 			return nil, errors.Join(err, w.close())
 		}
@@ -79,32 +80,63 @@
 	return w, nil
 }
 
-// members is discovery's list of the backends.
-func (w *world) members() map[string]any {
-	members := []any{}
+// member is a backend as discovery lists it.
+type member struct {
+	ID       string `json:"id"`
+	HostPort string `json:"host_port"`
+	Locality string `json:"locality"`
+	Cell     int    `json:"cell"`
+	Phase    string `json:"phase"`
+	Size     int    `json:"size"`
+	UpSince  int64  `json:"up_since_ms"`
+}
+
+// list is discovery's answer: all members, or those that have changed.
+type list struct {
+	Revision int      `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []member `json:"members"`
+}
+
+func (b *backend) member(phase string) member {
+	return member{
+		ID: b.id, HostPort: b.listener.Addr().String(), Locality: "a", Cell: 1, Phase: phase,
+		Size: 1,
+	}
+}
+
+// members is discovery's list of the backends at the start.
+func (w *world) members() list {
+	all := list{Revision: 1, Complete: true}
 	for _, b := range w.backends {
-		members = append(members, map[string]any{
-			"id": b.id, "host_port": b.listener.Addr().String(), "locality": "a", "cell": 1,
-			"phase": "Ready", "size": 1, "up_since_ms": 0,
-		})
+		all.Members = append(all.Members, b.member("Ready"))
 	}
-	return map[string]any{"revision": 1, "complete": true, "members": members}
+	return all
 }
 
-// serveRegister answers calls to discovery. Nothing changes during a run.
+// announce has discovery tell a change.
+func (w *world) announce(m member) { w.changes <- m }
+
+// serveRegister answers calls to discovery: one for the whole list, and watches, each of which ends
+// with the next change.
 func (w *world) serveRegister(out http.ResponseWriter, in *http.Request) {
-	list := w.members()
-	if wait := in.URL.Query().Get("wait"); wait != "" {
-		millis, _ := strconv.Atoi(wait)
-		select {
-		case <-in.Context().Done():
-			return
-		case <-time.After(time.Duration(millis) * time.Millisecond):
-		}
-		list["complete"] = false
-		list["members"] = []any{}
+	wait := in.URL.Query().Get("wait")
+	if wait == "" {
+		_ = json.NewEncoder(out).Encode(w.members())
+		return
+	}
+	revision, _ := strconv.Atoi(in.URL.Query().Get("index"))
+	answer := list{Revision: revision, Members: []member{}}
+	millis, _ := strconv.Atoi(wait)
+	select {
+	case <-in.Context().Done():
+		return
+	case m := <-w.changes:
+		answer.Revision++
+		answer.Members = append(answer.Members, m)
+	case <-time.After(time.Duration(millis) * time.Millisecond):
 	}
-	_ = json.NewEncoder(out).Encode(list)
+	_ = json.NewEncoder(out).Encode(answer)
 }
 
 func (w *world) startGateway(ctx context.Context, bin string) error {
