Drain: commands behind an open request are read and rejected, not left unread

Callers saw: requests sent behind one of 3.9 s, from 1.5 s after drain-on, lay unread for over 2 s until their connection ended without an answer to them.

Cause: decideServing halted the reader of a connection with open requests, so that one on which commands follow each other closes.

Change: a connection that is to close is read until its last open request is answered. From DrainIdleCloseAfter on, what is read from it is rejected, so it closes as before. TestDrainStopsReadingBusyConnection and TestDrainClosesBusyConnection held that such commands stay unread. They now hold that each is rejected, none is sent on, and the connection closes after the answers.

--- a/internal/dataplane/gateway/client.go
+++ b/internal/dataplane/gateway/client.go
@@ -202,7 +202,8 @@
 	}
 	tooManyOpen := g.cfg.Host.MaxOpenRequests > 0 && g.requests.open > g.cfg.Host.MaxOpenRequests
 	overloaded := noMemory || tooManyOpen || g.outgoingBytes() >= g.memoryForAnswers()
-	if !overloaded && !c.overLimit && g.lifecycle.AdmitsRequests(g.now()) {
+	drained := c.closeWhenIdle && g.lifecycle.ClosesBusy(g.now())
+	if !overloaded && !drained && !c.overLimit && g.lifecycle.AdmitsRequests(g.now()) {
 		return nil
 	}
 	c.closeWhenIdle = c.closeWhenIdle || c.overLimit
--- a/internal/dataplane/gateway/shutdown.go
+++ b/internal/dataplane/gateway/shutdown.go
@@ -51,7 +51,7 @@
 			ends = g.lifecycle.ClosesUnused
 		}
 		idle := !c.awaitingAnswer()
-		if idle && ends(now, c.lastActivity()) || !idle && g.lifecycle.StopsReading(now) {
+		if idle && ends(now, c.lastActivity()) || !idle && g.lifecycle.ClosesBusy(now) {
 			c.closeWhenIdle = true
 		}
 		g.settleConn(c) // also because answers may have been written since
--- a/internal/dataplane/lifecycle/connection.go
+++ b/internal/dataplane/lifecycle/connection.go
@@ -77,7 +77,7 @@
 	case p.PassesConns():
 		return decidePassing(c)
 	}
-	return decideServing(c, p.StopsReading(now))
+	return decideServing(c)
 }
 
 // decideUndecided decides on a connection while it is not known whether a successor takes over, and
@@ -116,10 +116,11 @@
 	return PassConn
 }
 
-// decideServing decides on a connection that stays with this process. stopsReading says that a
-// connection which is to close is no longer read although requests are open.
-func decideServing(c Conn, stopsReading bool) ConnAction {
-	halts := c.CloseRequested && (c.Open == 0 || stopsReading)
+// decideServing decides on a connection that stays with this process. One that is to close is read
+// until its last open request is answered: a command that waited unread for that long would be
+// lost, and its client could not send it again in time.
+func decideServing(c Conn) ConnAction {
+	halts := c.CloseRequested && c.Open == 0
 	switch {
 	case c.Held > 0:
 		return AdmitHeld
--- a/internal/dataplane/lifecycle/lifecycle.go
+++ b/internal/dataplane/lifecycle/lifecycle.go
@@ -228,10 +228,10 @@
 	return !p.closesConns(now) || now-opened >= p.settings.LateFirstCommandTime
 }
 
-// StopsReading reports whether a drain closes all connections, also those on which commands follow
-// each other without a pause: no more of them are read, and the connection closes after its
-// answers.
-func (p *Process) StopsReading(now Time) bool {
+// ClosesBusy reports whether a drain closes all connections, also those on which commands follow
+// each other without a pause: commands that are read from then on are rejected, and the connection
+// closes after its answers.
+func (p *Process) ClosesBusy(now Time) bool {
 	return p.draining && now-p.drainStart >= p.settings.DrainIdleCloseAfter
 }
 
