--- a/internal/dataplane/gateway/client_backpressure_test.go
+++ b/internal/dataplane/gateway/client_backpressure_test.go
@@ -36,6 +36,22 @@
 	return nil, 0
 }
 
+// dialPausedReader is dialLateReader with more requests, which the gateway leaves unread. From then
+// on the backend answers by itself. It returns how many requests were sent, and the value of each.
+func (r *testGateway) dialPausedReader(
+	t *testing.T, b *fakeBackend,
+) (c *testClient, sent int, value string) {
+	t.Helper()
+	value = strings.Repeat("v", 60<<10)
+	c, sent = r.dialLateReader(t, b, value)
+	const more = 40
+	for i := range more {
+		c.sendLookup(sent+1+i, "60000")
+	}
+	b.replyInBackground(t, value)
+	return c, sent + more, value
+}
+
 // replyInBackground has the backend answer all further commands with a value.
 func (b *fakeBackend) replyInBackground(t *testing.T, value string) {
 	t.Helper()
@@ -73,14 +89,8 @@
 func TestLateReaderGetsEveryAnswer(t *testing.T) {
 	t.Parallel()
 	r, b, _ := startWithOneBackend(t, nil)
-	value := strings.Repeat("v", 60<<10)
-	c, sent := r.dialLateReader(t, b, value)
-	const more = 40
-	for i := range more {
-		c.sendLookup(sent+1+i, "60000")
-	}
-	b.replyInBackground(t, value)
-	c.wantAnswers(sent+more, value)
+	c, sent, value := r.dialPausedReader(t, b)
+	c.wantAnswers(sent, value)
 }
 
 // A client that has not read its answers yet is neither evicted nor disconnected as idle: that
@@ -107,18 +117,12 @@
 func TestShutdownAnswersCommandsBehindUnreadAnswers(t *testing.T) {
 	t.Parallel()
 	r, b, _ := startWithOneBackend(t, nil)
-	value := strings.Repeat("v", 60<<10)
-	c, sent := r.dialLateReader(t, b, value)
-	const more = 40
-	for i := range more {
-		c.sendLookup(sent+1+i, "60000")
-	}
-	b.replyInBackground(t, value)
+	c, sent, value := r.dialPausedReader(t, b)
 	r.beginShutdown()
 	waitUntil(t, r.gateway, "the end of the time to answer", func(g *Gateway) bool {
 		return g.shutdown.requestsFailed && connOf(g, c).heldReplyBytes.Load() == 0
 	})
-	c.wantAnswers(sent+more, value)
+	c.wantAnswers(sent, value)
 	c.wantClosed()
 }
 
